--- /dev/null
+++ b/pkg/order/order.go
@@ -0,0 +1,299 @@
+// Package order keeps the order tickets that this process issued. A ticket
+// binds a non-idempotent request to the memory of one process: only that
+// process can start it, and it starts it again only after proof that the
+// earlier attempt did not run. When the process is lost, the ticket is void.
+package order
+
+import (
+	"encoding/base64"
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+const (
+	// DefaultValidity is how long a ticket lasts when the caller names no time.
+	DefaultValidity = 60 * time.Second
+	// MaxValidity bounds how long a record is kept in memory.
+	MaxValidity = 10 * time.Minute
+	// maxAttempts bounds upstream attempts per submission; each but the first
+	// follows proof that the one before did not run.
+	maxAttempts = 3
+	// limitRetryDelay is suggested to callers when no ticket is free.
+	limitRetryDelay = 2 * time.Second
+)
+
+// State is the state of a ticket.
+type State int
+
+// States of a ticket. Done and Unknown are final.
+const (
+	Issued State = iota
+	Running
+	Done
+	Unknown
+	Expired
+)
+
+// Config holds the identity and limits of a Book.
+type Config struct {
+	Owner    model.InstanceID
+	Boot     model.BootID
+	Capacity int
+	NewID    func() model.AttemptID
+	Rand     *rand.Rand
+}
+
+// Spec is what a ticket is issued for.
+type Spec struct {
+	Service   string
+	Operation string
+	Caller    model.CallerID
+	// Key is the caller's own name for the order.
+	Key      string
+	Validity time.Duration
+}
+
+type record struct {
+	spec    Spec
+	expires time.Time
+	state   State
+	// content is the hash of the first submission; later ones must match.
+	content  uint64
+	bound    bool
+	attempt  model.AttemptID
+	attempts int
+	sub      port.OrderSubmission
+	answer   port.OrderAnswer
+}
+
+// Book holds the tickets of one process run. It is not safe for concurrent
+// use.
+type Book struct {
+	cfg     Config
+	records map[model.AttemptID]*record
+}
+
+// NewBook returns an empty book.
+func NewBook(cfg Config) *Book {
+	return &Book{cfg: cfg, records: make(map[model.AttemptID]*record)}
+}
+
+// Len returns the number of tickets in memory.
+func (b *Book) Len() int { return len(b.records) }
+
+// Ticket names an order. Its text form carries the address of its owner.
+type Ticket struct {
+	Owner model.InstanceID
+	Boot  model.BootID
+	ID    model.AttemptID
+}
+
+// String returns the text form given to callers.
+func (t Ticket) String() string {
+	raw := binary.BigEndian.AppendUint64(nil, uint64(t.Boot))
+	raw = append(raw, t.ID[:]...)
+	raw = append(raw, t.Owner...)
+	return base64.RawURLEncoding.EncodeToString(raw)
+}
+
+// ParseTicket parses the text form.
+func ParseTicket(s string) (Ticket, error) {
+	const header = 8 + 16
+	raw, err := base64.RawURLEncoding.DecodeString(strings.TrimSpace(s))
+	if err != nil || len(raw) <= header || len(raw) > header+64 {
+		return Ticket{}, result.Errorf(result.BadRequest, "the ticket is malformed")
+	}
+	t := Ticket{Boot: model.BootID(binary.BigEndian.Uint64(raw)), Owner: model.InstanceID(raw[header:])}
+	copy(t.ID[:], raw[8:header])
+	return t, nil
+}
+
+// Issue returns a new ticket. At the capacity it refuses rather than forget an
+// older ticket, because a forgotten ticket could no longer prove what ran.
+func (b *Book) Issue(now time.Time, spec Spec) (Ticket, time.Time, error) {
+	if len(b.records) >= b.cfg.Capacity {
+		b.Expire(now)
+	}
+	if len(b.records) >= b.cfg.Capacity {
+		return Ticket{}, time.Time{}, result.Errorf(result.TicketLimit, "%d tickets are in use", len(b.records))
+	}
+	if spec.Validity <= 0 {
+		spec.Validity = DefaultValidity
+	}
+	spec.Validity = min(spec.Validity, MaxValidity)
+	t := Ticket{Owner: b.cfg.Owner, Boot: b.cfg.Boot, ID: b.cfg.NewID()}
+	r := &record{spec: spec, expires: now.Add(spec.Validity)}
+	b.records[t.ID] = r
+	return t, r.expires, nil
+}
+
+// RetryDelay returns a delay with jitter for callers that were refused a
+// ticket.
+func (b *Book) RetryDelay() time.Duration {
+	return limitRetryDelay + time.Duration(b.cfg.Rand.Int64N(int64(limitRetryDelay)))
+}
+
+// Expire drops tickets that have expired and are not running. A submission of
+// a dropped ticket is answered as unknown.
+func (b *Book) Expire(now time.Time) {
+	for id, r := range b.records {
+		if r.state != Running && !now.Before(r.expires) {
+			delete(b.records, id)
+		}
+	}
+}
+
+// Decision says how a submission continues. Exactly one of the fields applies.
+type Decision struct {
+	// Start is set when an attempt must be sent.
+	Start *Attempt
+	// Join is true when the order is running and its outcome must be awaited.
+	Join bool
+	// Answer is set when the outcome is known at once.
+	Answer *port.OrderAnswer
+}
+
+// Attempt is one attempt of an order on the scheduling group of its shard.
+type Attempt struct {
+	Ticket   model.AttemptID
+	ID       model.AttemptID
+	Key      string
+	Sub      port.OrderSubmission
+	Deadline time.Time
+}
+
+// Submit decides on a submission of a ticket of this book.
+func (b *Book) Submit(now time.Time, t Ticket, sub port.OrderSubmission) Decision {
+	r := b.records[t.ID]
+	if t.Boot != b.cfg.Boot || r == nil {
+		return answered(port.OrderAnswer{Code: result.TicketUnknown, Ran: model.RunUnknown})
+	}
+	if d, refused := r.checkSubmission(sub); refused {
+		return d
+	}
+	switch r.state {
+	case Running:
+		return Decision{Join: true}
+	case Done, Unknown:
+		recorded := r.answer
+		recorded.Replayed = true
+		return answered(recorded)
+	case Expired:
+		return answered(r.answer)
+	}
+	if !now.Before(r.expires) {
+		r.state = Expired
+		r.answer = port.OrderAnswer{Code: result.TicketExpiredUnused, Ran: model.NotRun}
+		return answered(r.answer)
+	}
+	if !sub.Deadline.After(now) {
+		return answered(port.OrderAnswer{Code: result.DeadlineExceeded, Ran: model.NotRun})
+	}
+	r.bind(sub)
+	return Decision{Start: b.start(t.ID, r)}
+}
+
+func answered(a port.OrderAnswer) Decision { return Decision{Answer: &a} }
+
+// checkSubmission refuses a submission that differs from what the ticket was
+// issued for or first used for: running it would be another order.
+func (r *record) checkSubmission(sub port.OrderSubmission) (Decision, bool) {
+	mismatch := sub.Service != r.spec.Service || sub.Operation != r.spec.Operation
+	if r.bound && contentHash(sub) != r.content {
+		mismatch = true
+	}
+	if !mismatch {
+		return Decision{}, false
+	}
+	return answered(port.OrderAnswer{Code: result.TicketMismatch, Ran: model.NotRun}), true
+}
+
+func (r *record) bind(sub port.OrderSubmission) {
+	r.content = contentHash(sub)
+	r.bound = true
+	r.sub = sub
+	r.attempts = 0
+}
+
+func contentHash(sub port.OrderSubmission) uint64 {
+	h := xxhash.New()
+	var size [8]byte
+	for _, field := range [][]byte{[]byte(sub.Service), []byte(sub.Operation), []byte(sub.Shard), sub.Payload} {
+		binary.BigEndian.PutUint64(size[:], uint64(len(field)))
+		_, _ = h.Write(size[:])
+		_, _ = h.Write(field)
+	}
+	return h.Sum64()
+}
+
+func (b *Book) start(ticket model.AttemptID, r *record) *Attempt {
+	r.state = Running
+	r.attempts++
+	r.attempt = b.cfg.NewID()
+	key := r.spec.Key
+	if key == "" {
+		key = ticket.String()
+	}
+	deadline := r.sub.Deadline
+	if r.expires.Before(deadline) {
+		deadline = r.expires
+	}
+	return &Attempt{Ticket: ticket, ID: r.attempt, Key: key, Sub: r.sub, Deadline: deadline}
+}
+
+// Outcome is how an attempt ended.
+type Outcome struct {
+	Code       result.Code
+	Ran        model.RunState
+	Result     json.RawMessage
+	Snapshot   model.SnapshotID
+	RetryAfter time.Duration
+}
+
+// Finish takes the outcome of an attempt. It returns the next attempt, or the
+// answer for all who wait. Outcomes of other than the current attempt are
+// ignored and return neither.
+func (b *Book) Finish(now time.Time, ticket, attempt model.AttemptID, o Outcome) (*Attempt, *port.OrderAnswer) {
+	r := b.records[ticket]
+	if r == nil || r.state != Running || r.attempt != attempt {
+		return nil, nil
+	}
+	if o.Ran == model.NotRun && r.mayTryAgain(now, o.Code) {
+		return b.start(ticket, r), nil
+	}
+	r.answer = port.OrderAnswer{Code: o.Code, Ran: o.Ran, Result: o.Result, Snapshot: o.Snapshot, RetryAfter: o.RetryAfter}
+	switch o.Ran {
+	case model.NotRun:
+		r.state = Issued
+	case model.Ran:
+		r.state = Done
+	default:
+		r.state = Unknown
+		r.answer.Code = result.OutcomeUnknown
+	}
+	answer := r.answer
+	return nil, &answer
+}
+
+func (r *record) mayTryAgain(now time.Time, code result.Code) bool {
+	if r.attempts >= maxAttempts || !now.Before(r.sub.Deadline) || !now.Before(r.expires) {
+		return false
+	}
+	switch code {
+	case result.Leaving, result.JustResumed, result.NotReady, result.PeerUnreachable,
+		result.WrongIncarnation, result.StaleGroup, result.NotHomeCandidate,
+		result.UpstreamDraining, result.ConnectFailed, result.SnapshotMissing:
+		return true
+	default:
+		return false
+	}
+}
--- /dev/null
+++ b/pkg/order/order_test.go
@@ -0,0 +1,200 @@
+package order
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	_ "github.com/sardineturn/sardineturn/internal/testseed"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+var epoch = time.Unix(1_700_000_000, 0)
+
+func newTestBook(boot model.BootID, capacity int) *Book {
+	var counter uint64
+	return NewBook(Config{
+		Owner: "127.0.0.1:7000", Boot: boot, Capacity: capacity,
+		Rand: rand.New(rand.NewPCG(1, uint64(boot))),
+		NewID: func() model.AttemptID {
+			counter++
+			var id model.AttemptID
+			binary.BigEndian.PutUint64(id[:], uint64(boot))
+			binary.BigEndian.PutUint64(id[8:], counter)
+			return id
+		},
+	})
+}
+
+func submission(ticket Ticket, now time.Time, payload string) port.OrderSubmission {
+	return port.OrderSubmission{
+		Ticket: ticket.String(), Service: "s", Operation: "reserve", Shard: "0",
+		Payload: json.RawMessage(payload), Deadline: now.Add(time.Second),
+	}
+}
+
+// attemptInFlight is an attempt that the fake home has not settled.
+type attemptInFlight struct {
+	book    *Book
+	attempt Attempt
+	// executed is true once the fake upstream ran it.
+	executed bool
+	// refused is true once the home removed it and said "not run".
+	refused bool
+}
+
+// orderModel drives several owner processes, one after another, against homes
+// that may run an attempt at any time, also long after the owner gave up.
+type orderModel struct {
+	now      time.Time
+	boot     model.BootID
+	book     *Book
+	tickets  []Ticket
+	inFlight []*attemptInFlight
+	// executions counts runs per ticket: the upstreams' own log.
+	executions map[model.AttemptID]int
+	claimed    map[model.AttemptID]bool
+}
+
+func (m *orderModel) start(b *Book, a *Attempt) {
+	if a != nil {
+		m.inFlight = append(m.inFlight, &attemptInFlight{book: b, attempt: *a})
+	}
+}
+
+func (m *orderModel) submit(t *rapid.T) {
+	if len(m.tickets) == 0 {
+		return
+	}
+	ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
+	payload := rapid.SampledFrom([]string{`1`, `1`, `1`, `2`}).Draw(t, "payload")
+	d := m.book.Submit(m.now, ticket, submission(ticket, m.now, payload))
+	if d.Answer != nil && d.Answer.Ran == model.NotRun && d.Answer.Code != result.TicketMismatch {
+		must.Zero(t, m.executions[ticket.ID], must.Sprint("the answer says not run after a run"))
+	}
+	m.start(m.book, d.Start)
+}
+
+// settle lets a home or an upstream act on an attempt.
+func (m *orderModel) settle(t *rapid.T) {
+	if len(m.inFlight) == 0 {
+		return
+	}
+	f := rapid.SampledFrom(m.inFlight).Draw(t, "attempt")
+	switch rapid.IntRange(0, 4).Draw(t, "what") {
+	case 0: // The upstream runs it, once per attempt at most.
+		if !f.executed && !f.refused {
+			f.executed = true
+			m.executions[f.attempt.Ticket]++
+		}
+	case 1: // The home refuses it and has removed it.
+		if !f.executed {
+			f.refused = true
+			m.finish(t, f, Outcome{Code: result.UpstreamDraining, Ran: model.NotRun})
+		}
+	case 2: // The outcome arrives.
+		if f.executed {
+			m.finish(t, f, Outcome{Code: result.OK, Ran: model.Ran})
+		}
+	case 3: // The connection to the home or to the upstream breaks.
+		m.finish(t, f, Outcome{Code: result.PeerLost, Ran: model.RunUnknown})
+	case 4: // A refusal is delivered a second time.
+		if f.refused {
+			m.finish(t, f, Outcome{Code: result.Overloaded, Ran: model.NotRun})
+		}
+	}
+}
+
+func (m *orderModel) finish(t *rapid.T, f *attemptInFlight, o Outcome) {
+	next, answer := f.book.Finish(m.now, f.attempt.Ticket, f.attempt.ID, o)
+	m.start(f.book, next)
+	if answer != nil && answer.Ran == model.NotRun {
+		must.Zero(t, m.executions[f.attempt.Ticket], must.Sprint("the answer says not run after a run"))
+		must.False(t, m.claimed[f.attempt.Ticket])
+	}
+}
+
+// TestOrderRunsAtMostOnce guards against a second run of an order under resent
+// submissions, lost and repeated outcomes, late runs, expiry and owners that
+// restart without memory.
+func TestOrderRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := &orderModel{now: epoch, boot: 1, book: newTestBook(1, 8), executions: map[model.AttemptID]int{}, claimed: map[model.AttemptID]bool{}}
+		t.Repeat(map[string]func(*rapid.T){
+			"issue": func(t *rapid.T) {
+				ticket, _, err := m.book.Issue(m.now, Spec{Service: "s", Operation: "reserve", Validity: 3 * time.Second})
+				if err == nil {
+					m.tickets = append(m.tickets, ticket)
+				}
+			},
+			"submit": m.submit,
+			"settle": m.settle,
+			"advance": func(t *rapid.T) {
+				m.now = m.now.Add(time.Duration(rapid.IntRange(1, 2000).Draw(t, "ms")) * time.Millisecond)
+				m.book.Expire(m.now)
+			},
+			"restart": func(t *rapid.T) {
+				m.boot++
+				m.book = newTestBook(m.boot, 8)
+			},
+			"": func(t *rapid.T) {
+				for id, n := range m.executions {
+					must.LessEq(t, 1, n, must.Sprintf("ticket %s ran %d times", id, n))
+				}
+				must.LessEq(t, 8, m.book.Len())
+			},
+		})
+	})
+}
+
+// TestUnknownIsFinal guards against a retry after an attempt whose outcome is
+// in doubt.
+func TestUnknownIsFinal(t *testing.T) {
+	b := newTestBook(1, 4)
+	ticket, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve"})
+	must.NoError(t, err)
+	d := b.Submit(epoch, ticket, submission(ticket, epoch, `1`))
+	_, answer := b.Finish(epoch, ticket.ID, d.Start.ID, Outcome{Code: result.PeerLost, Ran: model.RunUnknown})
+	must.Eq(t, result.OutcomeUnknown, answer.Code)
+	again := b.Submit(epoch, ticket, submission(ticket, epoch, `1`))
+	must.Nil(t, again.Start)
+	must.Eq(t, model.RunUnknown, again.Answer.Ran)
+	must.True(t, again.Answer.Replayed)
+}
+
+// TestFullBookRefuses guards against forgetting a ticket to make room for
+// another.
+func TestFullBookRefuses(t *testing.T) {
+	b := newTestBook(1, 2)
+	for range 2 {
+		_, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve", Validity: time.Second})
+		must.NoError(t, err)
+	}
+	_, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve"})
+	must.Eq(t, result.TicketLimit, result.CodeOf(err))
+	_, _, err = b.Issue(epoch.Add(time.Second), Spec{Service: "s", Operation: "reserve"})
+	must.NoError(t, err)
+}
+
+// FuzzParseTicket guards against panics on text from callers and against a
+// ticket that does not survive its text form.
+func FuzzParseTicket(f *testing.F) {
+	f.Add(Ticket{Owner: "10.0.0.1:7400", Boot: 7}.String())
+	f.Add("")
+	f.Fuzz(func(t *testing.T, s string) {
+		ticket, err := ParseTicket(s)
+		if err != nil {
+			return
+		}
+		again, err := ParseTicket(ticket.String())
+		must.NoError(t, err)
+		must.Eq(t, ticket, again)
+	})
+}
