Add process settings and a JSON checker

Settings had no definition, so no process could be configured. pkg/settings reads them from JSON, checks them against an embedded schema, fills in defaults and lists all faults at once with path, code and reason. The JSON checks are in pkg/jsoncheck because service documents need the same ones. Number literals with large exponents are refused before the schema check, because that check compares exact fractions and a literal such as 1e999999999 would exhaust the memory.

--- /dev/null
+++ b/pkg/jsoncheck/jsoncheck.go
@@ -0,0 +1,283 @@
+// Package jsoncheck checks JSON text against a schema and reports every fault
+// with its path. It also finds what a schema cannot express: duplicate keys,
+// trailing data and numbers that are too large to compare cheaply.
+package jsoncheck
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"slices"
+	"strconv"
+	"strings"
+	"unicode/utf8"
+
+	"github.com/santhosh-tekuri/jsonschema/v6"
+	"github.com/santhosh-tekuri/jsonschema/v6/kind"
+	"golang.org/x/text/language"
+	"golang.org/x/text/message"
+)
+
+// Code classifies a fault.
+type Code string
+
+// Fault codes.
+const (
+	BrokenJSON   Code = "broken_json"
+	TrailingData Code = "trailing_data"
+	DuplicateKey Code = "duplicate_key"
+	UnknownField Code = "unknown_field"
+	MissingField Code = "missing_field"
+	WrongType    Code = "wrong_type"
+	EmptyList    Code = "empty_list"
+	EmptyText    Code = "empty_text"
+	OutOfRange   Code = "out_of_range"
+	BadFormat    Code = "bad_format"
+	BadValue     Code = "bad_value"
+)
+
+// Fault is one fault of a JSON text.
+type Fault struct {
+	// Path locates the value, for example "$.priorities[0].name".
+	Path   string
+	Code   Code
+	Reason string
+}
+
+// String returns path, code and reason on one line.
+func (f Fault) String() string { return fmt.Sprintf("%s: %s: %s", f.Path, f.Code, f.Reason) }
+
+// MustCompile compiles an embedded schema and panics if it is not valid.
+func MustCompile(name string, schema []byte) *jsonschema.Schema {
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
+	if err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	compiler := jsonschema.NewCompiler()
+	if err := compiler.AddResource(name, value); err != nil {
+		panic(fmt.Sprintf("schema %s: %v", name, err))
+	}
+	return compiler.MustCompile(name)
+}
+
+// Check returns all faults of the content, ordered by path. A text that is not
+// JSON has only the faults that stop it from being read.
+func Check(content []byte, schema *jsonschema.Schema) []Fault {
+	if faults := checkSyntax(content); len(faults) > 0 {
+		return faults
+	}
+	faults := checkTokens(content)
+	if slices.ContainsFunc(faults, func(f Fault) bool { return f.Code == OutOfRange }) {
+		return faults
+	}
+	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(content))
+	if err != nil {
+		return append(faults, Fault{Path: "$", Code: BrokenJSON, Reason: err.Error()})
+	}
+	faults = append(faults, checkSchema(value, schema)...)
+	slices.SortStableFunc(faults, func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
+	return faults
+}
+
+func checkSyntax(content []byte) []Fault {
+	if !utf8.Valid(content) {
+		return []Fault{{Path: "$", Code: BrokenJSON, Reason: "the text is not valid UTF-8"}}
+	}
+	dec := json.NewDecoder(bytes.NewReader(content))
+	var raw json.RawMessage
+	if err := dec.Decode(&raw); err != nil {
+		return []Fault{{Path: "$", Code: BrokenJSON, Reason: syntaxReason(content, err)}}
+	}
+	end := dec.InputOffset()
+	if _, err := dec.Token(); !errors.Is(err, io.EOF) {
+		reason := "there is more text after the JSON value, after " + position(content, end)
+		return []Fault{{Path: "$", Code: TrailingData, Reason: reason}}
+	}
+	return nil
+}
+
+func syntaxReason(content []byte, err error) string {
+	var syntax *json.SyntaxError
+	switch {
+	case errors.As(err, &syntax):
+		return fmt.Sprintf("%v at %s", err, position(content, syntax.Offset))
+	case errors.Is(err, io.EOF):
+		return "the text is empty"
+	case errors.Is(err, io.ErrUnexpectedEOF):
+		return "the text ends inside a JSON value"
+	default:
+		return err.Error()
+	}
+}
+
+func position(content []byte, offset int64) string {
+	before := content[:min(int(offset), len(content))]
+	line := bytes.Count(before, []byte("\n")) + 1
+	column := len(before) - (bytes.LastIndexByte(before, '\n') + 1)
+	return fmt.Sprintf("line %d, column %d", line, column)
+}
+
+// checkTokens walks the tokens of syntactically valid JSON.
+func checkTokens(content []byte) []Fault {
+	dec := json.NewDecoder(bytes.NewReader(content))
+	dec.UseNumber()
+	w := &walker{dec: dec}
+	w.value("$")
+	return w.faults
+}
+
+type walker struct {
+	dec    *json.Decoder
+	faults []Fault
+}
+
+func (w *walker) value(path string) {
+	token, err := w.dec.Token()
+	if err != nil {
+		return
+	}
+	switch t := token.(type) {
+	case json.Number:
+		w.number(path, t)
+	case json.Delim:
+		if t == '{' {
+			w.object(path)
+		} else {
+			w.array(path)
+		}
+	}
+}
+
+func (w *walker) object(path string) {
+	seen := make(map[string]bool)
+	for w.dec.More() {
+		token, err := w.dec.Token()
+		if err != nil {
+			return
+		}
+		key, _ := token.(string)
+		if seen[key] {
+			reason := "the key occurs more than once in the same object"
+			w.faults = append(w.faults, Fault{Path: join(path, key), Code: DuplicateKey, Reason: reason})
+		}
+		seen[key] = true
+		w.value(join(path, key))
+	}
+	_, _ = w.dec.Token()
+}
+
+func (w *walker) array(path string) {
+	for i := 0; w.dec.More(); i++ {
+		w.value(fmt.Sprintf("%s[%d]", path, i))
+	}
+	_, _ = w.dec.Token()
+}
+
+// Bounds on number literals. Schema checks compare exact fractions, and a
+// short literal such as 1e999999999 would need gigabytes.
+const (
+	maxNumberLength = 40
+	maxExponent     = 20
+)
+
+func (w *walker) number(path string, n json.Number) {
+	text := n.String()
+	exponent := 0
+	if i := strings.IndexAny(text, "eE"); i >= 0 {
+		e, err := strconv.Atoi(text[i+1:])
+		if err != nil {
+			e = maxExponent + 1
+		}
+		exponent = max(e, -e)
+	}
+	if len(text) > maxNumberLength || exponent > maxExponent {
+		reason := "the number has too many digits or too large an exponent"
+		w.faults = append(w.faults, Fault{Path: path, Code: OutOfRange, Reason: reason})
+	}
+}
+
+func join(path, key string) string {
+	plain := key != "" && strings.IndexFunc(key, func(r rune) bool {
+		return r != '_' && (r < '0' || r > '9') && (r < 'a' || r > 'z') && (r < 'A' || r > 'Z')
+	}) < 0
+	if plain {
+		return path + "." + key
+	}
+	return fmt.Sprintf("%s[%q]", path, key)
+}
+
+func checkSchema(value any, schema *jsonschema.Schema) []Fault {
+	err := schema.Validate(value)
+	var invalid *jsonschema.ValidationError
+	if !errors.As(err, &invalid) {
+		return nil
+	}
+	var faults []Fault
+	printer := message.NewPrinter(language.English)
+	collect(invalid, value, printer, &faults)
+	return faults
+}
+
+// collect appends the leaves of the error tree; inner nodes only group them.
+func collect(e *jsonschema.ValidationError, root any, p *message.Printer, out *[]Fault) {
+	for _, cause := range e.Causes {
+		collect(cause, root, p, out)
+	}
+	if len(e.Causes) > 0 {
+		return
+	}
+	path := render(root, e.InstanceLocation)
+	switch k := e.ErrorKind.(type) {
+	case *kind.AdditionalProperties:
+		for _, name := range k.Properties {
+			*out = append(*out, Fault{Path: join(path, name), Code: UnknownField, Reason: "no such field"})
+		}
+	case *kind.Required:
+		for _, name := range k.Missing {
+			*out = append(*out, Fault{Path: join(path, name), Code: MissingField, Reason: "the field is required"})
+		}
+	default:
+		*out = append(*out, Fault{Path: path, Code: codeOf(k), Reason: k.LocalizedString(p)})
+	}
+}
+
+// render writes a location as a path. Tokens alone do not tell an array index
+// from an object key that consists of digits, so it follows the value.
+func render(root any, location []string) string {
+	path := "$"
+	for _, token := range location {
+		switch v := root.(type) {
+		case []any:
+			i, err := strconv.Atoi(token)
+			if err != nil || i >= len(v) {
+				return path
+			}
+			path = fmt.Sprintf("%s[%d]", path, i)
+			root = v[i]
+		case map[string]any:
+			path = join(path, token)
+			root = v[token]
+		}
+	}
+	return path
+}
+
+func codeOf(k jsonschema.ErrorKind) Code {
+	switch k.(type) {
+	case *kind.Type:
+		return WrongType
+	case *kind.MinItems:
+		return EmptyList
+	case *kind.MinLength:
+		return EmptyText
+	case *kind.Minimum, *kind.Maximum, *kind.ExclusiveMinimum, *kind.ExclusiveMaximum,
+		*kind.MaxLength, *kind.MaxItems:
+		return OutOfRange
+	case *kind.Pattern, *kind.Format:
+		return BadFormat
+	default:
+		return BadValue
+	}
+}
--- /dev/null
+++ b/pkg/settings/settings.go
@@ -0,0 +1,193 @@
+// Package settings defines the settings of a process: JSON text, checked
+// against an embedded schema, with defaults for everything that has a usual
+// value.
+package settings
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"net/url"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/jsoncheck"
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+//go:embed schema.json
+var schemaText []byte
+
+var schema = jsoncheck.MustCompile("settings.json", schemaText)
+
+// Schema returns the JSON schema of the settings.
+func Schema() []byte { return schemaText }
+
+// Settings are the settings of one process. They do not change while it runs.
+type Settings struct {
+	InstanceID model.InstanceID `json:"instance_id"`
+	DataCentre model.DataCentre `json:"data_centre"`
+	// Cluster keeps instances of different deployments apart.
+	Cluster         string   `json:"cluster"`
+	GRPCAddress     string   `json:"grpc_address"`
+	ControlAddress  string   `json:"control_address"`
+	CallerAddress   string   `json:"caller_address"`
+	OperatorAddress string   `json:"operator_address"`
+	PlatformURL     string   `json:"platform_url"`
+	MaxInstances    int      `json:"max_instances"`
+	BalancerLagMS   int      `json:"balancer_lag_ms"`
+	LogLevel        string   `json:"log_level"`
+	Seeds           []string `json:"seeds,omitempty"`
+	Limits          Limits   `json:"limits"`
+	// AssertInvariants makes a broken invariant end the process.
+	AssertInvariants bool `json:"assert_invariants"`
+}
+
+// Limits bound what one process holds in memory.
+type Limits struct {
+	MaxBodyBytes          int64 `json:"max_body_bytes"`
+	MaxConcurrentRequests int   `json:"max_concurrent_requests"`
+	MaxTickets            int   `json:"max_tickets"`
+}
+
+// Default values of optional settings.
+const (
+	DefaultMaxInstances          = 10
+	DefaultBalancerLagMS         = 3000
+	DefaultLogLevel              = "info"
+	DefaultMaxBodyBytes          = 1 << 20
+	DefaultMaxConcurrentRequests = 10_000
+	DefaultMaxTickets            = 100_000
+)
+
+// Default returns settings that hold only default values.
+func Default() Settings {
+	return Settings{
+		MaxInstances:  DefaultMaxInstances,
+		BalancerLagMS: DefaultBalancerLagMS,
+		LogLevel:      DefaultLogLevel,
+		Limits: Limits{
+			MaxBodyBytes:          DefaultMaxBodyBytes,
+			MaxConcurrentRequests: DefaultMaxConcurrentRequests,
+			MaxTickets:            DefaultMaxTickets,
+		},
+	}
+}
+
+// BalancerLag returns the time for which listeners stay open after the
+// instance became not ready.
+func (s Settings) BalancerLag() time.Duration {
+	return time.Duration(s.BalancerLagMS) * time.Millisecond
+}
+
+// Overrides are top-level fields that replace those of the text.
+type Overrides map[string]any
+
+// Error lists every fault of a settings text.
+type Error struct {
+	Faults []jsoncheck.Fault
+}
+
+// Error returns one line per fault.
+func (e *Error) Error() string {
+	lines := []string{"invalid settings:"}
+	for _, f := range e.Faults {
+		lines = append(lines, "  "+f.String())
+	}
+	return strings.Join(lines, "\n")
+}
+
+// Load reads the settings file and applies the overrides. An empty path means
+// that all settings come from the overrides.
+func Load(path string, overrides Overrides) (Settings, error) {
+	content := []byte("{}")
+	if path != "" {
+		var err error
+		content, err = os.ReadFile(path)
+		if err != nil {
+			return Settings{}, fmt.Errorf("read settings: %w", err)
+		}
+	}
+	return Parse(content, overrides)
+}
+
+// Parse applies the overrides to the text, checks the result and fills in the
+// defaults. A fault is returned as an *Error.
+func Parse(content []byte, overrides Overrides) (Settings, error) {
+	merged, err := merge(content, overrides)
+	if err != nil {
+		return Settings{}, err
+	}
+	if faults := jsoncheck.Check(merged, schema); len(faults) > 0 {
+		return Settings{}, &Error{Faults: faults}
+	}
+	s := Default()
+	if err := json.Unmarshal(merged, &s); err != nil {
+		return Settings{}, &Error{Faults: []jsoncheck.Fault{{Path: "$", Code: jsoncheck.WrongType, Reason: err.Error()}}}
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return Settings{}, &Error{Faults: faults}
+	}
+	return s, nil
+}
+
+// merge returns the text with the overrides in place. A text that cannot be
+// merged is returned unchanged, so that the check reports its faults.
+func merge(content []byte, overrides Overrides) ([]byte, error) {
+	if len(overrides) == 0 {
+		return content, nil
+	}
+	for _, f := range jsoncheck.Check(content, schema) {
+		if f.Code == jsoncheck.BrokenJSON || f.Code == jsoncheck.TrailingData || f.Code == jsoncheck.DuplicateKey {
+			return content, nil
+		}
+	}
+	var fields map[string]any
+	if err := json.Unmarshal(content, &fields); err != nil || fields == nil {
+		return content, nil
+	}
+	for name, value := range overrides {
+		fields[name] = value
+	}
+	merged, err := json.Marshal(fields)
+	if err != nil {
+		return nil, fmt.Errorf("apply overrides: %w", err)
+	}
+	return merged, nil
+}
+
+// check finds faults that the schema does not express.
+func (s Settings) check() []jsoncheck.Fault {
+	var faults []jsoncheck.Fault
+	add := func(path string, code jsoncheck.Code, format string, args ...any) {
+		faults = append(faults, jsoncheck.Fault{Path: path, Code: code, Reason: fmt.Sprintf(format, args...)})
+	}
+	address := func(path, text string, announced bool) netip.AddrPort {
+		a, err := netip.ParseAddrPort(text)
+		switch {
+		case err != nil:
+			add(path, jsoncheck.BadFormat, "%q is not ip:port", text)
+		case announced && (a.Addr().IsUnspecified() || a.Port() == 0):
+			add(path, jsoncheck.BadValue, "%q is announced to other instances and needs a specific IP address and port", text)
+		}
+		return a
+	}
+	id := address("$.instance_id", string(s.InstanceID), true)
+	grpc := address("$.grpc_address", s.GRPCAddress, false)
+	address("$.control_address", s.ControlAddress, true)
+	address("$.caller_address", s.CallerAddress, false)
+	address("$.operator_address", s.OperatorAddress, false)
+	for i, seed := range s.Seeds {
+		address(fmt.Sprintf("$.seeds[%d]", i), seed, true)
+	}
+	if id.IsValid() && grpc.IsValid() && id.Port() != grpc.Port() {
+		add("$.grpc_address", jsoncheck.BadValue, "port %d differs from port %d of instance_id", grpc.Port(), id.Port())
+	}
+	u, err := url.Parse(s.PlatformURL)
+	if err != nil || (u.Scheme != "http" && u.Scheme != "https") || u.Host == "" {
+		add("$.platform_url", jsoncheck.BadFormat, "%q is not an http or https URL", s.PlatformURL)
+	}
+	return faults
+}
