--- /dev/null
+++ b/pkg/metrics/family.go
@@ -0,0 +1,77 @@
+package metrics
+
+import (
+	"sync"
+
+	tally "github.com/uber-go/tally/v4"
+)
+
+const (
+	// maxSeries bounds the series of one metric, and with it the memory that
+	// tag values from documents can take.
+	maxSeries = 1024
+	// overflowValue is the tag value of what exceeds maxSeries.
+	overflowValue = "other"
+	// emptyValue stands for an empty tag value.
+	emptyValue = "none"
+	// maxTags is the largest number of tags of one metric.
+	maxTags = 2
+)
+
+type tagValues [maxTags]string
+
+// family holds the series of one metric, one per combination of tag values.
+// It caches them, because building a tagged scope on every call costs several
+// allocations.
+type family[M any] struct {
+	scope tally.Scope
+	name  string
+	tags  []string
+	get   func(tally.Scope, string) M
+
+	mu     sync.RWMutex
+	series map[tagValues]M
+}
+
+func newFamily[M any](scope tally.Scope, name string, get func(tally.Scope, string) M, tags ...string) *family[M] {
+	return &family[M]{scope: scope, name: name, tags: tags, get: get, series: make(map[tagValues]M)}
+}
+
+// with returns the series with the given values, in the order of the tags.
+func (f *family[M]) with(values ...string) M {
+	var key tagValues
+	for i, v := range values {
+		if v == "" {
+			v = emptyValue
+		}
+		key[i] = v
+	}
+	f.mu.RLock()
+	m, ok := f.series[key]
+	f.mu.RUnlock()
+	if ok {
+		return m
+	}
+	return f.add(key)
+}
+
+func (f *family[M]) add(key tagValues) M {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.series) >= maxSeries {
+		key = tagValues{}
+		for i := range f.tags {
+			key[i] = overflowValue
+		}
+	}
+	if m, ok := f.series[key]; ok {
+		return m
+	}
+	tags := make(map[string]string, len(f.tags))
+	for i, t := range f.tags {
+		tags[t] = key[i]
+	}
+	m := f.get(f.scope.Tagged(tags), f.name)
+	f.series[key] = m
+	return m
+}
