--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -1,23 +1,47 @@
 package document
 
 import (
-	"bytes"
 	"encoding/json"
+	"fmt"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
+// maxReportedFaults bounds the length of an error. Check returns all faults.
+const maxReportedFaults = 10
+
 // Parse decodes and checks a document. Validity depends on the content alone,
 // so that every instance decides alike. Errors carry result.InvalidDocument.
 func Parse(content []byte) (*Document, error) {
-	dec := json.NewDecoder(bytes.NewReader(content))
-	dec.DisallowUnknownFields()
-	d := &Document{}
-	if err := dec.Decode(d); err != nil {
-		return nil, result.Wrap(result.InvalidDocument, err)
+	d, faults := examine(content)
+	var lines []string
+	for _, f := range faults {
+		if !f.Warning {
+			lines = append(lines, f.String())
+		}
+	}
+	if len(lines) == 0 {
+		return d, nil
 	}
-	d.Digest = xxhash.Sum64(content)
-	return d, nil
+	if more := len(lines) - maxReportedFaults; more > 0 {
+		lines = append(lines[:maxReportedFaults], fmt.Sprintf("%d more faults", more))
+	}
+	return nil, result.Errorf(result.InvalidDocument, "invalid document: %s", strings.Join(lines, "; "))
+}
+
+// Check returns every fault of a document, ordered by path. A document is
+// valid if all of them are warnings.
+func Check(content []byte) []Fault {
+	_, faults := examine(content)
+	return faults
+}
+
+// decode fills a document as far as the content allows. Values of a wrong type
+// keep their zero value; the schema check reports them.
+func decode(content []byte) (*Document, error) {
+	d := &Document{Digest: xxhash.Sum64(content)}
+	return d, json.Unmarshal(content, d)
 }
--- a/pkg/jsoncheck/jsoncheck.go
+++ b/pkg/jsoncheck/jsoncheck.go
@@ -5,10 +5,12 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"slices"
 	"strconv"
 	"strings"
@@ -49,8 +51,15 @@
 // String returns path, code and reason on one line.
 func (f Fault) String() string { return fmt.Sprintf("%s: %s: %s", f.Path, f.Code, f.Reason) }
 
+// Schema is a compiled JSON schema.
+type Schema struct {
+	compiled *jsonschema.Schema
+	// integers are the names of fields whose type is integer.
+	integers map[string]bool
+}
+
 // MustCompile compiles an embedded schema and panics if it is not valid.
-func MustCompile(name string, schema []byte) *jsonschema.Schema {
+func MustCompile(name string, schema []byte) *Schema {
 	value, err := jsonschema.UnmarshalJSON(bytes.NewReader(schema))
 	if err != nil {
 		panic(fmt.Sprintf("schema %s: %v", name, err))
@@ -59,16 +68,34 @@
 	if err := compiler.AddResource(name, value); err != nil {
 		panic(fmt.Sprintf("schema %s: %v", name, err))
 	}
-	return compiler.MustCompile(name)
+	s := &Schema{compiled: compiler.MustCompile(name), integers: make(map[string]bool)}
+	s.findIntegers(value)
+	return s
+}
+
+func (s *Schema) findIntegers(value any) {
+	switch v := value.(type) {
+	case []any:
+		for _, item := range v {
+			s.findIntegers(item)
+		}
+	case map[string]any:
+		for name, item := range v {
+			if m, ok := item.(map[string]any); ok && m["type"] == "integer" {
+				s.integers[name] = true
+			}
+			s.findIntegers(item)
+		}
+	}
 }
 
 // Check returns all faults of the content, ordered by path. A text that is not
 // JSON has only the faults that stop it from being read.
-func Check(content []byte, schema *jsonschema.Schema) []Fault {
+func Check(content []byte, schema *Schema) []Fault {
 	if faults := checkSyntax(content); len(faults) > 0 {
 		return faults
 	}
-	faults := checkTokens(content)
+	faults := checkTokens(content, schema.integers)
 	if slices.ContainsFunc(faults, func(f Fault) bool { return f.Code == OutOfRange }) {
 		return faults
 	}
@@ -76,11 +103,20 @@
 	if err != nil {
 		return append(faults, Fault{Path: "$", Code: BrokenJSON, Reason: err.Error()})
 	}
-	faults = append(faults, checkSchema(value, schema)...)
-	slices.SortStableFunc(faults, func(a, b Fault) int { return strings.Compare(a.Path, b.Path) })
+	faults = append(faults, checkSchema(value, schema.compiled)...)
+	slices.SortFunc(faults, Compare)
 	return faults
 }
 
+// Compare orders faults by path, then by code and reason.
+func Compare(a, b Fault) int {
+	return cmp.Or(
+		strings.Compare(a.Path, b.Path),
+		cmp.Compare(a.Code, b.Code),
+		strings.Compare(a.Reason, b.Reason),
+	)
+}
+
 func checkSyntax(content []byte) []Fault {
 	if !utf8.Valid(content) {
 		return []Fault{{Path: "$", Code: BrokenJSON, Reason: "the text is not valid UTF-8"}}
@@ -120,27 +156,29 @@
 }
 
 // checkTokens walks the tokens of syntactically valid JSON.
-func checkTokens(content []byte) []Fault {
+func checkTokens(content []byte, integers map[string]bool) []Fault {
 	dec := json.NewDecoder(bytes.NewReader(content))
 	dec.UseNumber()
-	w := &walker{dec: dec}
-	w.value("$")
+	w := &walker{dec: dec, integers: integers}
+	w.value("$", "")
 	return w.faults
 }
 
 type walker struct {
-	dec    *json.Decoder
-	faults []Fault
+	dec      *json.Decoder
+	integers map[string]bool
+	faults   []Fault
 }
 
-func (w *walker) value(path string) {
+// value reads the value at the path, which is that of the named field, if any.
+func (w *walker) value(path, field string) {
 	token, err := w.dec.Token()
 	if err != nil {
 		return
 	}
 	switch t := token.(type) {
 	case json.Number:
-		w.number(path, t)
+		w.number(path, field, t)
 	case json.Delim:
 		if t == '{' {
 			w.object(path)
@@ -163,14 +201,14 @@
 			w.faults = append(w.faults, Fault{Path: join(path, key), Code: DuplicateKey, Reason: reason})
 		}
 		seen[key] = true
-		w.value(join(path, key))
+		w.value(join(path, key), key)
 	}
 	_, _ = w.dec.Token()
 }
 
 func (w *walker) array(path string) {
 	for i := 0; w.dec.More(); i++ {
-		w.value(fmt.Sprintf("%s[%d]", path, i))
+		w.value(fmt.Sprintf("%s[%d]", path, i), "")
 	}
 	_, _ = w.dec.Token()
 }
@@ -182,20 +220,31 @@
 	maxExponent     = 20
 )
 
-func (w *walker) number(path string, n json.Number) {
+func (w *walker) number(path, field string, n json.Number) {
 	text := n.String()
-	exponent := 0
-	if i := strings.IndexAny(text, "eE"); i >= 0 {
-		e, err := strconv.Atoi(text[i+1:])
-		if err != nil {
-			e = maxExponent + 1
-		}
-		exponent = max(e, -e)
-	}
-	if len(text) > maxNumberLength || exponent > maxExponent {
+	if len(text) > maxNumberLength || exponentOf(text) > maxExponent {
 		reason := "the number has too many digits or too large an exponent"
 		w.faults = append(w.faults, Fault{Path: path, Code: OutOfRange, Reason: reason})
+		return
+	}
+	// The schema takes 1.0 and 1e2 for integers, the decoder does not.
+	if f, err := n.Float64(); err == nil && f == math.Trunc(f) && w.integers[field] && strings.ContainsAny(text, ".eE") {
+		reason := "an integer is written without a fraction or an exponent"
+		w.faults = append(w.faults, Fault{Path: path, Code: WrongType, Reason: reason})
+	}
+}
+
+// exponentOf returns the absolute value of a number literal's exponent.
+func exponentOf(text string) int {
+	i := strings.IndexAny(text, "eE")
+	if i < 0 {
+		return 0
+	}
+	e, err := strconv.Atoi(text[i+1:])
+	if err != nil {
+		return math.MaxInt
 	}
+	return max(e, -e)
 }
 
 func join(path, key string) string {
