--- /dev/null
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -0,0 +1,159 @@
+package upstreamhttp
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// MaxAnswerBytes is the size limit of an upstream's answer.
+const MaxAnswerBytes = 4 << 20
+
+// maxStatusBytes is the size limit of a health or load answer.
+const maxStatusBytes = 64 << 10
+
+type executeRequest struct {
+	Attempt        string           `json:"attempt"`
+	Service        string           `json:"service"`
+	Operation      string           `json:"operation"`
+	Snapshot       model.SnapshotID `json:"snapshot"`
+	Shard          model.ShardID    `json:"shard"`
+	Payload        json.RawMessage  `json:"payload,omitempty"`
+	OrderKey       string           `json:"order_key,omitempty"`
+	DeadlineMS     int64            `json:"deadline_ms"`
+	DeadlineUnixMS int64            `json:"deadline_unix_ms"`
+}
+
+type executeAnswer struct {
+	Attempt  string           `json:"attempt"`
+	Snapshot model.SnapshotID `json:"snapshot"`
+	Shard    model.ShardID    `json:"shard"`
+	State    string           `json:"state"`
+	Ran      string           `json:"ran"`
+	Result   json.RawMessage  `json:"result"`
+	Draining bool             `json:"draining"`
+}
+
+type healthAnswer struct {
+	Healthy  *bool `json:"healthy"`
+	Draining bool  `json:"draining"`
+}
+
+type loadAnswer struct {
+	InFlight  *int               `json:"in_flight"`
+	Slots     *int               `json:"slots"`
+	Snapshots []model.SnapshotID `json:"snapshots"`
+}
+
+// stateRule maps a state to a code for each value of "ran". A zero code means
+// that the state must not be combined with that value.
+type stateRule struct {
+	notRun result.Code
+	ran    result.Code
+}
+
+// A shard that is missing from a loaded snapshot is handled like a missing
+// snapshot: the pinned shard map is out of date at this upstream.
+var stateRules = map[string]stateRule{
+	"ok":               {ran: result.OK},
+	"shed":             {notRun: result.UpstreamShed},
+	"draining":         {notRun: result.UpstreamDraining},
+	"snapshot_missing": {notRun: result.SnapshotMissing},
+	"shard_missing":    {notRun: result.SnapshotMissing},
+	"connection_limit": {notRun: result.ConnectionLimit},
+	"cancelled":        {notRun: result.Cancelled, ran: result.CancelledWhileRun},
+	"expired":          {notRun: result.DeadlineExceeded, ran: result.NoAnswerInTime},
+	"failed":           {notRun: result.UpstreamFailed, ran: result.UpstreamFailed},
+}
+
+func encodeRequest(call port.UpstreamCall, left time.Duration) ([]byte, error) {
+	return json.Marshal(executeRequest{
+		Attempt:        call.Attempt.String(),
+		Service:        call.Service,
+		Operation:      call.Operation,
+		Snapshot:       call.Snapshot,
+		Shard:          call.Shard,
+		Payload:        call.Payload,
+		OrderKey:       call.OrderKey,
+		DeadlineMS:     left.Milliseconds(),
+		DeadlineUnixMS: call.Deadline.UnixMilli(),
+	})
+}
+
+// parseAnswer checks a complete answer body against its call. An answer that
+// breaks the interface leaves open whether the request ran.
+func parseAnswer(call port.UpstreamCall, body []byte) port.UpstreamReply {
+	var a executeAnswer
+	if err := decodeOne(body, &a); err != nil {
+		return port.UpstreamReply{Code: result.UpstreamFailed}
+	}
+	id, err := model.ParseAttemptID(a.Attempt)
+	if err != nil {
+		return port.UpstreamReply{Code: result.AnswerMismatch}
+	}
+	reply := port.UpstreamReply{Attempt: id, Snapshot: a.Snapshot, Shard: a.Shard}
+	if id != call.Attempt || a.Snapshot != call.Snapshot || a.Shard != call.Shard {
+		reply.Code = result.AnswerMismatch
+		return reply
+	}
+	reply.Draining = a.Draining
+	reply.Code, reply.Ran = outcomeOf(a)
+	if reply.Code == result.OK {
+		reply.Result = a.Result
+	}
+	return reply
+}
+
+func outcomeOf(a executeAnswer) (result.Code, model.RunState) {
+	rule, known := stateRules[a.State]
+	switch {
+	case !known:
+		return result.UpstreamFailed, model.RunUnknown
+	case a.Ran == "not_run" && rule.notRun != 0:
+		return rule.notRun, model.NotRun
+	case a.Ran == "ran" && rule.ran == result.OK && len(a.Result) == 0:
+		return result.UpstreamFailed, model.RunUnknown
+	case a.Ran == "ran" && rule.ran != 0:
+		return rule.ran, model.Ran
+	default:
+		return result.UpstreamFailed, model.RunUnknown
+	}
+}
+
+func parseStatus(health, load []byte) (port.UpstreamStatus, error) {
+	var h healthAnswer
+	if err := decodeOne(health, &h); err != nil {
+		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
+	}
+	var l loadAnswer
+	if err := decodeOne(load, &l); err != nil {
+		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
+	}
+	if h.Healthy == nil || l.InFlight == nil || l.Slots == nil || *l.InFlight < 0 || *l.Slots < 0 {
+		return port.UpstreamStatus{}, result.Errorf(result.UpstreamFailed, "health or load answer is incomplete")
+	}
+	return port.UpstreamStatus{
+		Healthy:   *h.Healthy,
+		Draining:  h.Draining,
+		InFlight:  *l.InFlight,
+		Slots:     *l.Slots,
+		Snapshots: l.Snapshots,
+	}, nil
+}
+
+// decodeOne decodes exactly one JSON value and refuses anything after it.
+func decodeOne(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return result.Errorf(result.UpstreamFailed, "data after the JSON value")
+	}
+	return nil
+}
