--- /dev/null
+++ b/pkg/membership/codec.go
@@ -0,0 +1,365 @@
+package membership
+
+import (
+	"errors"
+	"fmt"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/wire"
+)
+
+// Errors of Receive.
+var (
+	// ErrMalformed means that the datagram is not a valid control message.
+	ErrMalformed = errors.New("malformed control datagram")
+	// ErrOtherCluster means that the datagram belongs to another cluster.
+	ErrOtherCluster = errors.New("control datagram of another cluster")
+)
+
+const (
+	// documentBudget and quarantineBudget bound what a datagram spends on
+	// each, so that many member updates cannot displace them or the reverse.
+	documentBudget   = 400
+	quarantineBudget = 250
+	// maxQuarantines bounds the known entries.
+	maxQuarantines = 1024
+	// maxQuarantineTime bounds the lifetime of a received entry.
+	maxQuarantineTime = time.Hour
+	// quarantineSlack is the difference in expiry below which a received entry
+	// is the known one: each hop adds its transit time.
+	quarantineSlack = 5 * time.Second
+)
+
+const (
+	kindPing     = wire.ControlKind_PING
+	kindAck      = wire.ControlKind_ACK
+	kindIndirect = wire.ControlKind_INDIRECT_PING
+)
+
+// message is what differs between two datagrams to be sent.
+type message struct {
+	kind     wire.ControlKind
+	sequence uint64
+	target   string
+	// about is an encoded record that the receiver must get.
+	about []byte
+	// full asks to use the free space for member records, for a new member.
+	full bool
+}
+
+var (
+	numKind     = fieldNumber("kind")
+	numSequence = fieldNumber("sequence")
+	numTarget   = fieldNumber("target_address")
+)
+
+func fieldNumber(name string) protowire.Number {
+	fields := (&wire.Control{}).ProtoReflect().Descriptor().Fields()
+	for i := range fields.Len() {
+		if string(fields.Get(i).Name()) == name {
+			return fields.Get(i).Number()
+		}
+	}
+	panic("wire.Control has no field " + name)
+}
+
+// encode encodes part of a datagram. Parts are concatenated: protobuf merges
+// the fields of concatenated encodings.
+func encode(c *wire.Control) []byte {
+	b, err := proto.Marshal(c)
+	if err != nil {
+		// Only invalid UTF-8 fails, and a record with it is not accepted.
+		return nil
+	}
+	return b
+}
+
+func encodeMember(r Member) []byte {
+	return encode(&wire.Control{Members: []*wire.Member{toWire(r)}})
+}
+
+func encodeDocument(v port.DocumentVersion) []byte {
+	return encode(&wire.Control{Documents: []*wire.DocumentVersion{{Service: v.Service, Revision: v.Revision, Digest: v.Digest}}})
+}
+
+func encodeQuarantine(q Quarantine, now time.Time) []byte {
+	return encode(&wire.Control{Quarantines: []*wire.Quarantine{{
+		Fingerprint: uint64(q.Fingerprint),
+		Service:     q.Service,
+		TimeLeftMs:  q.Until.Sub(now).Milliseconds(),
+	}}})
+}
+
+// encodePrefix encodes the part that all datagrams share until this instance's
+// record or catalog changes.
+func (m *Membership) encodePrefix() {
+	m.prefix = encode(&wire.Control{
+		Cluster:     m.cfg.Cluster,
+		Sender:      toWire(m.self),
+		CatalogHash: m.catalogHash,
+	})
+}
+
+func toWire(r Member) *wire.Member {
+	return &wire.Member{
+		Id:                  string(r.ID),
+		ControlAddress:      r.ControlAddress,
+		DataCentre:          string(r.DataCentre),
+		Boot:                uint64(r.Boot),
+		Incarnation:         r.Incarnation,
+		State:               wire.MemberState(r.State),
+		PlatformUnreachable: r.PlatformUnreachable,
+	}
+}
+
+func fromWire(w *wire.Member) (Member, error) {
+	r := Member{
+		ID:                  model.InstanceID(w.GetId()),
+		ControlAddress:      w.GetControlAddress(),
+		DataCentre:          model.DataCentre(w.GetDataCentre()),
+		Boot:                model.BootID(w.GetBoot()),
+		Incarnation:         w.GetIncarnation(),
+		State:               State(w.GetState()),
+		PlatformUnreachable: w.GetPlatformUnreachable(),
+	}
+	switch {
+	case r.ID == "" || r.ControlAddress == "" || r.Boot == 0:
+		return r, fmt.Errorf("%w: incomplete member record", ErrMalformed)
+	case len(r.ID) > maxNameBytes || len(r.ControlAddress) > maxNameBytes || len(r.DataCentre) > maxNameBytes:
+		return r, fmt.Errorf("%w: member record with a name over %d bytes", ErrMalformed, maxNameBytes)
+	case r.State < Alive || r.State > Dead:
+		return r, fmt.Errorf("%w: member state %d", ErrMalformed, r.State)
+	case r.Incarnation > maxIncarnation:
+		return r, fmt.Errorf("%w: incarnation %d", ErrMalformed, r.Incarnation)
+	}
+	return r, nil
+}
+
+// send builds a datagram: the message itself, then quarantine entries, document
+// versions and member updates as far as they fit.
+func (m *Membership) send(now time.Time, address string, msg message) Send {
+	b := make([]byte, 0, 256)
+	b = append(b, m.prefix...)
+	b = protowire.AppendTag(b, numKind, protowire.VarintType)
+	b = protowire.AppendVarint(b, uint64(msg.kind))
+	b = protowire.AppendTag(b, numSequence, protowire.VarintType)
+	b = protowire.AppendVarint(b, msg.sequence)
+	if msg.target != "" {
+		b = protowire.AppendTag(b, numTarget, protowire.BytesType)
+		b = protowire.AppendString(b, msg.target)
+	}
+	b = append(b, msg.about...)
+	limit := retransmits(len(m.live.items) + 1)
+	b = m.fillQuarantines(now, b, limit)
+	b = m.documents.fill(b, min(documentBudget, MaxDatagram-len(b)), limit, nil)
+	b = m.updates.fill(b, MaxDatagram-len(b), limit, nil)
+	if msg.full {
+		b = m.appendQuarantines(now, b)
+		b = m.appendMembers(b)
+	}
+	return Send{Address: address, Datagram: b}
+}
+
+// appendMembers uses the free space for records from a random place on.
+func (m *Membership) appendMembers(b []byte) []byte {
+	count := len(m.live.items)
+	if count == 0 {
+		return b
+	}
+	start := m.cfg.Rand.IntN(count)
+	for i := range count {
+		r := encodeMember(m.live.items[(start+i)%count].Member)
+		if len(b)+len(r) > MaxDatagram {
+			break
+		}
+		b = append(b, r...)
+	}
+	return b
+}
+
+// fillQuarantines encodes entries when they are sent, since they carry the time
+// left.
+func (m *Membership) fillQuarantines(now time.Time, b []byte, limit int) []byte {
+	render := func(key string) []byte {
+		q := m.quarantined[parseQuarantineKey(key)]
+		if !q.Until.After(now) {
+			return nil
+		}
+		return encodeQuarantine(q, now)
+	}
+	return m.quarantines.fill(b, min(quarantineBudget, MaxDatagram-len(b)), limit, render)
+}
+
+// appendQuarantines adds the known entries for a new member.
+func (m *Membership) appendQuarantines(now time.Time, b []byte) []byte {
+	budget := quarantineBudget
+	for _, f := range slices.Sorted(maps.Keys(m.quarantined)) {
+		q := m.quarantined[f]
+		data := encodeQuarantine(q, now)
+		if !q.Until.After(now) || len(data) > budget || len(b)+len(data) > MaxDatagram {
+			continue
+		}
+		budget -= len(data)
+		b = append(b, data...)
+	}
+	return b
+}
+
+func quarantineKey(f model.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
+
+func parseQuarantineKey(key string) model.Fingerprint {
+	v, _ := strconv.ParseUint(key, 16, 64)
+	return model.Fingerprint(v)
+}
+
+// learnQuarantine records an entry and reports whether it is new.
+func (m *Membership) learnQuarantine(now time.Time, q Quarantine) bool {
+	old, known := m.quarantined[q.Fingerprint]
+	if known && q.Until.Sub(old.Until) < quarantineSlack {
+		return false
+	}
+	if !known && len(m.quarantined) >= maxQuarantines {
+		maps.DeleteFunc(m.quarantined, func(_ model.Fingerprint, old Quarantine) bool { return !old.Until.After(now) })
+	}
+	if !known && len(m.quarantined) >= maxQuarantines {
+		return false
+	}
+	m.quarantined[q.Fingerprint] = q
+	m.quarantines.put(quarantineKey(q.Fingerprint), nil)
+	return true
+}
+
+// Receive handles a datagram. It returns an error and changes nothing if the
+// datagram is malformed or of another cluster.
+func (m *Membership) Receive(now time.Time, from string, datagram []byte) (Received, error) {
+	c, sender, members, err := m.decode(datagram)
+	if err != nil {
+		return Received{}, err
+	}
+	m.detectPause(now)
+	if sender.ID == m.self.ID {
+		m.applySelf(sender)
+		return Received{}, fmt.Errorf("%w: sender has this instance's id", ErrMalformed)
+	}
+	m.apply(now, sender)
+	for _, r := range members {
+		m.apply(now, r)
+	}
+	out := Received{Sender: sender, CatalogHash: c.GetCatalogHash()}
+	n := m.nodes[sender.ID]
+	if n == nil {
+		return out, nil
+	}
+	out.Sends = m.answer(now, from, c, n)
+	for _, d := range c.GetDocuments() {
+		out.Documents = append(out.Documents, port.DocumentVersion{Service: d.GetService(), Revision: d.GetRevision(), Digest: d.GetDigest()})
+	}
+	for _, w := range c.GetQuarantines() {
+		left := time.Duration(min(max(w.GetTimeLeftMs(), 0), maxQuarantineTime.Milliseconds())) * time.Millisecond
+		q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(left)}
+		if left > 0 && len(q.Service) <= maxNameBytes && m.learnQuarantine(now, q) {
+			out.Quarantines = append(out.Quarantines, q)
+		}
+	}
+	return out, nil
+}
+
+func (m *Membership) decode(datagram []byte) (*wire.Control, Member, []Member, error) {
+	if len(datagram) > MaxDatagram {
+		return nil, Member{}, nil, fmt.Errorf("%w: %d bytes", ErrMalformed, len(datagram))
+	}
+	c := &wire.Control{}
+	if err := proto.Unmarshal(datagram, c); err != nil {
+		return nil, Member{}, nil, fmt.Errorf("%w: %w", ErrMalformed, err)
+	}
+	if c.GetCluster() != m.cfg.Cluster {
+		return nil, Member{}, nil, fmt.Errorf("%w: %q", ErrOtherCluster, c.GetCluster())
+	}
+	sender, err := fromWire(c.GetSender())
+	if err != nil {
+		return nil, Member{}, nil, err
+	}
+	if sender.State != Alive && sender.State != Leaving {
+		return nil, Member{}, nil, fmt.Errorf("%w: sender calls itself %v", ErrMalformed, sender.State)
+	}
+	members := make([]Member, 0, len(c.GetMembers()))
+	for _, w := range c.GetMembers() {
+		r, err := fromWire(w)
+		if err != nil {
+			return nil, Member{}, nil, err
+		}
+		members = append(members, r)
+	}
+	return c, sender, members, nil
+}
+
+// answer returns the datagrams that a message requires.
+func (m *Membership) answer(now time.Time, from string, c *wire.Control, n *node) []Send {
+	switch c.GetKind() {
+	case kindPing:
+		full := now.Sub(n.joinedAt) < joinWindow && n.State != Dead
+		msg := message{kind: kindAck, sequence: c.GetSequence(), about: m.aboutSender(n, c), full: full}
+		return []Send{m.send(now, from, msg)}
+	case kindIndirect:
+		return m.pingForOther(now, from, c)
+	case kindAck:
+		m.acked(now, n, c.GetSequence())
+		return m.relayAck(now, c, n)
+	default:
+		return nil
+	}
+}
+
+// aboutSender also tells a process with an outdated boot id of the one known.
+func (m *Membership) aboutSender(n *node, c *wire.Control) []byte {
+	if uint64(n.Boot) != c.GetSender().GetBoot() {
+		return encodeMember(n.Member)
+	}
+	return m.about(n)
+}
+
+func (m *Membership) pingForOther(now time.Time, from string, c *wire.Control) []Send {
+	target := c.GetTargetAddress()
+	if target == "" || len(target) > maxNameBytes {
+		return nil
+	}
+	for len(m.relays) > 0 && !now.Before(m.relays[0].until) {
+		m.relays = m.relays[1:]
+	}
+	if len(m.relays) >= maxRelays {
+		return nil
+	}
+	m.sequence++
+	m.relays = append(m.relays, relay{
+		sequence:  m.sequence,
+		requester: from,
+		theirs:    c.GetSequence(),
+		until:     now.Add(relayLifetime),
+	})
+	return []Send{m.send(now, target, message{kind: kindPing, sequence: m.sequence})}
+}
+
+// relayAck passes an ack on to the instance that asked for the ping, with the
+// target's record, which may refute a suspicion.
+func (m *Membership) relayAck(now time.Time, c *wire.Control, n *node) []Send {
+	for i, r := range m.relays {
+		if r.sequence != c.GetSequence() {
+			continue
+		}
+		m.relays = append(m.relays[:i], m.relays[i+1:]...)
+		if !now.Before(r.until) {
+			return nil
+		}
+		msg := message{kind: kindAck, sequence: r.theirs, about: encodeMember(n.Member)}
+		return []Send{m.send(now, r.requester, msg)}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/membership/membership.go
@@ -0,0 +1,495 @@
+// Package membership detects failures of instances and disseminates member
+// states between them, in the manner of SWIM. It is pure: every call takes the
+// current time and returns the datagrams to send. One Membership is not safe
+// for concurrent use.
+//
+// The work of one Tick or Receive does not grow with the fleet. It grows with
+// the probes in flight (bounded per round), the members under suspicion and the
+// logarithm of the fleet. Members, Candidates, Confirmed and SetListed are
+// linear in the fleet; Members and Candidates are computed again only after a
+// change, which Version reports.
+package membership
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// Default intervals and bounds.
+const (
+	// DefaultInterval is the time between two probe rounds.
+	DefaultInterval = 200 * time.Millisecond
+	// DefaultAckTimeout is the wait for a direct ack before indirect pings.
+	DefaultAckTimeout = 150 * time.Millisecond
+	// DefaultSuspicion is the time in which a suspect can refute.
+	DefaultSuspicion = time.Second
+	// DefaultPause is the gap between two calls that counts as a pause of
+	// this process.
+	DefaultPause = time.Second
+	// DefaultTombstone is how long a dead member is remembered. It covers a
+	// partition of one hour during which the platform's list is unreadable:
+	// the two sides find each other again through remembered addresses.
+	DefaultTombstone = 2 * time.Hour
+	// DefaultFanout is the number of members pinged in a round, and of
+	// helpers asked for an indirect ping.
+	DefaultFanout = 3
+)
+
+const (
+	// MaxDatagram is the size limit of a datagram in bytes.
+	MaxDatagram = 1200
+	// maxNameBytes bounds each string of a member record, so that a sender
+	// and one further record always fit into a datagram.
+	maxNameBytes = 128
+	// maxMembers bounds the member table against faulty datagrams.
+	maxMembers = 16384
+	// maxTombstones bounds the remembered dead members; the oldest go first.
+	maxTombstones = 4096
+	// maxIncarnation bounds accepted incarnations, so that a member can
+	// always refute with a higher one.
+	maxIncarnation = 1 << 31
+	// bootstrapFanout is the number of listed members pinged in a round until
+	// the view is confirmed. 3,100 members take 11 s.
+	bootstrapFanout = 60
+	// unreachableAttempts is the number of unanswered pings after which a
+	// listed member is known to be unreachable.
+	unreachableAttempts = 3
+	// aloneAttempts is the number of unanswered pings of every listed member
+	// after which none is taken to be alive.
+	aloneAttempts = 10
+	// lostBackoff bounds the time between two pings of a lost member.
+	lostBackoff = 2 * time.Second
+	// lateTolerance is the lateness of a tick from which timers are shifted:
+	// acks may wait unread in the socket.
+	lateTolerance = 25 * time.Millisecond
+	// joinWindow is the time after a join in which acks to the new member are
+	// filled up with member records and quarantine entries.
+	joinWindow = 10 * time.Second
+	// leaveFanout is the number of members that are told of a leave directly.
+	leaveFanout = 128
+	// maxEvents bounds the events kept until TakeEvents.
+	maxEvents = 4096
+)
+
+// State is the state of a member.
+type State int
+
+// Member states. Leaving is final for a boot id: only Dead follows it.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// String returns the state's name.
+func (s State) String() string {
+	switch s {
+	case Alive:
+		return "alive"
+	case Suspect:
+		return "suspect"
+	case Leaving:
+		return "leaving"
+	case Dead:
+		return "dead"
+	default:
+		return "undefined"
+	}
+}
+
+// Member is what is known of an instance.
+type Member struct {
+	ID             model.InstanceID
+	ControlAddress string
+	DataCentre     model.DataCentre
+	// Boot identifies the process; the higher one is the later start.
+	Boot model.BootID
+	// Incarnation orders the records of one process. Only the member itself
+	// raises it.
+	Incarnation         uint32
+	State               State
+	PlatformUnreachable bool
+}
+
+// Config configures a Membership. Zero values mean the defaults.
+type Config struct {
+	Self    Member
+	Cluster string
+	Rand    *rand.Rand
+
+	Interval   time.Duration
+	AckTimeout time.Duration
+	Suspicion  time.Duration
+	Pause      time.Duration
+	Tombstone  time.Duration
+	Fanout     int
+}
+
+func (c *Config) setDefaults() {
+	setDefault(&c.Interval, DefaultInterval)
+	setDefault(&c.AckTimeout, DefaultAckTimeout)
+	setDefault(&c.Suspicion, DefaultSuspicion)
+	setDefault(&c.Pause, DefaultPause)
+	setDefault(&c.Tombstone, DefaultTombstone)
+	setDefault(&c.Fanout, DefaultFanout)
+}
+
+func setDefault[T comparable](v *T, d T) {
+	var zero T
+	if *v == zero {
+		*v = d
+	}
+}
+
+// Send is a datagram to send.
+type Send struct {
+	Address  string
+	Datagram []byte
+}
+
+// Quarantine is an entry of the quarantine list.
+type Quarantine struct {
+	Fingerprint model.Fingerprint
+	Service     string
+	Until       time.Time
+}
+
+// Received is the content of a datagram that the caller acts on.
+type Received struct {
+	Sends []Send
+	// Sender is the record that the sender gave of itself.
+	Sender      Member
+	CatalogHash uint64
+	Documents   []port.DocumentVersion
+	// Quarantines are the entries that were not known before.
+	Quarantines []Quarantine
+}
+
+// EventKind is the kind of a membership change.
+type EventKind int
+
+// Event kinds.
+const (
+	EventJoined EventKind = iota
+	EventSuspect
+	EventDead
+	EventLeaving
+	EventRestarted
+	// EventBootRaised means that this process raised its boot id, since its
+	// predecessor under the same id had a higher one.
+	EventBootRaised
+	// EventSuperseded means that a later process runs under this process's
+	// id; this process is no candidate any more.
+	EventSuperseded
+)
+
+// String returns the kind's name.
+func (k EventKind) String() string {
+	names := [...]string{"joined", "suspect", "dead", "leaving", "restarted", "boot_raised", "superseded"}
+	if k < 0 || int(k) >= len(names) {
+		return "undefined"
+	}
+	return names[k]
+}
+
+// Event is a membership change, for logs.
+type Event struct {
+	Kind   EventKind
+	Member Member
+}
+
+const bootRandomBits = 20
+
+// NewBootID returns the boot id of a process started at start: the Unix time in
+// milliseconds, followed by 20 random bits. Ids are therefore ordered by start
+// time, and two processes started in the same millisecond differ.
+func NewBootID(start time.Time, r *rand.Rand) model.BootID {
+	ms := uint64(start.UnixMilli())
+	return model.BootID(ms<<bootRandomBits | r.Uint64N(1<<bootRandomBits))
+}
+
+// Membership is one instance's view of all instances.
+type Membership struct {
+	cfg   Config
+	self  Member
+	nodes map[model.InstanceID]*node
+	// live holds members that are alive, suspect or leaving; lost holds dead
+	// ones and listed ones that have never answered.
+	live pool
+	lost pool
+	// urgent holds members that are pinged in every round: suspect, avoided,
+	// or without an ack to the last ping.
+	urgent     []*node
+	suspects   []*node
+	tombstones []tombstone
+
+	probes   []*probe
+	relays   []relay
+	sequence uint64
+
+	nextRound time.Time
+	lastRun   time.Time
+
+	listed      []*node
+	listSeen    bool
+	confirmed   bool
+	answeredAny bool
+	resumed     bool
+	superseded  bool
+
+	catalogHash uint64
+	prefix      []byte
+	updates     queue
+	documents   queue
+	quarantines queue
+	quarantined map[model.Fingerprint]Quarantine
+	events      []Event
+
+	version        uint64
+	membersAt      uint64
+	membersCache   []Member
+	candidatesAt   uint64
+	candidateCache []Member
+}
+
+// New returns a Membership that knows only itself.
+func New(cfg Config, now time.Time) *Membership {
+	cfg.setDefaults()
+	m := &Membership{
+		cfg:         cfg,
+		self:        cfg.Self,
+		nodes:       make(map[model.InstanceID]*node),
+		live:        pool{slot: liveSlot},
+		lost:        pool{slot: lostSlot},
+		sequence:    cfg.Rand.Uint64N(1 << 20),
+		nextRound:   now,
+		lastRun:     now,
+		version:     1,
+		quarantined: make(map[model.Fingerprint]Quarantine),
+	}
+	m.self.State = Alive
+	m.selfChanged()
+	return m
+}
+
+// Self returns this instance's own record.
+func (m *Membership) Self() Member { return m.self }
+
+// Version changes whenever the result of Members or Candidates may change.
+func (m *Membership) Version() uint64 { return m.version }
+
+// Members returns this instance and all members that are not dead. The result
+// is shared and must not be changed.
+func (m *Membership) Members() []Member {
+	if m.membersAt == m.version {
+		return m.membersCache
+	}
+	out := make([]Member, 0, len(m.live.items)+1)
+	out = append(out, m.self)
+	for _, n := range m.live.items {
+		out = append(out, n.Member)
+	}
+	m.membersCache, m.membersAt = out, m.version
+	return out
+}
+
+// Candidates returns the members that may be homes now: alive and not avoided.
+// It includes this instance unless it is leaving, superseded or just resumed.
+// The result is shared and must not be changed.
+func (m *Membership) Candidates(_ time.Time) []Member {
+	if m.candidatesAt == m.version {
+		return m.candidateCache
+	}
+	out := make([]Member, 0, len(m.live.items)+1)
+	if m.selfCandidate() {
+		out = append(out, m.self)
+	}
+	for _, n := range m.live.items {
+		if n.State == Alive && !n.avoided {
+			out = append(out, n.Member)
+		}
+	}
+	m.candidateCache, m.candidatesAt = out, m.version
+	return out
+}
+
+func (m *Membership) selfCandidate() bool {
+	if m.self.State == Leaving || m.superseded {
+		return false
+	}
+	return !m.resumed || len(m.live.items) == 0
+}
+
+// SetListed replaces the platform's list. It supplies addresses to ping; it
+// never removes a member that answers.
+func (m *Membership) SetListed(now time.Time, list []port.ListedInstance) {
+	m.listSeen = true
+	before := m.listed
+	for _, n := range before {
+		n.listed = false
+	}
+	m.listed = make([]*node, 0, len(list))
+	for _, l := range list {
+		m.setListed(now, l)
+	}
+	for _, n := range before {
+		if !n.listed && n.Boot == 0 {
+			m.forget(n)
+			continue
+		}
+		m.settleLost(n)
+	}
+}
+
+func (m *Membership) setListed(now time.Time, l port.ListedInstance) {
+	if l.ID == m.self.ID || l.ID == "" {
+		return
+	}
+	n := m.nodes[l.ID]
+	if n == nil {
+		n = m.addNode(l.ID)
+		if n == nil {
+			return
+		}
+		n.State = Dead
+		n.retryAt = now
+	}
+	if !n.listed {
+		n.listed = true
+		m.listed = append(m.listed, n)
+	}
+	n.listedLeaving = l.Leaving
+	if n.State == Dead {
+		n.ControlAddress = l.ControlAddress
+		n.DataCentre = l.DataCentre
+	}
+	m.settleLost(n)
+}
+
+// Confirmed reports whether bootstrap is complete: every listed member has
+// answered or is known to be unreachable, and at least one has answered if any
+// is alive. Once true it stays true.
+func (m *Membership) Confirmed(_ time.Time) bool {
+	if m.confirmed {
+		return true
+	}
+	m.confirmed = m.bootstrapped()
+	return m.confirmed
+}
+
+func (m *Membership) bootstrapped() bool {
+	if !m.listSeen && !m.answeredAny {
+		return false
+	}
+	attempts := unreachableAttempts
+	if !m.answeredAny {
+		attempts = aloneAttempts
+	}
+	for _, n := range m.listed {
+		if !n.listedLeaving && !n.settled(attempts, m.answeredAny) {
+			return false
+		}
+	}
+	return true
+}
+
+// Leave announces that this instance is leaving. It cannot be taken back.
+func (m *Membership) Leave(now time.Time) []Send {
+	if m.self.State == Leaving {
+		return nil
+	}
+	m.self.State = Leaving
+	m.self.Incarnation++
+	m.selfChanged()
+	var out []Send
+	for i := 0; i < min(leaveFanout, len(m.live.items)); i++ {
+		n := m.live.pick(m.cfg.Rand)
+		out = append(out, m.send(now, n.ControlAddress, message{kind: kindAck, about: m.about(n)}))
+	}
+	return out
+}
+
+// SetPlatformUnreachable publishes whether this instance's reads of the
+// platform's configuration fail.
+func (m *Membership) SetPlatformUnreachable(_ time.Time, v bool) {
+	if m.self.PlatformUnreachable == v {
+		return
+	}
+	m.self.PlatformUnreachable = v
+	m.self.Incarnation++
+	m.selfChanged()
+}
+
+// SetCatalogHash sets the catalog hash that datagrams carry.
+func (m *Membership) SetCatalogHash(h uint64) {
+	if m.catalogHash == h {
+		return
+	}
+	m.catalogHash = h
+	m.encodePrefix()
+}
+
+// AnnounceDocument tells other instances that this one has the document.
+// A version that does not fit spreads by the catalog hash alone.
+func (m *Membership) AnnounceDocument(v port.DocumentVersion) {
+	if data := encodeDocument(v); len(data) <= documentBudget {
+		m.documents.put(v.Service, data)
+	}
+}
+
+// AnnounceQuarantine tells other instances of a quarantine entry. Entries that
+// arrive in datagrams are passed on without this call.
+func (m *Membership) AnnounceQuarantine(q Quarantine) {
+	m.learnQuarantine(m.lastRun, q)
+}
+
+// Avoid excludes a member from Candidates until it acks a ping that is sent
+// after now. The caller's call to it has failed.
+func (m *Membership) Avoid(now time.Time, id model.InstanceID) {
+	n := m.nodes[id]
+	if n == nil || n.State == Dead {
+		return
+	}
+	m.avoid(now, n)
+}
+
+func (m *Membership) avoid(now time.Time, n *node) {
+	n.avoidedAt = now
+	m.addUrgent(n)
+	if !n.avoided {
+		n.avoided = true
+		m.version++
+	}
+}
+
+// Resume states that this process was paused: it is no candidate until a
+// member has answered a ping that is sent from now on.
+func (m *Membership) Resume(now time.Time) {
+	m.restartTimers(now)
+	m.resumed = true
+	m.version++
+}
+
+// TakeEvents returns the events since the last call.
+func (m *Membership) TakeEvents() []Event {
+	out := m.events
+	m.events = nil
+	return out
+}
+
+func (m *Membership) event(k EventKind, r Member) {
+	if len(m.events) < maxEvents {
+		m.events = append(m.events, Event{Kind: k, Member: r})
+	}
+}
+
+// selfChanged publishes a change of this instance's own record.
+func (m *Membership) selfChanged() {
+	m.version++
+	m.encodePrefix()
+	m.updates.put(string(m.self.ID), encodeMember(m.self))
+}
--- /dev/null
+++ b/pkg/membership/sim_random_test.go
@@ -0,0 +1,220 @@
+package membership_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/membership"
+)
+
+// Times stated for a fleet of up to 12 instances after faults end.
+const (
+	viewTime    = 6 * time.Second
+	catalogTime = 8 * time.Second
+)
+
+// TestRandomFaults guards against schedules of loss, duplication, reordering,
+// cuts, kills, restarts, pauses, leaves and rollouts after which a document goes
+// back, a leave is revoked, or views or catalogs do not converge in the stated
+// times.
+func TestRandomFaults(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(3, 12).Draw(t, "instances")
+		s := newSim(t, rapid.Uint64().Draw(t, "seed"), n, 3)
+		pick := func() int { return rapid.IntRange(0, n-1).Draw(t, "instance") }
+		s.publish("a")
+		run := func(t *rapid.T) { s.run(time.Duration(rapid.IntRange(1, 200).Draw(t, "steps")) * simStep) }
+		t.Repeat(map[string]func(*rapid.T){
+			"run":  run,
+			"run2": run,
+			"network": func(t *rapid.T) {
+				s.loss = rapid.SampledFrom([]float64{0, 0.02, 0.2}).Draw(t, "loss")
+				s.dup = rapid.SampledFrom([]float64{0, 0.2}).Draw(t, "duplication")
+				s.delay = rapid.SampledFrom([]time.Duration{2 * time.Millisecond, 100 * time.Millisecond, 3 * time.Second}).Draw(t, "delay")
+			},
+			"cut": func(t *rapid.T) {
+				a, b := pick(), pick()
+				s.cut[[2]int{a, b}] = true
+				s.cut[[2]int{b, a}] = rapid.Bool().Draw(t, "both directions")
+			},
+			"split": func(t *rapid.T) {
+				for a := range pick() {
+					for b := a; b < n; b++ {
+						s.cut[[2]int{a, b}], s.cut[[2]int{b, a}] = true, true
+					}
+				}
+			},
+			"heal": func(*rapid.T) { clear(s.cut) },
+			"kill": func(*rapid.T) { s.procs[pick()] = nil },
+			"start": func(*rapid.T) {
+				if i := pick(); s.procs[i] == nil {
+					s.start(i)
+				}
+			},
+			"leave": func(*rapid.T) {
+				if i := pick(); s.runs(i) {
+					s.left[i] = true
+					s.send(i, s.procs[i].m.Leave(s.now))
+				}
+			},
+			"pause": func(t *rapid.T) {
+				s.paused[pick()] = s.now.Add(time.Duration(rapid.IntRange(10, 6000).Draw(t, "milliseconds")) * time.Millisecond)
+			},
+			"list":    func(t *rapid.T) { s.listStale = rapid.Bool().Draw(t, "stale") },
+			"publish": func(t *rapid.T) { s.publish(rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "service")) },
+			"platform": func(t *rapid.T) {
+				clear(s.platformCut)
+				for _, i := range rapid.Permutation(indices(n)).Draw(t, "unreachable")[:n/3] {
+					s.platformCut[i] = true
+				}
+			},
+		})
+		s.endFaults()
+		if !s.platformWorks() {
+			clear(s.platformCut)
+		}
+		s.publish("a")
+		s.run(viewTime)
+		must.NoError(t, s.viewsAgree())
+		s.run(catalogTime - viewTime)
+		must.NoError(t, s.catalogsAgree())
+	})
+}
+
+// platformWorks reports whether at most a third of the running processes cannot
+// reach the platform.
+func (s *sim) platformWorks() bool {
+	running, unreachable := 0, 0
+	for i, p := range s.procs {
+		if p != nil {
+			running++
+			if s.platformCut[i] {
+				unreachable++
+			}
+		}
+	}
+	return 3*unreachable <= running
+}
+
+func indices(n int) []int {
+	out := make([]int, n)
+	for i := range out {
+		out[i] = i
+	}
+	return out
+}
+
+// TestKilledMemberLeavesAllViews guards against a dead member that stays in a
+// view, so that its groups wait for it.
+func TestKilledMemberLeavesAllViews(t *testing.T) {
+	s := newSim(t, 1, 9, 3)
+	s.until(2*time.Second, s.viewsAgree)
+	s.procs[4] = nil
+	noCandidate := s.until(time.Second, func() error { return s.seen(4, (*process).candidates) })
+	dead := s.until(3*time.Second, s.viewsAgree)
+	t.Logf("no candidate after %v, out of all views after %v", noCandidate, noCandidate+dead)
+}
+
+// TestHealWithoutList guards against two sides of a partition that never find
+// each other again when the platform's list cannot be read.
+func TestHealWithoutList(t *testing.T) {
+	s := newSim(t, 2, 9, 3)
+	s.until(2*time.Second, s.viewsAgree)
+	s.listStale, s.listed = true, nil
+	for a := range 4 {
+		for b := 4; b < 9; b++ {
+			s.cut[[2]int{a, b}], s.cut[[2]int{b, a}] = true, true
+		}
+	}
+	s.run(10 * time.Minute)
+	must.Len(t, 4, s.procs[0].m.Members())
+	clear(s.cut)
+	t.Logf("views agree after %v", s.until(viewTime, s.viewsAgree))
+}
+
+// TestPauseMakesNobodyDead guards against a resumed process that takes its own
+// pause for the silence of others, or becomes a home before it knows better.
+func TestPauseMakesNobodyDead(t *testing.T) {
+	s := newSim(t, 3, 9, 3)
+	s.until(2*time.Second, s.viewsAgree)
+	p := s.procs[0]
+	s.paused[0] = s.now.Add(5 * time.Second)
+	s.run(5*time.Second - simStep)
+	s.packets = nil
+	s.now = s.now.Add(simStep)
+	p.m.Tick(s.now)
+	must.Len(t, 8, p.m.Candidates(s.now))
+	must.Len(t, 9, p.m.Members())
+	for range 20 {
+		s.step()
+		must.Len(t, 9, p.m.Members())
+	}
+	s.until(viewTime, s.viewsAgree)
+}
+
+// TestOneWayCutAvoids guards against a home that cannot be reached although
+// helpers reach it.
+func TestOneWayCutAvoids(t *testing.T) {
+	s := newSim(t, 4, 9, 3)
+	s.until(2*time.Second, s.viewsAgree)
+	s.cut[[2]int{0, 1}] = true
+	s.run(3 * time.Second)
+	must.Len(t, 8, s.procs[0].m.Candidates(s.now))
+	must.Len(t, 9, s.procs[0].m.Members())
+	must.Len(t, 9, s.procs[2].m.Candidates(s.now))
+	clear(s.cut)
+	s.until(time.Second, s.viewsAgree)
+}
+
+// TestSlowClockOfSuccessor guards against a process that is ignored for good
+// because its predecessor's clock was ahead.
+func TestSlowClockOfSuccessor(t *testing.T) {
+	s := newSim(t, 5, 3, 1)
+	s.until(2*time.Second, s.viewsAgree)
+	s.procs[0] = nil
+	s.now = s.now.Add(-time.Minute)
+	s.start(0)
+	s.now = s.now.Add(time.Minute)
+	s.run(viewTime)
+	must.NoError(t, s.viewsAgree())
+}
+
+// TestBootstrap guards against an instance that becomes ready without asking
+// the members that are alive, or never because one is dead.
+func TestBootstrap(t *testing.T) {
+	s := newSim(t, 6, 4, 1)
+	s.until(2*time.Second, s.viewsAgree)
+	s.procs[3], s.listStale = nil, true
+	s.run(5 * time.Second)
+	s.procs[0] = nil
+	s.start(0)
+	must.False(t, s.procs[0].m.Confirmed(s.now))
+	took := s.until(2*time.Second, func() error {
+		if s.procs[0].m.Confirmed(s.now) {
+			return nil
+		}
+		return errUnreachable
+	})
+	must.Len(t, 3, s.procs[0].m.Members())
+	t.Logf("confirmed after %v", took)
+}
+
+func (p *process) candidates(s *sim) []membership.Member { return p.m.Candidates(s.now) }
+
+// seen reports a running process whose list contains instance i.
+func (s *sim) seen(i int, list func(*process, *sim) []membership.Member) error {
+	for _, p := range s.procs {
+		if p == nil {
+			continue
+		}
+		for _, r := range list(p, s) {
+			if r.ID == simID(i) {
+				return errUnreachable
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/membership/sim_test.go
@@ -0,0 +1,376 @@
+package membership_test
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/catalog"
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// TestMain fixes the seed of random tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+const (
+	simStep    = 10 * time.Millisecond
+	listPeriod = 2 * time.Second
+)
+
+var errUnreachable = errors.New("unreachable")
+
+type boots struct {
+	id   model.InstanceID
+	boot model.BootID
+}
+
+// process is one process run of an instance.
+type process struct {
+	m       *membership.Membership
+	catalog *catalog.Catalog
+	reader  *catalog.Reader
+	plan    *catalog.FetchPlan
+	roleAt  uint64
+	// leaving and revisions are what this process has seen so far.
+	leaving   map[boots]bool
+	revisions map[string]uint64
+	read      *catalog.Read
+	readEnd   time.Time
+	nextList  time.Time
+}
+
+type packet struct {
+	at       time.Time
+	from, to int
+	data     []byte
+}
+
+// sim drives processes over a network in virtual time.
+type sim struct {
+	t           must.T
+	now         time.Time
+	rng         *rand.Rand
+	dcs         int
+	procs       []*process
+	paused      []time.Time
+	left        []bool
+	cut         map[[2]int]bool
+	platformCut map[int]bool
+	listed      []port.ListedInstance
+	listStale   bool
+	loss, dup   float64
+	delay       time.Duration
+	packets     []packet
+	documents   map[string]uint64
+	version     uint64
+}
+
+func newSim(t must.T, seed uint64, n, dcs int) *sim {
+	s := &sim{
+		t: t, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), dcs: dcs,
+		procs: make([]*process, n), paused: make([]time.Time, n), left: make([]bool, n),
+		cut: make(map[[2]int]bool), platformCut: make(map[int]bool), documents: make(map[string]uint64),
+		delay: 2 * time.Millisecond,
+	}
+	for i := range n {
+		s.start(i)
+	}
+	s.refreshList()
+	return s
+}
+
+func simID(i int) model.InstanceID {
+	return model.InstanceID(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250))
+}
+func simAddress(i int) string { return fmt.Sprintf("10.0.%d.%d:7100", i/250, i%250) }
+
+func (s *sim) index(address string) int {
+	var a, b int
+	_, err := fmt.Sscanf(address, "10.0.%d.%d:7100", &a, &b)
+	must.NoError(s.t, err)
+	return a*250 + b
+}
+
+func (s *sim) dc(i int) model.DataCentre { return model.DataCentre(fmt.Sprintf("dc%d", i%s.dcs)) }
+
+func (s *sim) start(i int) {
+	r := rand.New(rand.NewPCG(s.rng.Uint64(), uint64(i)))
+	self := membership.Member{ID: simID(i), ControlAddress: simAddress(i), DataCentre: s.dc(i), Boot: membership.NewBootID(s.now, r)}
+	s.procs[i] = &process{
+		m:         membership.New(membership.Config{Self: self, Cluster: "test", Rand: r}, s.now),
+		catalog:   catalog.New(parseTest),
+		reader:    catalog.NewReader(catalog.ReaderConfig{Rand: r}),
+		plan:      catalog.NewFetchPlan(catalog.FetchConfig{Rand: r}),
+		leaving:   make(map[boots]bool),
+		revisions: make(map[string]uint64),
+		nextList:  s.now,
+	}
+	s.paused[i] = time.Time{}
+	s.left[i] = false
+}
+
+func parseTest(b []byte) (*document.Document, error) {
+	d := &document.Document{}
+	_, err := fmt.Sscanf(string(b), "%s %d", &d.Service, &d.Revision)
+	return d, err
+}
+
+func testDocument(service string, revision uint64) port.RawDocument {
+	return port.RawDocument{Service: service, Content: fmt.Appendf(nil, "%s %d", service, revision)}
+}
+
+func (s *sim) publish(service string) {
+	s.documents[service]++
+	s.version++
+}
+
+func (s *sim) refreshList() {
+	s.listed = nil
+	for i, p := range s.procs {
+		if p != nil {
+			s.listed = append(s.listed, port.ListedInstance{ID: simID(i), ControlAddress: simAddress(i), DataCentre: s.dc(i)})
+		}
+	}
+}
+
+// runs reports whether process i runs now.
+func (s *sim) runs(i int) bool { return s.procs[i] != nil && !s.now.Before(s.paused[i]) }
+
+func (s *sim) run(d time.Duration) {
+	for end := s.now.Add(d); s.now.Before(end); {
+		s.step()
+	}
+}
+
+func (s *sim) step() {
+	s.now = s.now.Add(simStep)
+	if !s.listStale && s.now.UnixNano()%int64(listPeriod) < int64(simStep) {
+		s.refreshList()
+	}
+	due := s.packets
+	s.packets = nil
+	for _, p := range due {
+		if p.at.After(s.now) || s.procs[p.to] != nil && !s.runs(p.to) {
+			s.packets = append(s.packets, p)
+			continue
+		}
+		if s.procs[p.to] != nil {
+			s.receive(p)
+		}
+	}
+	for i, p := range s.procs {
+		if s.runs(i) {
+			s.drive(i, p)
+			s.check(i, p)
+		}
+	}
+}
+
+func (s *sim) receive(in packet) {
+	p := s.procs[in.to]
+	r, err := p.m.Receive(s.now, simAddress(in.from), in.data)
+	must.NoError(s.t, err)
+	s.send(in.to, r.Sends)
+	lacks := slices.ContainsFunc(r.Documents, p.catalog.Lacks)
+	p.plan.Observe(s.now, r.Sender.ID, r.CatalogHash, lacks)
+}
+
+func (s *sim) send(from int, sends []membership.Send) {
+	for _, d := range sends {
+		must.LessEq(s.t, membership.MaxDatagram, len(d.Datagram))
+		to := s.index(d.Address)
+		copies := 1
+		if s.rng.Float64() < s.dup {
+			copies = 2
+		}
+		for range copies {
+			if s.cut[[2]int{from, to}] || s.rng.Float64() < s.loss {
+				continue
+			}
+			at := s.now.Add(time.Duration(s.rng.Int64N(int64(s.delay))))
+			s.packets = append(s.packets, packet{at: at, from: from, to: to, data: d.Datagram})
+		}
+	}
+}
+
+// drive does what an instance's driver does: timers, the platform's list,
+// reads of documents and fetches from peers.
+func (s *sim) drive(i int, p *process) {
+	if !p.nextList.After(s.now) && !s.platformCut[i] {
+		p.m.SetListed(s.now, s.listed)
+		p.nextList = s.now.Add(listPeriod)
+	}
+	if !s.now.Before(p.m.NextWake()) {
+		s.send(i, p.m.Tick(s.now))
+	}
+	p.m.Confirmed(s.now)
+	s.driveReader(i, p)
+	s.driveFetches(i, p)
+}
+
+func (s *sim) driveReader(i int, p *process) {
+	if v := p.m.Version(); v != p.roleAt {
+		p.roleAt = v
+		role := slices.Contains(placement.Readers(s.dc(i), p.m.Members(), 2), simID(i))
+		unreachable := 0
+		for _, r := range p.m.Members() {
+			if r.DataCentre == s.dc(i) && r.PlatformUnreachable {
+				unreachable++
+			}
+		}
+		p.reader.SetRole(s.now, role, unreachable)
+	}
+	if r, ok := p.reader.Next(s.now); ok {
+		p.read, p.readEnd = &r, s.now.Add(r.Wait+500*time.Millisecond)
+	}
+	if p.read == nil {
+		return
+	}
+	switch {
+	case s.platformCut[i] && s.now.Before(p.readEnd):
+		return
+	case s.platformCut[i]:
+		p.reader.Finished(s.now, 0, errUnreachable)
+	case s.version > p.read.Since || s.now.After(p.readEnd.Add(-500*time.Millisecond)):
+		p.reader.Finished(s.now, s.version, nil)
+		for service, revision := range s.documents {
+			s.offer(p, testDocument(service, revision))
+		}
+	default:
+		return
+	}
+	p.read = nil
+	p.m.SetPlatformUnreachable(s.now, p.reader.Unreachable())
+}
+
+func (s *sim) offer(p *process, raw port.RawDocument) bool {
+	out := p.catalog.Offer(raw)
+	if out.Verdict != catalog.Adopted {
+		return false
+	}
+	p.m.SetCatalogHash(p.catalog.Hash())
+	p.plan.SetHash(s.now, p.catalog.Hash())
+	v := p.catalog.Versions()
+	at := slices.IndexFunc(v, func(v port.DocumentVersion) bool { return v.Service == raw.Service })
+	p.m.AnnounceDocument(v[at])
+	return true
+}
+
+func (s *sim) driveFetches(i int, p *process) {
+	for {
+		to, ok := p.plan.Next(s.now)
+		if !ok {
+			break
+		}
+		at := slices.IndexFunc(s.procs, func(q *process) bool { return q != nil && q.m.Self().ID == to })
+		if at < 0 || !s.runs(at) || s.cut[[2]int{i, at}] || s.cut[[2]int{at, i}] {
+			p.m.Avoid(s.now, to)
+			p.plan.Finished(s.now, to, false, errUnreachable)
+			continue
+		}
+		gained := false
+		for _, raw := range s.procs[at].catalog.Newer(p.catalog.Versions()) {
+			gained = s.offer(p, raw) || gained
+		}
+		p.plan.Finished(s.now, to, gained, nil)
+	}
+}
+
+// check asserts what must hold in every process after every step.
+func (s *sim) check(i int, p *process) {
+	self := p.m.Self()
+	must.True(s.t, self.State == membership.Alive || self.State == membership.Leaving)
+	for _, e := range p.m.TakeEvents() {
+		must.False(s.t, e.Kind == membership.EventDead && e.Member.ID == self.ID)
+	}
+	for _, r := range p.m.Members() {
+		k := boots{r.ID, r.Boot}
+		must.False(s.t, p.leaving[k] && r.State != membership.Leaving, must.Sprintf("%v: leaving of %v revoked", self.ID, r))
+		if r.State == membership.Leaving {
+			p.leaving[k] = true
+		}
+	}
+	for _, v := range p.catalog.Versions() {
+		must.GreaterEq(s.t, p.revisions[v.Service], v.Revision)
+		p.revisions[v.Service] = v.Revision
+	}
+}
+
+// endFaults heals everything but the platform connections. Leaving processes
+// have exited by then.
+func (s *sim) endFaults() {
+	clear(s.cut)
+	s.loss, s.dup, s.delay = 0, 0, 2*time.Millisecond
+	s.listStale = false
+	for i := range s.procs {
+		s.paused[i] = time.Time{}
+		if s.left[i] {
+			s.procs[i] = nil
+		}
+	}
+}
+
+// viewsAgree reports a process whose view is not exactly the running processes.
+func (s *sim) viewsAgree() error {
+	want := make(map[model.InstanceID]model.BootID)
+	for _, p := range s.procs {
+		if p != nil {
+			want[p.m.Self().ID] = p.m.Self().Boot
+		}
+	}
+	for _, p := range s.procs {
+		if p == nil {
+			continue
+		}
+		got := p.m.Candidates(s.now)
+		if len(got) != len(want) || len(p.m.Members()) != len(want) {
+			return fmt.Errorf("%v sees %v of %d running", p.m.Self().ID, p.m.Members(), len(want))
+		}
+		for _, r := range got {
+			if want[r.ID] != r.Boot {
+				return fmt.Errorf("%v sees %v", p.m.Self().ID, r)
+			}
+		}
+	}
+	return nil
+}
+
+func (s *sim) catalogsAgree() error {
+	want := catalog.New(parseTest)
+	for service, revision := range s.documents {
+		want.Offer(testDocument(service, revision))
+	}
+	for _, p := range s.procs {
+		if p != nil && p.catalog.Hash() != want.Hash() {
+			return fmt.Errorf("%v has %v, platform has %v", p.m.Self().ID, p.catalog.Versions(), want.Versions())
+		}
+	}
+	return nil
+}
+
+// until runs until ok returns nil and returns the time taken, or fails.
+func (s *sim) until(limit time.Duration, ok func() error) time.Duration {
+	start := s.now
+	for ok() != nil {
+		must.Less(s.t, limit, s.now.Sub(start), must.Sprintf("after %v: %v", limit, ok()))
+		s.step()
+	}
+	return s.now.Sub(start)
+}
