--- /dev/null
+++ b/pkg/cli/cli.go
@@ -0,0 +1,99 @@
+// Package cli implements the commands of the sardineturn program.
+package cli
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/sardineturn/sardineturn/pkg/settings"
+)
+
+// Exit codes.
+const (
+	ExitOK = 0
+	// ExitFailed: the command ran and found a fault or was refused.
+	ExitFailed = 1
+	// ExitUsage: the command line is wrong.
+	ExitUsage = 2
+)
+
+// Program is what the commands need from outside.
+type Program struct {
+	Stdout io.Writer
+	Stderr io.Writer
+	// Serve runs an instance until it is stopped. It is nil in programs that
+	// are linked without one.
+	Serve func(ctx context.Context, s settings.Settings) error
+	// Client sends requests to listeners; nil means the default client.
+	Client *http.Client
+}
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve   serveCommand   `cmd:"" help:"Run an instance."`
+	Check   checkCommand   `cmd:"" help:"Check service documents and print every fault."`
+	Status  statusCommand  `cmd:"" help:"Print the status of an instance."`
+	Query   queryCommand   `cmd:"" help:"Send a query and print the answer."`
+	Explain explainCommand `cmd:"" help:"Print how an instance would serve a request."`
+	Version versionCommand `cmd:"" help:"Print the version of the program."`
+}
+
+// errSilent is returned by a command that has printed its own report.
+var errSilent = errors.New("failed")
+
+// Run parses the arguments, without the program's name, runs the command and
+// returns the exit code.
+func (p *Program) Run(ctx context.Context, args []string) int {
+	exited := false
+	code := ExitOK
+	parser, err := p.parser(func(c int) { exited, code = true, c })
+	if err != nil {
+		return p.fail(err, ExitUsage)
+	}
+	command, err := parser.Parse(args)
+	if exited {
+		return code
+	}
+	if err != nil {
+		return p.fail(err, ExitUsage)
+	}
+	command.BindTo(ctx, (*context.Context)(nil))
+	if err := command.Run(p); err != nil {
+		return p.fail(err, ExitFailed)
+	}
+	return ExitOK
+}
+
+func (p *Program) fail(err error, code int) int {
+	if !errors.Is(err, errSilent) {
+		_, _ = fmt.Fprintf(p.Stderr, "sardineturn: %v\n", err)
+	}
+	return code
+}
+
+// parser returns the command line parser. It calls exit after printing help.
+func (p *Program) parser(exit func(int)) (*kong.Kong, error) {
+	return kong.New(
+		&commands{},
+		kong.Name("sardineturn"),
+		kong.Description("A query tier between callers and the sharded upstreams of many services."),
+		kong.Writers(p.Stdout, p.Stderr),
+		kong.Exit(exit),
+	)
+}
+
+func (p *Program) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(p.Stdout, format, args...)
+}
+
+func (p *Program) client() *http.Client {
+	if p.Client != nil {
+		return p.Client
+	}
+	return http.DefaultClient
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -82,7 +82,8 @@
 	return time.Duration(s.BalancerLagMS) * time.Millisecond
 }
 
-// Overrides are top-level fields that replace those of the text.
+// Overrides are fields that replace those of the text. Nested objects are
+// merged.
 type Overrides map[string]any
 
 // Error lists every fault of a settings text.
@@ -148,9 +149,7 @@
 	if err := json.Unmarshal(content, &fields); err != nil || fields == nil {
 		return content, nil
 	}
-	for name, value := range overrides {
-		fields[name] = value
-	}
+	mergeObject(fields, overrides)
 	merged, err := json.Marshal(fields)
 	if err != nil {
 		return nil, fmt.Errorf("apply overrides: %w", err)
@@ -158,6 +157,19 @@
 	return merged, nil
 }
 
+// mergeObject replaces the fields of an object and merges nested objects.
+func mergeObject(fields, overrides map[string]any) {
+	for name, value := range overrides {
+		below, ok := fields[name].(map[string]any)
+		above, ok2 := value.(map[string]any)
+		if ok && ok2 {
+			mergeObject(below, above)
+			continue
+		}
+		fields[name] = value
+	}
+}
+
 // check finds faults that the schema does not express.
 func (s Settings) check() []jsoncheck.Fault {
 	var faults []jsoncheck.Fault
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"strings"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -44,11 +45,13 @@
 // TestOverridesReplaceFields guards against flags that are ignored when the
 // file sets the same field, and against lost defaults.
 func TestOverridesReplaceFields(t *testing.T) {
-	s, err := Parse([]byte(minimal), Overrides{"max_instances": 4, "limits": map[string]any{"max_tickets": 7}})
+	content := strings.Replace(minimal, `{`, `{"max_instances": 8, "limits": {"max_tickets": 6, "max_body_bytes": 2048},`, 1)
+	s, err := Parse([]byte(content), Overrides{"max_instances": 4, "limits": map[string]any{"max_tickets": 7}})
 	must.NoError(t, err)
 	must.Eq(t, 4, s.MaxInstances)
 	must.Eq(t, 7, s.Limits.MaxTickets)
-	must.Eq(t, DefaultMaxBodyBytes, s.Limits.MaxBodyBytes)
+	must.Eq(t, 2048, s.Limits.MaxBodyBytes)
+	must.Eq(t, DefaultMaxConcurrentRequests, s.Limits.MaxConcurrentRequests)
 }
 
 // TestFaultsAreReportedTogether guards against errors that name only the
