Add the platform and upstream stand-ins and adapter tests

Nothing outside the repository may be used in tests, so the stand-ins serve the published upstream and platform interfaces and set faults by admin calls. The upstream stand-in logs each execution, which is the independent check for duplicate runs. The adapter tests run against it and against a scripted server.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,4 +2,94 @@
 // load tool. It is used in tests and experiments and never shipped.
 package main
 
-func main() {}
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/platform"
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+// shutdownGrace is how long a stand-in waits for requests in flight.
+const shutdownGrace = 5 * time.Second
+
+type command struct {
+	Platform platformCommand `cmd:"" help:"Run a stand-in for the platform's configuration service and instance list."`
+	Upstream upstreamCommand `cmd:"" help:"Run one or more stand-in upstreams."`
+}
+
+func main() {
+	ctx := kong.Parse(&command{}, kong.Name("standin"), kong.UsageOnError())
+	ctx.FatalIfErrorf(ctx.Run())
+}
+
+type platformCommand struct {
+	Listen    string   `help:"Address for readers." default:"127.0.0.1:0"`
+	Admin     string   `help:"Address of the admin listener." default:"127.0.0.1:0"`
+	ListLagMS float64  `help:"Delay until a change of the instance list is visible, in ms." name:"list-lag-ms"`
+	Documents []string `arg:"" optional:"" type:"existingfile" help:"Document files to load."`
+}
+
+// Run implements the command.
+func (c *platformCommand) Run() error {
+	p, err := platform.Start(c.Listen, c.Admin, platform.Faults{ListLagMS: c.ListLagMS})
+	if err != nil {
+		return err
+	}
+	defer p.Close()
+	for _, file := range c.Documents {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			return err
+		}
+		if _, err := p.WriteDocument(content, false); err != nil {
+			return fmt.Errorf("%s: %w", file, err)
+		}
+	}
+	return serveUntilSignal(map[string]any{"address": p.Address(), "admin": p.AdminAddress()})
+}
+
+type upstreamCommand struct {
+	IP        string `help:"IP address to listen on." default:"127.0.0.1"`
+	Admin     string `help:"Address of the admin listener." default:"127.0.0.1:0"`
+	Count     int    `help:"Number of upstreams in this process." default:"1"`
+	Prefix    string `help:"Prefix of the upstreams' names." default:"u"`
+	BasePort  int    `help:"Port of the first upstream; free ports when 0."`
+	Seed      uint64 `help:"Seed of service times and fault choices." default:"1"`
+	Behaviour string `help:"Behaviour as JSON, laid over the defaults." default:"{}"`
+}
+
+// Run implements the command.
+func (c *upstreamCommand) Run() error {
+	b := upstream.DefaultBehaviour()
+	if err := json.Unmarshal([]byte(c.Behaviour), &b); err != nil {
+		return fmt.Errorf("behaviour: %w", err)
+	}
+	h, err := upstream.StartHost(c.IP, c.Prefix, c.Count, c.BasePort, c.Admin, b, c.Seed)
+	if err != nil {
+		return err
+	}
+	err = serveUntilSignal(map[string]any{"admin": h.AdminAddress(), "upstreams": h.List()})
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownGrace)
+	defer cancel()
+	h.Shutdown(ctx)
+	return err
+}
+
+// serveUntilSignal prints the addresses as one line and waits for a signal.
+func serveUntilSignal(addresses map[string]any) error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := json.NewEncoder(os.Stdout).Encode(addresses); err != nil {
+		return err
+	}
+	<-ctx.Done()
+	return nil
+}
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -30,6 +30,7 @@
 	mu      sync.Mutex
 	limit   int
 	open    int
+	peak    int
 	spare   []*conn
 	changed chan struct{}
 }
@@ -94,12 +95,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.open < p.limit {
-		p.open++
+		p.reserve()
 		return nil, true, nil
 	}
 	return nil, false, p.changed
 }
 
+// reserve counts a connection that is about to be opened. The caller holds the
+// lock.
+func (p *pool) reserve() {
+	p.open++
+	p.peak = max(p.peak, p.open)
+}
+
 func (p *pool) popSpare() *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -143,7 +151,7 @@
 		return
 	}
 	for ; n > 0 && p.open < p.limit; n-- {
-		p.open++
+		p.reserve()
 		p.dials.Add(1)
 		go p.openSpare()
 	}
--- /dev/null
+++ b/pkg/standin/upstream/execution.go
@@ -0,0 +1,127 @@
+package upstream
+
+import (
+	"encoding/json"
+	"sync"
+	"time"
+)
+
+// maxExecutions bounds the log of one process. The count of dropped entries is
+// reported, so that a check for duplicate runs knows when it is incomplete.
+const maxExecutions = 2_000_000
+
+// Execution is one request that started to run. The log of executions is the
+// independent evidence of what ran.
+type Execution struct {
+	Sequence int    `json:"sequence"`
+	Upstream string `json:"upstream"`
+	Attempt  string `json:"attempt"`
+	OrderKey string `json:"order_key,omitempty"`
+	Service  string `json:"service"`
+	// Request, Caller and Priority are taken from the payload, where the load
+	// generator puts them.
+	Request   string    `json:"request,omitempty"`
+	Caller    string    `json:"caller,omitempty"`
+	Priority  string    `json:"priority,omitempty"`
+	Operation string    `json:"operation"`
+	Snapshot  string    `json:"snapshot"`
+	Shard     string    `json:"shard"`
+	Start     time.Time `json:"start"`
+	// End is zero while the request runs.
+	End     time.Time `json:"end"`
+	Outcome string    `json:"outcome"`
+}
+
+// Log holds the executions of all upstreams of a process.
+type Log struct {
+	mu      sync.Mutex
+	entries []Execution
+	dropped int
+	orders  map[string]int
+}
+
+// NewLog returns an empty log.
+func NewLog() *Log { return &Log{orders: make(map[string]int)} }
+
+// start records the start of an execution and returns its index, or -1.
+func (l *Log) start(e Execution) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if e.OrderKey != "" {
+		l.orders[e.OrderKey]++
+	}
+	if len(l.entries) >= maxExecutions {
+		l.dropped++
+		return -1
+	}
+	e.Sequence = len(l.entries)
+	l.entries = append(l.entries, e)
+	return e.Sequence
+}
+
+func (l *Log) end(index int, at time.Time, outcome string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if index >= 0 && index < len(l.entries) {
+		l.entries[index].End = at
+		l.entries[index].Outcome = outcome
+	}
+}
+
+// Executions is the answer of GET /admin/executions.
+type Executions struct {
+	Executions []Execution `json:"executions"`
+	// Next is the value of "since" for the next page.
+	Next    int `json:"next"`
+	Dropped int `json:"dropped"`
+}
+
+// page returns executions from sequence since on. Paging ends with an empty
+// page. With ordersOnly, other requests are left out.
+func (l *Log) page(since, limit int, ordersOnly bool) Executions {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := Executions{Executions: []Execution{}, Next: max(0, since), Dropped: l.dropped}
+	for out.Next < len(l.entries) && len(out.Executions) < limit {
+		e := l.entries[out.Next]
+		out.Next++
+		if !ordersOnly || e.OrderKey != "" {
+			out.Executions = append(out.Executions, e)
+		}
+	}
+	return out
+}
+
+// duplicates returns the order keys that started more than once.
+func (l *Log) duplicates() map[string]int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	out := make(map[string]int)
+	for key, n := range l.orders {
+		if n > 1 {
+			out[key] = n
+		}
+	}
+	return out
+}
+
+func (l *Log) reset() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.entries = nil
+	l.dropped = 0
+	l.orders = make(map[string]int)
+}
+
+// labels are the fields that the load generator puts into a payload.
+type labels struct {
+	Request  string `json:"request"`
+	Caller   string `json:"caller"`
+	Priority string `json:"priority"`
+}
+
+func labelsOf(payload json.RawMessage) labels {
+	var l labels
+	_ = json.Unmarshal(payload, &l)
+	return l
+}
--- /dev/null
+++ b/pkg/standin/upstream/listener.go
@@ -0,0 +1,193 @@
+package upstream
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+)
+
+// listener counts connections, applies the cost of a new connection, and can
+// drop all connections and refuse new ones for a time.
+type listener struct {
+	address string
+	cost    func() time.Duration
+	limit   func() int
+
+	mu       sync.Mutex
+	inner    net.Listener
+	reopened chan struct{}
+	conns    map[*serverConn]bool
+	accepted int
+	peak     int
+	closed   bool
+}
+
+// serverConn delays its first read by the cost of a new connection.
+type serverConn struct {
+	net.Conn
+	owner     *listener
+	ready     time.Time
+	overLimit bool
+	once      sync.Once
+}
+
+func (c *serverConn) Read(p []byte) (int, error) {
+	if wait := time.Until(c.ready); wait > 0 {
+		time.Sleep(wait)
+	}
+	return c.Conn.Read(p)
+}
+
+func (c *serverConn) Close() error {
+	c.once.Do(func() { c.owner.remove(c) })
+	return c.Conn.Close()
+}
+
+func newListener(address string, cost func() time.Duration, limit func() int) (*listener, error) {
+	inner, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	l := &listener{
+		address: inner.Addr().String(),
+		cost:    cost,
+		limit:   limit,
+		inner:   inner,
+		conns:   make(map[*serverConn]bool),
+	}
+	return l, nil
+}
+
+// Accept implements net.Listener. It waits while connections are refused.
+func (l *listener) Accept() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		inner, reopened, closed := l.inner, l.reopened, l.closed
+		l.mu.Unlock()
+		if closed {
+			return nil, net.ErrClosed
+		}
+		if inner == nil {
+			<-reopened
+			continue
+		}
+		raw, err := inner.Accept()
+		if err == nil {
+			return l.add(raw), nil
+		}
+		l.mu.Lock()
+		same := l.inner == inner
+		l.mu.Unlock()
+		if same {
+			return nil, err
+		}
+	}
+}
+
+func (l *listener) add(raw net.Conn) *serverConn {
+	c := &serverConn{Conn: raw, owner: l, ready: time.Now().Add(l.cost())}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	c.overLimit = len(l.conns) >= l.limit()
+	l.conns[c] = true
+	l.accepted++
+	l.peak = max(l.peak, len(l.conns))
+	return c
+}
+
+func (l *listener) remove(c *serverConn) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	delete(l.conns, c)
+}
+
+// dropAll closes all connections.
+func (l *listener) dropAll() {
+	l.mu.Lock()
+	conns := make([]*serverConn, 0, len(l.conns))
+	for c := range l.conns {
+		conns = append(conns, c)
+	}
+	l.mu.Unlock()
+	for _, c := range conns {
+		if tcp, ok := c.Conn.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0)
+		}
+		_ = c.Close()
+	}
+}
+
+// refuse stops accepting for d and then calls reopened.
+func (l *listener) refuse(d time.Duration, reopened func()) {
+	l.mu.Lock()
+	inner := l.inner
+	if l.closed || inner == nil {
+		l.mu.Unlock()
+		return
+	}
+	l.inner = nil
+	l.reopened = make(chan struct{})
+	l.mu.Unlock()
+	_ = inner.Close()
+	time.AfterFunc(d, func() { l.reopen(reopened) })
+}
+
+func (l *listener) reopen(reopened func()) {
+	inner, err := net.Listen("tcp", l.address)
+	if err != nil {
+		// The port may be in use for a moment by an outgoing connection.
+		time.AfterFunc(reopenRetry, func() { l.reopen(reopened) })
+		return
+	}
+	reopened()
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		_ = inner.Close()
+		return
+	}
+	l.inner = inner
+	close(l.reopened)
+}
+
+const reopenRetry = 50 * time.Millisecond
+
+// Close implements net.Listener.
+func (l *listener) Close() error {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return nil
+	}
+	l.closed = true
+	if l.inner == nil {
+		close(l.reopened)
+		return nil
+	}
+	return l.inner.Close()
+}
+
+// Addr implements net.Listener.
+func (l *listener) Addr() net.Addr {
+	addr, _ := net.ResolveTCPAddr("tcp", l.address)
+	return addr
+}
+
+func (l *listener) counts() (open, accepted, peak int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns), l.accepted, l.peak
+}
+
+type connKey struct{}
+
+// withConn attaches the connection to the contexts of its requests.
+func withConn(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
+func connOf(ctx context.Context) *serverConn {
+	c, _ := ctx.Value(connKey{}).(*serverConn)
+	return c
+}
