Add the scheduler of a group and the quarantine set

The instance driver needs all decisions of a group's home behind one pure API. This first complete version has admission by expected wait, credits, queues, late binding, slots, hedges, retries, breakers, crash isolation and the status.

The objectives for shares and goodput are not asserted yet.

--- /dev/null
+++ b/pkg/scheduler/credits.go
@@ -0,0 +1,92 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+const (
+	// creditCap is the credit and the debt that a priority holds at most, in
+	// time of the whole group's slots.
+	creditCap = time.Second
+	// idleCreditCap is the credit that a priority keeps while nothing of it
+	// waits. A full second saved while idle would let a sudden flood of the
+	// most urgent work displace the others for more than their deadlines.
+	idleCreditCap = 100 * time.Millisecond
+	// maxAccrual bounds the time credited at once, for example after a pause.
+	maxAccrual = time.Second
+	// usageWindow is the time constant of the mean slots in use.
+	usageWindow = 200 * time.Millisecond
+)
+
+// accrue moves credit for the time since the last call. Every priority earns
+// its share of the slot time that was consumed and pays for its own, so that
+// the sum stays constant. What a priority cannot keep goes to the most urgent
+// priority with work.
+func (s *Scheduler) accrue(now time.Time) {
+	elapsed := min(max(now.Sub(s.accruedAt), 0), maxAccrual).Seconds()
+	s.accruedAt = now
+	if elapsed == 0 {
+		return
+	}
+	total := 0
+	for _, p := range s.priorities {
+		total += p.inFlight
+	}
+	consumed := float64(total) * elapsed
+	spare := consumed
+	capacity := s.nominalSlots()
+	decay := math.Exp(-elapsed / usageWindow.Seconds())
+	for _, p := range s.priorities {
+		earned := p.share * consumed
+		spare -= earned
+		p.credit += earned - float64(p.inFlight)*elapsed
+		p.usage = p.usage*decay + float64(p.inFlight)*(1-decay)
+		spare += p.takeExcess(capacity)
+	}
+	s.passOn(spare, capacity)
+}
+
+// passOn gives unused credit to the most urgent priorities with work.
+func (s *Scheduler) passOn(spare, capacity float64) {
+	for _, p := range s.priorities {
+		if spare <= 0 {
+			return
+		}
+		if p.inFlight == 0 && p.waitingParts == 0 {
+			continue
+		}
+		p.credit += spare
+		spare = p.takeExcess(capacity)
+	}
+}
+
+// takeExcess limits the credit to the caps and returns what was above.
+func (p *priority) takeExcess(capacity float64) float64 {
+	limit := creditCap.Seconds() * capacity
+	p.credit = max(p.credit, -limit)
+	if p.waitingParts == 0 {
+		limit = idleCreditCap.Seconds() * capacity
+	}
+	excess := max(p.credit-limit, 0)
+	p.credit -= excess
+	return excess
+}
+
+// pickOrder returns the priorities in the order in which they may use a slot:
+// first those with credit, then the others, each by urgency.
+func (s *Scheduler) pickOrder() []*priority {
+	order := s.orderBuffer[:0]
+	for _, p := range s.priorities {
+		if p.credit > 0 {
+			order = append(order, p)
+		}
+	}
+	for _, p := range s.priorities {
+		if p.credit <= 0 {
+			order = append(order, p)
+		}
+	}
+	s.orderBuffer = order
+	return order
+}
--- /dev/null
+++ b/pkg/scheduler/hedge.go
@@ -0,0 +1,50 @@
+package scheduler
+
+// hedge starts second attempts for overdue ones, as far as free slots and the
+// budgets allow. It runs after dispatch, so that a slot that is still free is
+// one that no waiting part can use.
+func (s *Scheduler) hedge() {
+	kept := s.overdue[:0]
+	for _, a := range s.overdue {
+		if !s.wantsHedge(a) {
+			continue
+		}
+		if !s.hedgeOne(a) {
+			kept = append(kept, a)
+		}
+	}
+	clear(s.overdue[len(kept):])
+	s.overdue = kept
+}
+
+// wantsHedge reports whether the attempt is still the only one of its part.
+func (s *Scheduler) wantsHedge(a *attempt) bool {
+	if a.detached || a.part.request.done || len(a.part.running) != 1 {
+		return false
+	}
+	return !s.isolation.restrained(s.now, a.part.request.req.Fingerprint)
+}
+
+// hedgeOne starts a second attempt and reports whether it did.
+func (s *Scheduler) hedgeOne(a *attempt) bool {
+	u := s.cheapest(a.part, fit)
+	if u == nil || u == a.upstream {
+		return false
+	}
+	if !s.budgets.takeHedge() {
+		s.countHedgeDenied(a)
+		return false
+	}
+	s.count(CountHedged, a.prio, string(s.state(a.upstream)))
+	s.start(a.part, choice{upstream: u}, reasonHedge)
+	return true
+}
+
+// countHedgeDenied counts an attempt once, however often it is reconsidered.
+func (s *Scheduler) countHedgeDenied(a *attempt) {
+	if a.hedgeDenied {
+		return
+	}
+	a.hedgeDenied = true
+	s.count(CountHedgeDenied, a.prio, "budget")
+}
--- /dev/null
+++ b/pkg/scheduler/queue.go
@@ -0,0 +1,159 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+// lookAhead is the number of requests per caller that are examined when the
+// first one cannot use a free slot.
+const lookAhead = 4
+
+// priority is the queue and the account of one priority.
+type priority struct {
+	name   string
+	target time.Duration
+	// share is the guaranteed fraction of slot time, 0 to 1.
+	share float64
+	// credit is in slot seconds.
+	credit float64
+	// usage is the mean number of slots in use.
+	usage    float64
+	inFlight int
+	// waitingParts counts the parts that wait for a slot.
+	waitingParts int
+	// active are started requests with waiting parts, the oldest first.
+	active []*request
+	// callers have requests that were not started, in round-robin order.
+	callers  []*callerQueue
+	byCaller map[model.CallerID]*callerQueue
+	// cost is the mean slot time of an attempt, in seconds.
+	cost float64
+	// waitingSince is the time since which something has waited all along.
+	waitingSince time.Time
+	// shedAt is the time of the last refusal for overload.
+	shedAt time.Time
+	// margin scales expected times; it grows when admitted work is late.
+	margin float64
+	// Totals since the start of the scheduler.
+	admitted, refused uint64
+}
+
+// callerQueue holds the requests of one caller that were not started.
+type callerQueue struct {
+	id       model.CallerID
+	requests []*request
+	parts    int
+}
+
+func newPriority(d document.Priority) *priority {
+	p := &priority{byCaller: make(map[model.CallerID]*callerQueue), margin: minMargin}
+	p.configure(d)
+	p.cost = initialLatency.Seconds()
+	return p
+}
+
+func (p *priority) configure(d document.Priority) {
+	p.name = d.Name
+	p.share = d.GuaranteedShare
+	p.target = d.Target()
+}
+
+// enqueue appends a new request to its caller's queue.
+func (p *priority) enqueue(now time.Time, r *request) {
+	q := p.byCaller[r.req.Caller]
+	if q == nil {
+		q = &callerQueue{id: r.req.Caller}
+		p.byCaller[q.id] = q
+		p.callers = append(p.callers, q)
+	}
+	r.caller = q
+	q.requests = append(q.requests, r)
+	q.parts += r.waiting
+	p.addWaiting(now, r.waiting)
+}
+
+func (p *priority) addWaiting(now time.Time, n int) {
+	if p.waitingParts == 0 {
+		p.waitingSince = now
+	}
+	p.waitingParts += n
+}
+
+// leaveQueue removes a request from its caller's queue. The caller's turn
+// passes to the next one if the request was started.
+func (p *priority) leaveQueue(r *request, started bool) {
+	q := r.caller
+	if q == nil {
+		return
+	}
+	r.caller = nil
+	i := slices.Index(q.requests, r)
+	q.requests = slices.Delete(q.requests, i, i+1)
+	q.parts -= r.waiting
+	at := slices.Index(p.callers, q)
+	switch {
+	case len(q.requests) == 0:
+		p.callers = slices.Delete(p.callers, at, at+1)
+		delete(p.byCaller, q.id)
+	case started:
+		p.callers = slices.Delete(p.callers, at, at+1)
+		p.callers = append(p.callers, q)
+	}
+}
+
+// activate puts a started request with waiting parts into the active list.
+func (p *priority) activate(r *request) {
+	if r.inActive {
+		return
+	}
+	r.inActive = true
+	at, _ := slices.BinarySearchFunc(p.active, r, func(a, b *request) int {
+		if a.seq < b.seq {
+			return -1
+		}
+		return 1
+	})
+	p.active = slices.Insert(p.active, at, r)
+}
+
+func (p *priority) deactivate(r *request) {
+	if !r.inActive {
+		return
+	}
+	r.inActive = false
+	i := slices.Index(p.active, r)
+	p.active = slices.Delete(p.active, i, i+1)
+}
+
+// addPart makes a part wait for a slot.
+func (s *Scheduler) addPart(now time.Time, p *part) {
+	r := p.request
+	p.state = partWaiting
+	r.waiting++
+	r.prio.addWaiting(now, 1)
+	if r.caller != nil {
+		r.caller.parts++
+		return
+	}
+	r.prio.activate(r)
+}
+
+// removePart ends a part's wait.
+func (s *Scheduler) removePart(p *part) {
+	r := p.request
+	r.waiting--
+	r.prio.waitingParts--
+	if r.caller != nil {
+		r.caller.parts--
+	}
+	if r.waiting == 0 {
+		r.prio.deactivate(r)
+	}
+	if r.prio.waitingParts < 0 || r.waiting < 0 {
+		s.broken("waiting part count is negative")
+	}
+}
--- /dev/null
+++ b/pkg/scheduler/replica.go
@@ -0,0 +1,202 @@
+package scheduler
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// degradedFactor times the group's median latency makes an upstream
+	// degraded.
+	degradedFactor = 3
+	// stuckFactor times the operation's median is the age of a running attempt
+	// that makes an upstream degraded before any reply. It is higher than
+	// degradedFactor because a single slow attempt says less than a mean.
+	stuckFactor = 10
+	// factorWeight and probeWeight are the weights of a new latency sample in
+	// an upstream's factor; a probe weighs more because probes are rare.
+	factorWeight = 0.1
+	probeWeight  = 0.5
+	// maxRatio bounds the influence of a single sample.
+	maxRatio = 40
+	// probeInterval and probeAttempts are the time and the number of first
+	// attempts between probes of degraded upstreams; after probeLongest a
+	// probe is due in any case.
+	probeInterval = time.Second
+	probeAttempts = 400
+	probeLongest  = 10 * time.Second
+	// remotePenalty is the round trip to another data centre.
+	remotePenalty = time.Millisecond
+)
+
+// fitness orders replicas; lower is better.
+type fitness int
+
+const (
+	fit fitness = iota
+	// avoided replicas are used only when no other replica is usable.
+	avoided
+	// unusable replicas get no attempt now.
+	unusable
+)
+
+// choice is a replica for a part.
+type choice struct {
+	upstream *upstream
+	probe    bool
+}
+
+// fitness returns how suitable the upstream is for the part, apart from free
+// slots.
+func (s *Scheduler) fitness(p *part, u *upstream) fitness {
+	if s.excluded(u) || u.breaker.open {
+		return unusable
+	}
+	if s.degraded(u) || p.wasTried(u) {
+		return avoided
+	}
+	snapshot := p.request.req.Snapshot
+	if u.lacks(s.now, snapshot) || u.avoidedByHint(s.now, snapshot) {
+		return avoided
+	}
+	return fit
+}
+
+// choose returns the replica on which the part should start now. It returns
+// false when the part should wait for a slot.
+func (s *Scheduler) choose(p *part) (choice, bool) {
+	best := unusable
+	for _, u := range p.replicas {
+		best = min(best, s.fitness(p, u))
+	}
+	if c, ok := s.chooseProbe(p, best); ok {
+		return c, true
+	}
+	if best == unusable {
+		return choice{}, false
+	}
+	u := s.cheapest(p, best)
+	return choice{upstream: u}, u != nil
+}
+
+// cheapest returns the replica of the given fitness that has a free slot and
+// the least expected completion time, or nil.
+func (s *Scheduler) cheapest(p *part, level fitness) *upstream {
+	var best *upstream
+	least := 0.0
+	for _, u := range p.replicas {
+		if !u.free() || s.fitness(p, u) != level {
+			continue
+		}
+		cost := s.expectedSeconds(p.request.op, u)
+		if best == nil || cost < least {
+			best, least = u, cost
+		}
+	}
+	return best
+}
+
+// expectedSeconds estimates the time to completion on the upstream. The load
+// term spreads attempts over equal replicas, and the random term breaks ties.
+func (s *Scheduler) expectedSeconds(o *operation, u *upstream) float64 {
+	latency := o.median.Seconds() * u.factor
+	load := float64(u.inFlight()) / max(u.limit, 1)
+	cost := latency * (1 + load)
+	if u.dataCentre != s.cfg.LocalDataCentre {
+		cost += remotePenalty.Seconds()
+	}
+	return cost * (1 + 0.01*s.cfg.Rand.Float64())
+}
+
+// chooseProbe returns an upstream that should be tested: one whose breaker
+// allows a test, or a degraded one at a low rate. Orders are not used for
+// tests while another replica is usable.
+func (s *Scheduler) chooseProbe(p *part, best fitness) (choice, bool) {
+	if p.request.req.NonIdempotent && best != unusable {
+		return choice{}, false
+	}
+	for _, u := range p.replicas {
+		if s.excluded(u) || u.reserved || u.inFlight() > 0 {
+			continue
+		}
+		if u.breaker.open {
+			if u.breaker.allows(s.now) {
+				return choice{upstream: u, probe: true}, true
+			}
+			continue
+		}
+		if best == fit && s.degraded(u) && s.degradedProbeDue() {
+			return choice{upstream: u, probe: true}, true
+		}
+	}
+	return choice{}, false
+}
+
+func (s *Scheduler) degradedProbeDue() bool {
+	since := s.now.Sub(s.probedAt)
+	if since >= probeLongest {
+		return true
+	}
+	return since >= probeInterval && s.budgets.first-s.firstsAtProbe >= probeAttempts
+}
+
+// degraded reports whether the upstream is much slower than the group.
+func (s *Scheduler) degraded(u *upstream) bool {
+	if len(s.order) < 2 {
+		return false
+	}
+	if u.factor > degradedFactor*s.medianFactor {
+		return true
+	}
+	for _, a := range u.running {
+		limit := time.Duration(stuckFactor * s.medianFactor * float64(a.op.median))
+		if !a.paused && s.now.Sub(a.started) > max(limit, a.op.p95) {
+			return true
+		}
+	}
+	return false
+}
+
+// observeLatency records a successful attempt's latency.
+func (s *Scheduler) observeLatency(a *attempt, d time.Duration) {
+	ratio := d.Seconds() / a.op.median.Seconds()
+	a.op.observe(d)
+	s.observeFactor(a, ratio)
+}
+
+// observeAtLeast records that a stopped attempt had taken d without a result.
+// Without this, an upstream whose attempts are always overtaken by hedges
+// would never be seen to be slow.
+func (s *Scheduler) observeAtLeast(a *attempt, d time.Duration) {
+	ratio := d.Seconds() / a.op.median.Seconds()
+	if ratio > a.upstream.factor {
+		s.observeFactor(a, ratio)
+	}
+}
+
+func (s *Scheduler) observeFactor(a *attempt, ratio float64) {
+	u := a.upstream
+	weight := factorWeight
+	if a.probe {
+		weight = probeWeight
+	}
+	u.factor += weight * (min(ratio, maxRatio) - u.factor)
+	u.samples++
+	s.refreshMedian()
+}
+
+// refreshMedian recomputes the lower median of the upstreams' factors.
+func (s *Scheduler) refreshMedian() {
+	var factors []float64
+	for _, u := range s.order {
+		if u.samples > 0 && !u.leaving {
+			factors = append(factors, u.factor)
+		}
+	}
+	if len(factors) == 0 {
+		s.medianFactor = 1
+		return
+	}
+	slices.Sort(factors)
+	s.medianFactor = max(factors[(len(factors)-1)/2], 0.01)
+}
--- /dev/null
+++ b/pkg/scheduler/servable.go
@@ -0,0 +1,71 @@
+package scheduler
+
+import (
+	"slices"
+
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// failUnservable ends waiting parts of which no replica is worth waiting for.
+// It looks at all requests only when the availability of an upstream changed;
+// Submit and retries check their own parts.
+func (s *Scheduler) failUnservable() {
+	if !s.availabilityChanged() {
+		return
+	}
+	for _, r := range s.sortedRequests() {
+		s.failUnservableParts(r)
+	}
+}
+
+func (s *Scheduler) failUnservableParts(r *request) {
+	for _, p := range r.parts {
+		if p.state == partWaiting && !s.servable(p) {
+			s.finishPart(p, result.NoUpstream)
+		}
+	}
+	s.finishIfComplete(r)
+}
+
+// availabilityChanged compares the upstreams that are worth waiting for with
+// those of the last call.
+func (s *Scheduler) availabilityChanged() bool {
+	changed := false
+	for _, u := range s.order {
+		available := s.available(u)
+		if available != u.available {
+			u.available = available
+			changed = true
+		}
+	}
+	return changed
+}
+
+// available reports whether the upstream is usable, or soon will be.
+func (s *Scheduler) available(u *upstream) bool {
+	if s.excluded(u) {
+		return false
+	}
+	return u.breaker.allows(s.now) || !u.breaker.lost()
+}
+
+// servable reports whether some replica of the part is worth waiting for.
+func (s *Scheduler) servable(p *part) bool {
+	return slices.ContainsFunc(p.replicas, s.available)
+}
+
+// sortedRequests returns the live requests in order of admission, so that the
+// actions do not depend on the order of a map.
+func (s *Scheduler) sortedRequests() []*request {
+	out := make([]*request, 0, len(s.requests))
+	for _, r := range s.requests {
+		out = append(out, r)
+	}
+	slices.SortFunc(out, func(a, b *request) int {
+		if a.seq < b.seq {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
--- /dev/null
+++ b/pkg/scheduler/upstream.go
@@ -0,0 +1,226 @@
+package scheduler
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+const (
+	// coldLimit is the concurrency limit of a cold upstream.
+	coldLimit = 1
+	// coldStep and warmStep are added to the limit per success below and
+	// above the threshold of the last shedding.
+	coldStep = 0.5
+	warmStep = 0.1
+	// shedFactor multiplies the limit when the upstream sheds.
+	shedFactor = 0.7
+	// drainHold is how long a draining reply keeps an upstream out of use
+	// unless its health endpoint says otherwise.
+	drainHold = 30 * time.Second
+	// drainMinimum is the time after a draining reply in which a hint of
+	// health, which may be older than the reply, is ignored.
+	drainMinimum = 3 * time.Second
+	// missingHold is how long a snapshot that an upstream said to lack is
+	// asked for elsewhere.
+	missingHold = time.Second
+)
+
+// upstream is the state of one upstream of the group.
+type upstream struct {
+	name       string
+	address    string
+	dataCentre model.DataCentre
+	// ceiling is the greatest allowed number of attempts in flight.
+	ceiling int
+	// connections is the number of connections that this instance may hold.
+	connections int
+	// limit is the current concurrency limit, coldLimit to ceiling.
+	limit float64
+	// threshold ends the steep part of the ramp.
+	threshold float64
+	running   []*attempt
+	breaker   breaker
+	// factor is the mean ratio of the upstream's latency to the median of the
+	// operation; samples counts the latencies in it.
+	factor  float64
+	samples int
+	// shedAt is the time of the last accepted lowering of the limit.
+	shedAt time.Time
+	// drainedAt is the time of the last draining reply, or zero.
+	drainedAt time.Time
+	// leaving is set by the platform's list.
+	leaving bool
+	hint    hint
+	// missing holds snapshots that the upstream lacks, until a time.
+	missing map[model.SnapshotID]time.Time
+	// reserved is true while the upstream is kept free for a suspect.
+	reserved bool
+	// removed is true when the document no longer has the upstream.
+	removed bool
+	// available is the value of the last availability check.
+	available bool
+	// reported is the state that was last logged.
+	reported UpstreamState
+}
+
+func newUpstream(d *document.Upstream, maxInstances int) *upstream {
+	u := &upstream{
+		name:     d.Name,
+		limit:    coldLimit,
+		factor:   1,
+		reported: StateCold,
+		missing:  make(map[model.SnapshotID]time.Time),
+
+		available: true,
+	}
+	u.configure(d, maxInstances)
+	u.threshold = float64(u.ceiling)
+	return u
+}
+
+// configure adopts the document's values and keeps what was learned.
+func (u *upstream) configure(d *document.Upstream, maxInstances int) {
+	u.address = d.Address
+	u.dataCentre = d.DataCentre
+	u.connections = max(d.ConnectionLimit/max(maxInstances, 1), 1)
+	before := u.ceiling
+	u.ceiling = max(min(d.Slots, u.connections), 1)
+	if u.threshold >= float64(before) {
+		u.threshold = float64(u.ceiling)
+	}
+	u.limit = min(u.limit, float64(u.ceiling))
+}
+
+func (u *upstream) inFlight() int { return len(u.running) }
+
+// free reports whether a new attempt may start as far as slots are concerned.
+func (u *upstream) free() bool { return !u.reserved && u.inFlight() < int(u.limit) }
+
+// excluded reports whether the upstream must not get new attempts.
+func (s *Scheduler) excluded(u *upstream) bool {
+	return u.removed || u.leaving || s.draining(u)
+}
+
+// draining reports whether the upstream said that it is leaving. A draining
+// hint on every upstream of the group is taken for a wrong report; upstreams
+// that do drain refuse work with a draining reply.
+func (s *Scheduler) draining(u *upstream) bool {
+	if !u.drainedAt.IsZero() && s.now.Sub(u.drainedAt) < drainHold {
+		return true
+	}
+	return u.hint.draining && !s.allHintDraining()
+}
+
+func (s *Scheduler) allHintDraining() bool {
+	for _, u := range s.order {
+		if !u.hint.draining && !u.leaving {
+			return false
+		}
+	}
+	return true
+}
+
+// succeeded records an attempt that the upstream completed.
+func (u *upstream) succeeded() {
+	step := warmStep
+	if u.limit < u.threshold {
+		step = coldStep
+	}
+	u.limit = min(u.limit+step, float64(u.ceiling))
+}
+
+// shed lowers the limit, at most once per interval, since the replies to one
+// burst say the same thing.
+func (u *upstream) shed(now time.Time, interval time.Duration) {
+	if now.Sub(u.shedAt) < interval {
+		return
+	}
+	u.shedAt = now
+	u.limit = max(min(u.limit, float64(max(u.inFlight(), 1)))*shedFactor, coldLimit)
+	u.threshold = u.limit
+}
+
+// chill restarts the ramp after the upstream was out of use.
+func (u *upstream) chill() {
+	u.limit = coldLimit
+	u.threshold = float64(u.ceiling)
+	u.factor = 1
+	u.samples = 0
+}
+
+func (u *upstream) lacks(now time.Time, snapshot model.SnapshotID) bool {
+	until, ok := u.missing[snapshot]
+	if ok && !until.After(now) {
+		delete(u.missing, snapshot)
+		return false
+	}
+	return ok
+}
+
+func (u *upstream) removeRunning(a *attempt) {
+	for i, r := range u.running {
+		if r == a {
+			u.running = append(u.running[:i], u.running[i+1:]...)
+			return
+		}
+	}
+}
+
+// state returns the upstream's state for logs and the status.
+func (s *Scheduler) state(u *upstream) UpstreamState {
+	switch {
+	case u.leaving:
+		return StateLeaving
+	case s.draining(u):
+		return StateDraining
+	case u.breaker.open:
+		return StateEjected
+	case s.degraded(u):
+		return StateDegraded
+	case u.limit < u.threshold:
+		return StateCold
+	default:
+		return StateActive
+	}
+}
+
+// reportStates emits the changes of upstream states since the last step.
+func (s *Scheduler) reportStates() {
+	for _, u := range s.order {
+		state := s.state(u)
+		if state == u.reported {
+			continue
+		}
+		u.reported = state
+		s.emit(UpstreamChange{Upstream: u.name, State: state})
+	}
+}
+
+// nominalSlots returns the number of slots of all upstreams.
+func (s *Scheduler) nominalSlots() float64 {
+	n := 0
+	for _, u := range s.order {
+		n += u.ceiling
+	}
+	return float64(max(n, 1))
+}
+
+// usableSlots returns the number of slots of the upstreams in normal use.
+func (s *Scheduler) usableSlots() float64 {
+	n := 0.0
+	for _, u := range s.order {
+		if s.excluded(u) || u.breaker.open || s.degraded(u) {
+			continue
+		}
+		n += s.expectedLimit(u)
+	}
+	return max(n, 1)
+}
+
+// expectedLimit is the limit that counts for admission: a cold upstream ramps
+// up within a few replies, so that its threshold counts.
+func (s *Scheduler) expectedLimit(u *upstream) float64 {
+	return float64(int(max(u.limit, u.threshold)))
+}
