Add the operator listener

Probes, metrics and status had no listener. pkg/adapter/operatorhttp serves them apart from callers, over an interface that an instance implements. A panic in a handler is logged with its event number and answered with code 5000.

--- /dev/null
+++ b/pkg/adapter/operatorhttp/operatorhttp_test.go
@@ -0,0 +1,109 @@
+package operatorhttp
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"github.com/sirupsen/logrus"
+	logtest "github.com/sirupsen/logrus/hooks/test"
+	"go.uber.org/goleak"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+type fakeOperator struct {
+	ready bool
+	panic bool
+}
+
+func (f *fakeOperator) Ready() (bool, string) {
+	if f.ready {
+		return true, ""
+	}
+	return false, "no member has answered"
+}
+
+func (f *fakeOperator) Status() any {
+	if f.panic {
+		panic("broken")
+	}
+	return map[string]int{"members": 9}
+}
+
+func (f *fakeOperator) Explain(service, priority, shard string) (any, error) {
+	switch service {
+	case "none":
+		return nil, result.Errorf(result.UnknownService, "no service %q", service)
+	case "down":
+		return nil, result.Errorf(result.NotReady, "not ready")
+	}
+	if priority == "none" {
+		return nil, result.Errorf(result.UnknownPriority, "no priority %q", priority)
+	}
+	return []string{service, priority, shard}, nil
+}
+
+// TestPaths guards against a probe whose status contradicts its body, and
+// against errors that are reported as answers.
+func TestPaths(t *testing.T) {
+	log, hook := logtest.NewNullLogger()
+	op := &fakeOperator{}
+	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "m 1\n") })
+	handler := NewHandler(op, metrics, log)
+	get := func(path string) (int, string) {
+		rec := httptest.NewRecorder()
+		handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, path, nil))
+		return rec.Code, rec.Body.String()
+	}
+	expect := func(path string, status int, body string) {
+		t.Helper()
+		gotStatus, gotBody := get(path)
+		must.Eq(t, status, gotStatus)
+		must.Eq(t, body, gotBody)
+	}
+	expect("/live", 200, "live\n")
+	expect("/ready", 503, `{"ready":false,"reason":"no member has answered"}`)
+	op.ready = true
+	expect("/ready", 200, `{"ready":true}`)
+	expect("/metrics", 200, "m 1\n")
+	expect("/status", 200, `{"members":9}`)
+	expect("/explain?service=s&priority=p&shard=x", 200, `["s","p","x"]`)
+	expect("/explain?service=none", 404, `{"code":2001,"code_name":"unknown_service","detail":"no service \"none\""}`)
+	expect("/explain?service=s&priority=none", 400, `{"code":2003,"code_name":"unknown_priority","detail":"no priority \"none\""}`)
+	expect("/explain?service=down", 503, `{"code":3005,"code_name":"not_ready","detail":"not ready"}`)
+	expect("/explain", 400, `{"code":2000,"code_name":"bad_request","detail":"the parameter service is required"}`)
+	status, _ := get("/v1/query")
+	must.Eq(t, 404, status)
+
+	op.panic = true
+	expect("/status", 500, `{"code":5000,"code_name":"internal","detail":"the request failed inside the instance"}`)
+	must.Eq(t, int(event.InternalError), hook.LastEntry().Data["event"].(int))
+}
+
+// TestServerStops guards against a listener or goroutine that outlives Stop,
+// and against a start that hides an address in use.
+func TestServerStops(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	handler := NewHandler(&fakeOperator{ready: true}, http.NotFoundHandler(), log)
+	server := NewServer("127.0.0.1:0", handler, log)
+	must.NoError(t, server.Start(context.Background()))
+	address := server.Address().String()
+	must.Error(t, NewServer(address, handler, log).Start(context.Background()))
+
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + address + "/ready")
+	must.NoError(t, err)
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, 200, resp.StatusCode)
+
+	must.NoError(t, server.Stop(context.Background()))
+	_, err = client.Get("http://" + address + "/ready")
+	must.Error(t, err)
+}
