--- a/cmd/sardineturn/main.go
+++ b/cmd/sardineturn/main.go
@@ -5,10 +5,11 @@
 	"context"
 	"os"
 
+	"github.com/sardineturn/sardineturn/pkg/app"
 	"github.com/sardineturn/sardineturn/pkg/cli"
 )
 
 func main() {
-	program := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr}
+	program := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr, Serve: app.Serve}
 	os.Exit(program.Run(context.Background(), os.Args[1:]))
 }
--- /dev/null
+++ b/pkg/app/app.go
@@ -0,0 +1,296 @@
+// Package app assembles a process from its settings: it builds the adapters
+// and the instance, starts them in order and stops them gracefully.
+package app
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/sardineturn/sardineturn/pkg/adapter/callerhttp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/operatorhttp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/peergrpc"
+	"github.com/sardineturn/sardineturn/pkg/adapter/peerudp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/platformhttp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/upstreamhttp"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/instance"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/settings"
+)
+
+const (
+	startTimeout = 15 * time.Second
+	// drainTimeout bounds the wait for requests in progress beyond the
+	// balancer's lag. The longest deadline of a sample document is 30 s.
+	drainTimeout = 60 * time.Second
+	// retryDelay is suggested to callers at the concurrency limit; half as
+	// much again is added as jitter.
+	retryDelay = 200 * time.Millisecond
+)
+
+// Serve runs an instance until SIGTERM, SIGINT or the end of ctx, then stops it
+// gracefully. A second signal ends the process at once.
+func Serve(ctx context.Context, s settings.Settings) error {
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	defer signal.Stop(signals)
+
+	app := fx.New(Module(s))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	if err := app.Start(startCtx); err != nil {
+		return err
+	}
+	select {
+	case <-signals:
+	case <-ctx.Done():
+	case <-app.Wait():
+	}
+	go exitOnSecondSignal(signals)
+	stopCtx, cancel := context.WithTimeout(context.Background(), s.BalancerLag()+drainTimeout)
+	defer cancel()
+	return app.Stop(stopCtx)
+}
+
+func exitOnSecondSignal(signals <-chan os.Signal) {
+	<-signals
+	os.Exit(1)
+}
+
+// Module returns the fx module of a process with the given settings.
+func Module(s settings.Settings) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.StopTimeout(s.BalancerLag()+drainTimeout),
+		fx.Supply(s),
+		fx.Provide(
+			newLogger,
+			newMetrics,
+			newClock,
+			newControlSocket,
+			newPeerClient,
+			newUpstreams,
+			newPlatform,
+			newInstance,
+			newPeerServer,
+			newCallerServer,
+			newOperatorServer,
+		),
+		fx.Invoke(register),
+	)
+}
+
+func newClock() port.Clock { return port.SystemClock{} }
+
+func newLogger(s settings.Settings) (logrus.FieldLogger, error) {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(level)
+	log.SetOutput(os.Stderr)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log.WithField("instance", s.InstanceID), nil
+}
+
+// metricsResult provides the metrics and their scrape handler.
+type metricsResult struct {
+	fx.Out
+	Metrics *metrics.Metrics
+	Handler http.Handler `name:"scrape"`
+}
+
+func newMetrics(lc fx.Lifecycle, log logrus.FieldLogger) metricsResult {
+	m, handler, closer := metrics.NewPrometheus(func(err error) {
+		event.Warn(log, event.InternalError, event.Fields{"error": err.Error()}, "a metric could not be registered")
+	})
+	lc.Append(fx.StopHook(closer.Close))
+	return metricsResult{Metrics: m, Handler: handler}
+}
+
+func newControlSocket(s settings.Settings) (*peerudp.Socket, error) {
+	return peerudp.Listen(s.ControlAddress)
+}
+
+func newPeerClient(clock port.Clock) *peergrpc.Client { return peergrpc.NewClient(clock) }
+
+func newPlatform(s settings.Settings) port.Platform { return platformhttp.New(s.PlatformURL) }
+
+func newUpstreams(clock port.Clock) *upstreamhttp.Client { return upstreamhttp.New(clock) }
+
+// jitter returns a delay that spreads the return of refused callers.
+func jitter() time.Duration {
+	return retryDelay + rand.N(retryDelay/2)
+}
+
+type instanceParams struct {
+	fx.In
+	Settings  settings.Settings
+	Clock     port.Clock
+	Log       logrus.FieldLogger
+	Metrics   *metrics.Metrics
+	Control   *peerudp.Socket
+	Peers     *peergrpc.Client
+	Upstreams *upstreamhttp.Client
+	Platform  port.Platform
+}
+
+func newInstance(p instanceParams) *instance.Instance {
+	s := p.Settings
+	return instance.New(instance.Config{
+		ID:               s.InstanceID,
+		DataCentre:       s.DataCentre,
+		Cluster:          s.Cluster,
+		ControlAddress:   p.Control.Address(),
+		Seeds:            s.Seeds,
+		MaxInstances:     s.MaxInstances,
+		MaxTickets:       s.Limits.MaxTickets,
+		AssertInvariants: s.AssertInvariants,
+	}, instance.Ports{
+		Clock:     p.Clock,
+		Upstreams: p.Upstreams,
+		Platform:  p.Platform,
+		Peers:     p.Peers,
+		Control:   p.Control,
+		Log:       p.Log,
+		Metrics:   p.Metrics,
+		NewID:     instance.NewAttemptID,
+		NewRand:   instance.NewRand,
+	})
+}
+
+func newPeerServer(i *instance.Instance, clock port.Clock) *peergrpc.Server {
+	return peergrpc.NewServer(i, clock)
+}
+
+func newCallerServer(s settings.Settings, i *instance.Instance, clock port.Clock) *http.Server {
+	return callerhttp.NewServer(i, clock, callerhttp.Config{
+		MaxBodyBytes:  s.Limits.MaxBodyBytes,
+		MaxConcurrent: s.Limits.MaxConcurrentRequests,
+		RetryDelay:    jitter,
+	})
+}
+
+type operatorParams struct {
+	fx.In
+	Settings settings.Settings
+	Log      logrus.FieldLogger
+	Instance *instance.Instance
+	Scrape   http.Handler `name:"scrape"`
+}
+
+func newOperatorServer(p operatorParams) *operatorhttp.Server {
+	handler := operatorhttp.NewHandler(operatorView{p.Instance}, p.Scrape, p.Log)
+	return operatorhttp.NewServer(p.Settings.OperatorAddress, handler, p.Log)
+}
+
+// operatorView adapts an instance to the operator interface.
+type operatorView struct{ *instance.Instance }
+
+// Status implements operatorhttp.Operator.
+func (v operatorView) Status() any { return v.Instance.Status() }
+
+// Explain implements operatorhttp.Operator.
+func (v operatorView) Explain(service, priority, shard string) (any, error) {
+	return v.Instance.Explain(service, priority, model.ShardID(shard))
+}
+
+// registration lists what register starts and stops, in order.
+type registration struct {
+	fx.In
+	Lifecycle  fx.Lifecycle
+	Shutdowner fx.Shutdowner
+	Settings   settings.Settings
+	Log        logrus.FieldLogger
+	Instance   *instance.Instance
+	Control    *peerudp.Socket
+	Peers      *peergrpc.Client
+	Upstreams  *upstreamhttp.Client
+	PeerServer *peergrpc.Server
+	Caller     *http.Server
+	Operator   *operatorhttp.Server
+}
+
+func register(r registration) {
+	r.Lifecycle.Append(fx.Hook{OnStart: r.start, OnStop: r.stop})
+}
+
+func (r *registration) start(ctx context.Context) error {
+	peers, err := net.Listen("tcp", r.Settings.GRPCAddress)
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", r.Settings.CallerAddress)
+	if err != nil {
+		return err
+	}
+	if err := r.Operator.Start(ctx); err != nil {
+		return err
+	}
+	r.Instance.Start(context.Background())
+	r.Control.Start(r.Instance)
+	go r.serve("peer", func() error { return r.PeerServer.Serve(peers) })
+	go r.serve("caller", func() error { return r.Caller.Serve(callers) })
+	return nil
+}
+
+// serve runs a listener; when one fails the process stops, because an instance
+// without it would look alive and serve nothing.
+func (r *registration) serve(name string, run func() error) {
+	err := run()
+	if err == nil || errors.Is(err, http.ErrServerClosed) {
+		return
+	}
+	event.Error(r.Log, event.ListenerFailed, event.Fields{"listener": name, "error": err.Error()}, "a listener failed")
+	_ = r.Shutdowner.Shutdown(fx.ExitCode(1))
+}
+
+// stop leaves the fleet first, keeps serving until the balancer has noticed,
+// and then waits for the requests in progress.
+func (r *registration) stop(ctx context.Context) error {
+	r.Instance.Leave()
+	select {
+	case <-time.After(r.Settings.BalancerLag()):
+	case <-ctx.Done():
+	}
+	err := errors.Join(
+		r.Caller.Shutdown(ctx),
+		r.Instance.Drain(ctx),
+	)
+	r.stopPeers(ctx)
+	r.Instance.Stop()
+	r.Peers.Close()
+	r.Upstreams.Close()
+	return errors.Join(err, r.Operator.Stop(ctx), r.Control.Close())
+}
+
+// stopPeers finishes the calls of other instances, or ends them with ctx.
+func (r *registration) stopPeers(ctx context.Context) {
+	done := make(chan struct{})
+	go func() {
+		r.PeerServer.GracefulStop()
+		close(done)
+	}()
+	select {
+	case <-done:
+	case <-ctx.Done():
+		r.PeerServer.Stop()
+	}
+}
--- /dev/null
+++ b/pkg/instance/control.go
@@ -0,0 +1,163 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// maintenanceInterval is how often expired state is dropped.
+const maintenanceInterval = time.Second
+
+// controlTick runs the failure detector and schedules its next run.
+func (i *Instance) controlTick() {
+	now := i.now()
+	i.observe(now)
+	i.control.mu.Lock()
+	sends := i.control.membership.Tick(now)
+	wake := i.control.membership.NextWake()
+	i.control.mu.Unlock()
+	i.sendAll(sends)
+	i.membershipChanged(now)
+	i.updatePhase(now)
+	i.schedule("control", max(wake.Sub(now), time.Millisecond), i.controlTick)
+}
+
+func (i *Instance) sendAll(sends []membership.Send) {
+	for _, s := range sends {
+		i.ports.Metrics.ControlMessage(metrics.Sent, len(s.Datagram))
+		i.ports.Control.Send(s.Address, s.Datagram)
+	}
+}
+
+// HandleDatagram implements port.ControlHandler.
+func (i *Instance) HandleDatagram(from string, datagram []byte) {
+	now := i.now()
+	i.observe(now)
+	i.ports.Metrics.ControlMessage(metrics.Received, len(datagram))
+	i.control.mu.Lock()
+	received, err := i.control.membership.Receive(now, from, datagram)
+	i.control.mu.Unlock()
+	if err != nil {
+		i.logWarn(event.MessageInvalid, event.Fields{"from": from, "error": err.Error()}, "a control datagram was dropped")
+		return
+	}
+	i.sendAll(received.Sends)
+	i.learnQuarantines(now, received.Quarantines)
+	i.observeCatalog(now, received)
+	i.membershipChanged(now)
+}
+
+// membershipChanged reports events, ends calls to silent peers and updates the
+// reader role.
+func (i *Instance) membershipChanged(now time.Time) {
+	i.control.mu.Lock()
+	events := i.control.membership.TakeEvents()
+	version := i.control.membership.Version()
+	changed := version != i.control.seenVersion
+	i.control.seenVersion = version
+	var candidates, members []membership.Member
+	if changed {
+		candidates = i.control.membership.Candidates(now)
+		members = i.control.membership.Members()
+	}
+	i.control.mu.Unlock()
+	for _, e := range events {
+		i.reportMember(e)
+	}
+	if !changed {
+		return
+	}
+	usable := make(map[model.InstanceID]bool, len(candidates))
+	for _, m := range candidates {
+		usable[m.ID] = true
+	}
+	i.peers.cancelExcept(usable)
+	i.updateReaderRole(now, members)
+}
+
+func (i *Instance) reportMember(e membership.Event) {
+	state, id := memberEvent(e.Kind)
+	i.ports.Metrics.MembershipChanged(state)
+	i.logInfo(id, event.Fields{"member": e.Member.ID, "member_data_centre": e.Member.DataCentre, "member_boot": uint64(e.Member.Boot), "change": e.Kind.String()}, "member "+e.Kind.String())
+}
+
+func memberEvent(k membership.EventKind) (metrics.MemberState, event.ID) {
+	switch k {
+	case membership.EventSuspect:
+		return metrics.MemberSuspect, event.MemberSuspect
+	case membership.EventDead:
+		return metrics.MemberDead, event.MemberDead
+	case membership.EventLeaving:
+		return metrics.MemberLeaving, event.MemberLeaving
+	default:
+		return metrics.MemberAlive, event.MemberJoined
+	}
+}
+
+// quarantineRequest adds a request that crashed upstreams and tells the other
+// instances.
+func (i *Instance) quarantineRequest(now time.Time, a scheduler.QuarantineAdd) {
+	entry := quarantine.Entry{Fingerprint: a.Fingerprint, Service: a.Service, Until: a.Until}
+	i.quarantine.mu.Lock()
+	added := i.quarantine.set.Add(now, entry)
+	i.quarantine.mu.Unlock()
+	if !added {
+		return
+	}
+	i.ports.Metrics.RequestQuarantined()
+	i.logWarn(event.RequestQuarantined, event.Fields{"service": a.Service, "fingerprint": uint64(a.Fingerprint), "until": a.Until}, "a request crashed upstreams twice and is refused")
+	i.control.mu.Lock()
+	defer i.control.mu.Unlock()
+	i.control.membership.AnnounceQuarantine(membership.Quarantine{Fingerprint: a.Fingerprint, Service: a.Service, Until: a.Until})
+}
+
+func (i *Instance) learnQuarantines(now time.Time, learned []membership.Quarantine) {
+	if len(learned) == 0 {
+		return
+	}
+	entries := make([]quarantine.Entry, 0, len(learned))
+	for _, q := range learned {
+		entries = append(entries, quarantine.Entry{Fingerprint: q.Fingerprint, Service: q.Service, Until: q.Until})
+	}
+	i.quarantine.mu.Lock()
+	added := i.quarantine.set.Merge(now, entries)
+	i.quarantine.mu.Unlock()
+	for _, e := range added {
+		i.logWarn(event.RequestQuarantined, event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint), "until": e.Until}, "a peer reported a request that crashes upstreams")
+	}
+}
+
+// maintenanceTick drops expired state.
+func (i *Instance) maintenanceTick() {
+	now := i.now()
+	i.observe(now)
+	i.orders.expire(now)
+	i.hints.expire(now)
+	i.dropIdleGroups(now)
+	i.setGauges()
+	i.schedule("maintenance", maintenanceInterval, i.maintenanceTick)
+}
+
+func (i *Instance) setGauges() {
+	m := i.ports.Metrics
+	ready, _ := i.Ready()
+	m.SetReady(ready)
+	m.SetRequests(int(i.activeQueries.Load()))
+	m.SetTickets(i.orders.tickets())
+	i.catalog.mu.RLock()
+	m.SetDocuments(len(i.catalog.catalog.Services()))
+	i.catalog.mu.RUnlock()
+	i.control.mu.Lock()
+	members := len(i.control.membership.Members())
+	i.control.mu.Unlock()
+	m.SetMembers(metrics.MemberAlive, members)
+}
+
+var _ port.ControlHandler = (*Instance)(nil)
--- /dev/null
+++ b/pkg/instance/entry.go
@@ -0,0 +1,301 @@
+package instance
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/query"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// activeQuery drives one query at its entry, under its own lock.
+type activeQuery struct {
+	i      *Instance
+	ctx    context.Context
+	cancel context.CancelFunc
+
+	mu    sync.Mutex
+	query *query.Query
+	reply chan model.Answer
+	calls map[model.AttemptID]context.CancelFunc
+	// tried holds the homes that a group's part was sent to.
+	tried map[int][]model.InstanceID
+	timer port.Timer
+}
+
+// Query answers a query of a caller.
+func (i *Instance) Query(ctx context.Context, q model.Query) model.Answer {
+	now := i.now()
+	i.observe(now)
+	i.activeQueries.Add(1)
+	defer i.activeQueries.Add(-1)
+	answer := i.query(ctx, now, q)
+	i.countAnswer(now, q, answer)
+	return answer
+}
+
+func (i *Instance) countAnswer(started time.Time, q model.Query, a model.Answer) {
+	if a.Ran == model.NotRun {
+		i.ports.Metrics.Refused(a.Code, q.Priority)
+		return
+	}
+	i.ports.Metrics.Answered(a.Code, q.Priority, i.now().Sub(started), a.Coverage.Fraction())
+}
+
+func (i *Instance) query(ctx context.Context, now time.Time, q model.Query) model.Answer {
+	doc, err := i.checkQuery(now, q)
+	if err != nil {
+		return refusedAnswer(err)
+	}
+	a := &activeQuery{
+		i:     i,
+		reply: make(chan model.Answer, 1),
+		calls: make(map[model.AttemptID]context.CancelFunc),
+		tried: make(map[int][]model.InstanceID),
+	}
+	a.ctx, a.cancel = context.WithCancel(i.lifecycle.context())
+	defer a.cancel()
+	s, actions, err := query.New(now, q, doc, i.queryConfig(doc.Service))
+	if err != nil {
+		return refusedAnswer(err)
+	}
+	a.query = s
+	a.mu.Lock()
+	a.timer = i.ports.Clock.AfterFunc(s.Deadline().Sub(now), a.expire)
+	a.apply(now, actions)
+	a.mu.Unlock()
+	defer a.timer.Stop()
+	select {
+	case answer := <-a.reply:
+		return answer
+	case <-ctx.Done():
+		a.mu.Lock()
+		a.apply(i.now(), a.query.CallerGone())
+		a.mu.Unlock()
+		return <-a.reply
+	}
+}
+
+// checkQuery refuses a query that this instance must not start. A leaving
+// instance still serves callers that the balancer sends to it.
+func (i *Instance) checkQuery(now time.Time, q model.Query) (*document.Document, error) {
+	if code := i.gate(); code != result.OK && code != result.Leaving {
+		return nil, result.Errorf(code, "the instance is not ready")
+	}
+	doc := i.document(q.Service)
+	if doc == nil {
+		return nil, result.Errorf(result.UnknownService, "there is no service %q", q.Service)
+	}
+	if i.quarantine.Blocked(now, quarantine.Fingerprint(q.Service, q.Operation, q.Payload)) {
+		return nil, result.Errorf(result.Quarantined, "the request has crashed upstreams and is refused")
+	}
+	return doc, nil
+}
+
+func refusedAnswer(err error) model.Answer {
+	return model.Answer{Code: result.CodeOf(err), Ran: model.NotRun, Detail: err.Error()}
+}
+
+func (i *Instance) queryConfig(service string) query.Config {
+	return query.Config{
+		NewID:           i.ports.NewID,
+		Document:        func() *document.Document { return i.document(service) },
+		SnapshotAvoided: func(s model.SnapshotID) bool { return i.hints.snapshotMissing(i.now(), service, s) },
+		QueueDelay: func(g model.GroupKey, priority string) time.Duration {
+			return i.hints.queueDelay(i.now(), g, priority)
+		},
+	}
+}
+
+func (a *activeQuery) expire() {
+	now := a.i.now()
+	a.i.observe(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(now, a.query.Expire(now))
+}
+
+// apply carries out the query's actions. The caller holds a.mu.
+func (a *activeQuery) apply(now time.Time, actions []query.Action) {
+	for _, action := range actions {
+		switch t := action.(type) {
+		case query.Send:
+			a.send(now, t.Request)
+		case query.Abort:
+			if cancel := a.calls[t.ID]; cancel != nil {
+				cancel()
+			}
+		case query.Reply:
+			a.reply <- t.Answer
+		case query.SnapshotMissing:
+			a.i.hints.markSnapshotMissing(now, a.query.Service(), t.Snapshot)
+		case query.Broken:
+			a.i.invariantBroken(t.Invariant, event.Fields{"service": a.query.Service()})
+		}
+	}
+}
+
+// send starts a call to the first home in order that was not tried yet.
+func (a *activeQuery) send(now time.Time, req model.GroupRequest) {
+	home, ok := a.i.pickHome(now, a.query.Document(), req.Group.Index, a.tried[req.Group.Index])
+	if !ok {
+		go a.failed(req.ID, result.NoUpstream, model.NotRun)
+		return
+	}
+	a.tried[req.Group.Index] = append(a.tried[req.Group.Index], home.ID)
+	ctx, cancel := context.WithCancel(a.ctx)
+	a.calls[req.ID] = cancel
+	go a.call(ctx, cancel, home.ID, req)
+}
+
+func (a *activeQuery) call(ctx context.Context, cancel context.CancelFunc, home model.InstanceID, req model.GroupRequest) {
+	defer cancel()
+	answer, err := a.i.callHome(ctx, home, req)
+	if err != nil {
+		ran := model.RunUnknown
+		code := result.CodeOf(err)
+		if code == result.PeerUnreachable {
+			ran = model.NotRun
+		}
+		a.failed(req.ID, code, ran)
+		return
+	}
+	now := a.i.now()
+	a.i.observe(now)
+	a.i.hints.setQueueDelay(now, req.Group, req.Priority, answer.QueueDelay)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(now, a.query.GroupAnswered(now, req.ID, answer))
+}
+
+func (a *activeQuery) failed(id model.AttemptID, code result.Code, ran model.RunState) {
+	now := a.i.now()
+	a.i.observe(now)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.apply(now, a.query.GroupFailed(now, id, code, ran))
+}
+
+// candidates returns the members that may be homes now.
+func (i *Instance) candidates(now time.Time) []membership.Member {
+	i.control.mu.Lock()
+	defer i.control.mu.Unlock()
+	return i.control.membership.Candidates(now)
+}
+
+// pickHome returns the group's first home in rendezvous order that is not
+// excluded, or the first one at all if every one is.
+func (i *Instance) pickHome(now time.Time, doc *document.Document, index int, exclude []model.InstanceID) (membership.Member, bool) {
+	candidates := i.candidates(now)
+	order := placement.Homes(doc.Groups()[index], candidates, i.cfg.MaxInstances)
+	if len(order) == 0 {
+		return membership.Member{}, false
+	}
+	chosen := order[0]
+	for _, id := range order {
+		if !contains(exclude, id) {
+			chosen = id
+			break
+		}
+	}
+	for _, m := range candidates {
+		if m.ID == chosen {
+			return m, true
+		}
+	}
+	return membership.Member{}, false
+}
+
+func contains(ids []model.InstanceID, id model.InstanceID) bool {
+	for _, x := range ids {
+		if x == id {
+			return true
+		}
+	}
+	return false
+}
+
+// errPeerSilent cancels calls to a peer that stopped acknowledging pings.
+var errPeerSilent = errors.New("the peer stopped answering pings")
+
+// peerCalls holds the cancellable calls in progress per peer, so that they end
+// when the failure detector finds the peer silent instead of at their deadline.
+type peerCalls struct {
+	mu    sync.Mutex
+	calls map[model.InstanceID]map[model.AttemptID]context.CancelCauseFunc
+}
+
+func (p *peerCalls) add(ctx context.Context, peer model.InstanceID, id model.AttemptID) context.Context {
+	ctx, cancel := context.WithCancelCause(ctx)
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.calls[peer] == nil {
+		p.calls[peer] = make(map[model.AttemptID]context.CancelCauseFunc)
+	}
+	p.calls[peer][id] = cancel
+	return ctx
+}
+
+func (p *peerCalls) remove(peer model.InstanceID, id model.AttemptID) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if cancel := p.calls[peer][id]; cancel != nil {
+		cancel(nil)
+		delete(p.calls[peer], id)
+	}
+}
+
+// cancelExcept ends all calls to peers that are not usable.
+func (p *peerCalls) cancelExcept(usable map[model.InstanceID]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for peer, calls := range p.calls {
+		if usable[peer] {
+			continue
+		}
+		for _, cancel := range calls {
+			cancel(errPeerSilent)
+		}
+		delete(p.calls, peer)
+	}
+}
+
+// callHome sends a group request to its home, directly if that is this
+// instance.
+func (i *Instance) callHome(ctx context.Context, home model.InstanceID, req model.GroupRequest) (model.GroupAnswer, error) {
+	if home == i.cfg.ID {
+		return i.HandleRunGroup(ctx, req), nil
+	}
+	if !req.NonIdempotent {
+		ctx = i.peers.add(ctx, home, req.ID)
+		defer i.peers.remove(home, req.ID)
+	}
+	answer, err := i.ports.Peers.RunGroup(ctx, home, req)
+	if err == nil {
+		if answer.Code == result.Leaving || answer.Code == result.JustResumed {
+			i.avoid(home)
+		}
+		return answer, nil
+	}
+	ended := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errPeerSilent)
+	if !ended {
+		i.avoid(home)
+	}
+	return model.GroupAnswer{}, err
+}
+
+// avoid keeps new calls away from a peer until it acknowledges a ping.
+func (i *Instance) avoid(peer model.InstanceID) {
+	i.control.mu.Lock()
+	defer i.control.mu.Unlock()
+	i.control.membership.Avoid(i.now(), peer)
+}
--- /dev/null
+++ b/pkg/instance/home.go
@@ -0,0 +1,405 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+const (
+	// groupIdleTime is how long a group's state is kept after its last
+	// request, so that a home that lost the role frees its memory.
+	groupIdleTime = 2 * time.Minute
+	// statusInterval is how often a home reads its upstreams' health and load.
+	statusInterval = 500 * time.Millisecond
+	// statusTimeout bounds one such read.
+	statusTimeout = 400 * time.Millisecond
+)
+
+// homeTable holds the groups that this instance schedules.
+type homeTable struct {
+	mu     sync.Mutex
+	groups map[model.GroupKey]*homeGroup
+	// leaving holds upstream addresses that the platform lists as leaving.
+	leaving map[string]bool
+}
+
+func (t *homeTable) all() []*homeGroup {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	out := make([]*homeGroup, 0, len(t.groups))
+	for _, g := range t.groups {
+		out = append(out, g)
+	}
+	return out
+}
+
+func (t *homeTable) idle() bool {
+	for _, g := range t.all() {
+		if g.pending() > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// homeGroup is one scheduling group at its home, under its own lock.
+type homeGroup struct {
+	i   *Instance
+	key model.GroupKey
+
+	mu       sync.Mutex
+	sched    *scheduler.Scheduler
+	revision uint64
+	waiters  map[model.AttemptID]chan model.GroupAnswer
+	running  map[model.AttemptID]context.CancelFunc
+	timer    port.Timer
+	wakeAt   time.Time
+	lastUsed time.Time
+	stopped  bool
+}
+
+// group returns the state of a group, creating it if needed, at the revision
+// of doc or a later one.
+func (i *Instance) group(now time.Time, doc *document.Document, index int) *homeGroup {
+	key := model.GroupKey{Service: doc.Service, Index: index}
+	i.homes.mu.Lock()
+	g := i.homes.groups[key]
+	if g == nil {
+		g = &homeGroup{
+			i:       i,
+			key:     key,
+			waiters: make(map[model.AttemptID]chan model.GroupAnswer),
+			running: make(map[model.AttemptID]context.CancelFunc),
+			sched: scheduler.New(scheduler.Config{
+				Document:        doc,
+				Group:           doc.Groups()[index],
+				LocalDataCentre: i.cfg.DataCentre,
+				MaxInstances:    i.cfg.MaxInstances,
+				NewID:           i.ports.NewID,
+				Rand:            i.ports.NewRand(),
+				Quarantine:      &i.quarantine,
+			}, now),
+			revision: doc.Revision,
+			lastUsed: now,
+		}
+		i.homes.groups[key] = g
+		g.mu.Lock()
+		g.applyLeaving(now, i.homes.leaving)
+		g.mu.Unlock()
+		g.pollStatus()
+	}
+	i.homes.mu.Unlock()
+	g.adopt(now, doc)
+	return g
+}
+
+// adopt moves the group to a newer document.
+func (g *homeGroup) adopt(now time.Time, doc *document.Document) {
+	groups := doc.Groups()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if doc.Revision <= g.revision || g.key.Index >= len(groups) {
+		return
+	}
+	g.revision = doc.Revision
+	g.apply(now, g.sched.SetDocument(now, doc, groups[g.key.Index]))
+}
+
+// HandleRunGroup implements port.PeerHandler. It is also the way in for parts
+// whose home is this instance.
+func (i *Instance) HandleRunGroup(ctx context.Context, req model.GroupRequest) model.GroupAnswer {
+	now := i.now()
+	i.observe(now)
+	doc, code := i.admitGroup(now, &req)
+	if code != result.OK {
+		i.ports.Metrics.Refused(code, req.Priority)
+		return model.GroupAnswer{ID: req.ID, Code: code, Snapshot: req.Snapshot}
+	}
+	return i.group(now, doc, req.Group.Index).run(ctx, now, req)
+}
+
+// admitGroup checks whether this instance may act as the home for the request.
+func (i *Instance) admitGroup(now time.Time, req *model.GroupRequest) (*document.Document, result.Code) {
+	if code := i.gate(); code != result.OK {
+		return nil, code
+	}
+	if req.NonIdempotent && req.TargetBoot != i.boot {
+		return nil, result.WrongIncarnation
+	}
+	doc := i.document(req.Group.Service)
+	if doc == nil || doc.Revision < req.Revision {
+		return nil, result.StaleGroup
+	}
+	groups := doc.Groups()
+	if req.Group.Index < 0 || req.Group.Index >= len(groups) {
+		return nil, result.StaleGroup
+	}
+	if doc.Revision > req.Revision && !groupHolds(doc, req) {
+		return nil, result.StaleGroup
+	}
+	if !i.mayBeHome(now, groups[req.Group.Index]) {
+		return nil, result.NotHomeCandidate
+	}
+	return doc, result.OK
+}
+
+// groupHolds reports whether the request's shards still belong to its group in
+// a newer document.
+func groupHolds(doc *document.Document, req *model.GroupRequest) bool {
+	snapshot := doc.FindSnapshot(req.Snapshot)
+	if snapshot == nil {
+		// The scheduler answers that the snapshot is missing.
+		return true
+	}
+	groupOf := doc.ShardGroups(snapshot)
+	for _, id := range req.Shards {
+		if g, ok := groupOf[id]; !ok || g != req.Group.Index {
+			return false
+		}
+	}
+	return true
+}
+
+// mayBeHome bounds the instances that may open connections to the group's
+// upstreams to the first MaxInstances in rendezvous order, which keeps the
+// upstreams' connection limits in a fleet of any size.
+func (i *Instance) mayBeHome(now time.Time, group document.Group) bool {
+	for _, id := range placement.Homes(group, i.candidates(now), i.cfg.MaxInstances) {
+		if id == i.cfg.ID {
+			return true
+		}
+	}
+	return false
+}
+
+// run submits the request and waits for its answer.
+func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) model.GroupAnswer {
+	answer := make(chan model.GroupAnswer, 1)
+	g.mu.Lock()
+	g.lastUsed = now
+	if _, duplicate := g.waiters[req.ID]; duplicate {
+		g.mu.Unlock()
+		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}
+	}
+	g.waiters[req.ID] = answer
+	g.apply(now, g.sched.Submit(now, req))
+	g.mu.Unlock()
+
+	if req.NonIdempotent {
+		// An order attempt is never cancelled: its owner waits for the outcome
+		// or records it as unknown.
+		return <-answer
+	}
+	select {
+	case a := <-answer:
+		return a
+	case <-ctx.Done():
+		g.cancel(req.ID)
+		return <-answer
+	}
+}
+
+// cancel drops a request whose requester went away.
+func (g *homeGroup) cancel(id model.AttemptID) {
+	now := g.i.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(now, g.sched.Cancel(now, id))
+	if w := g.waiters[id]; w != nil {
+		delete(g.waiters, id)
+		w <- model.GroupAnswer{ID: id, Code: result.Cancelled}
+	}
+}
+
+// apply carries out the scheduler's actions. The caller holds g.mu.
+func (g *homeGroup) apply(now time.Time, actions []scheduler.Action) {
+	for _, action := range actions {
+		switch a := action.(type) {
+		case scheduler.Start:
+			g.start(a)
+		case scheduler.Stop:
+			if cancel := g.running[a.Attempt]; cancel != nil {
+				cancel()
+			}
+		case scheduler.Done:
+			if w := g.waiters[a.Answer.ID]; w != nil {
+				delete(g.waiters, a.Answer.ID)
+				w <- a.Answer
+			}
+		default:
+			g.report(now, action)
+		}
+	}
+	g.setTimer(now)
+}
+
+func (g *homeGroup) start(a scheduler.Start) {
+	g.i.ports.Metrics.AttemptSent(attemptKind(a))
+	ctx, cancel := context.WithCancel(g.i.lifecycle.context())
+	g.running[a.Call.Attempt] = cancel
+	go g.execute(ctx, a.Call)
+}
+
+// execute runs one attempt and passes its outcome to the scheduler.
+func (g *homeGroup) execute(ctx context.Context, call port.UpstreamCall) {
+	started := g.i.now()
+	reply := g.i.ports.Upstreams.Execute(ctx, call)
+	now := g.i.now()
+	g.i.observe(now)
+	g.i.ports.Metrics.AttemptFinished(now.Sub(started))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if cancel := g.running[call.Attempt]; cancel != nil {
+		cancel()
+		delete(g.running, call.Attempt)
+	}
+	g.apply(now, g.sched.Finish(now, call.Attempt, reply))
+}
+
+// setTimer arranges the next Tick. The caller holds g.mu.
+func (g *homeGroup) setTimer(now time.Time) {
+	wake, ok := g.sched.NextWake()
+	if !ok || g.stopped {
+		return
+	}
+	if g.timer != nil {
+		if g.wakeAt.Equal(wake) {
+			return
+		}
+		g.timer.Stop()
+	}
+	g.wakeAt = wake
+	g.timer = g.i.ports.Clock.AfterFunc(max(wake.Sub(now), 0), g.tick)
+}
+
+func (g *homeGroup) tick() {
+	now := g.i.now()
+	g.i.observe(now)
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.stopped {
+		return
+	}
+	g.timer = nil
+	g.apply(now, g.sched.Tick(now))
+}
+
+func (g *homeGroup) resume(now time.Time, gap time.Duration) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(now, g.sched.Resume(now, gap))
+}
+
+func (g *homeGroup) stop() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.stopped = true
+	if g.timer != nil {
+		g.timer.Stop()
+	}
+	for _, cancel := range g.running {
+		cancel()
+	}
+}
+
+func (g *homeGroup) pending() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return len(g.waiters) + len(g.running)
+}
+
+// applyLeaving tells the scheduler which upstreams the platform lists as
+// leaving. The caller holds g.mu.
+func (g *homeGroup) applyLeaving(now time.Time, leaving map[string]bool) {
+	doc := g.i.document(g.key.Service)
+	if doc == nil {
+		return
+	}
+	for _, u := range doc.Upstreams {
+		g.apply(now, g.sched.SetUpstreamLeaving(now, u.Name, leaving[u.Address]))
+	}
+}
+
+// setLeavingUpstreams records the platform's list and passes it to all groups.
+func (i *Instance) setLeavingUpstreams(now time.Time, listed []port.ListedUpstream) {
+	leaving := make(map[string]bool)
+	for _, u := range listed {
+		if u.Leaving {
+			leaving[u.Address] = true
+		}
+	}
+	i.homes.mu.Lock()
+	i.homes.leaving = leaving
+	i.homes.mu.Unlock()
+	for _, g := range i.homes.all() {
+		g.mu.Lock()
+		g.applyLeaving(now, leaving)
+		g.mu.Unlock()
+	}
+}
+
+// pollStatus reads health and load of the group's upstreams and repeats until
+// the group is removed.
+func (g *homeGroup) pollStatus() {
+	doc := g.i.document(g.key.Service)
+	if doc == nil {
+		return
+	}
+	groups := doc.Groups()
+	if g.key.Index < len(groups) {
+		for _, u := range groups[g.key.Index].Upstreams {
+			go g.readStatus(u.Name, u.Address)
+		}
+	}
+	g.i.schedule("status "+g.key.String(), statusInterval, g.pollStatus)
+}
+
+func (g *homeGroup) readStatus(name, address string) {
+	ctx, cancel := context.WithTimeout(g.i.lifecycle.context(), statusTimeout)
+	defer cancel()
+	status, err := g.i.ports.Upstreams.Status(ctx, address)
+	if err != nil {
+		// An unreachable health endpoint says nothing that calls do not show
+		// sooner.
+		return
+	}
+	now := g.i.now()
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.apply(now, g.sched.Hint(now, name, status))
+}
+
+// dropIdleGroups frees groups without recent requests.
+func (i *Instance) dropIdleGroups(now time.Time) {
+	i.homes.mu.Lock()
+	defer i.homes.mu.Unlock()
+	for key, g := range i.homes.groups {
+		g.mu.Lock()
+		idle := now.Sub(g.lastUsed) > groupIdleTime && len(g.waiters) == 0 && len(g.running) == 0
+		g.mu.Unlock()
+		if !idle {
+			continue
+		}
+		g.stop()
+		delete(i.homes.groups, key)
+		i.unschedule("status " + key.String())
+	}
+}
+
+func (i *Instance) unschedule(name string) {
+	l := &i.lifecycle
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if t := l.timers[name]; t != nil {
+		t.Stop()
+		delete(l.timers, name)
+	}
+}
--- /dev/null
+++ b/pkg/instance/orders.go
@@ -0,0 +1,326 @@
+package instance
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/order"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// orderShards is the number of locks over the tickets. The first byte of a
+// ticket's id selects the shard.
+const orderShards = 16
+
+// orderTable holds this process's tickets in shards.
+type orderTable struct {
+	shards [orderShards]orderShard
+}
+
+type orderShard struct {
+	mu      sync.Mutex
+	book    *order.Book
+	waiters map[model.AttemptID][]chan port.OrderAnswer
+	running int
+}
+
+func newOrderTable(cfg Config, boot model.BootID, ports Ports) *orderTable {
+	t := &orderTable{}
+	for n := range t.shards {
+		shard := byte(n)
+		t.shards[n].waiters = make(map[model.AttemptID][]chan port.OrderAnswer)
+		t.shards[n].book = order.NewBook(order.Config{
+			Owner:    cfg.ID,
+			Boot:     boot,
+			Capacity: max(cfg.MaxTickets/orderShards, 1),
+			Rand:     ports.NewRand(),
+			NewID: func() model.AttemptID {
+				id := ports.NewID()
+				id[0] = id[0]/orderShards*orderShards + shard
+				return id
+			},
+		})
+	}
+	return t
+}
+
+func (t *orderTable) shard(id model.AttemptID) *orderShard {
+	return &t.shards[id[0]%orderShards]
+}
+
+func (t *orderTable) idle() bool {
+	for n := range t.shards {
+		s := &t.shards[n]
+		s.mu.Lock()
+		running := s.running
+		s.mu.Unlock()
+		if running > 0 {
+			return false
+		}
+	}
+	return true
+}
+
+func (t *orderTable) expire(now time.Time) {
+	for n := range t.shards {
+		s := &t.shards[n]
+		s.mu.Lock()
+		s.book.Expire(now)
+		s.mu.Unlock()
+	}
+}
+
+// tickets returns the number of tickets in memory.
+func (t *orderTable) tickets() int {
+	total := 0
+	for n := range t.shards {
+		s := &t.shards[n]
+		s.mu.Lock()
+		total += s.book.Len()
+		s.mu.Unlock()
+	}
+	return total
+}
+
+// IssueTicket returns a ticket for an order and the time until it expires.
+func (i *Instance) IssueTicket(spec order.Spec) (order.Ticket, time.Duration, error) {
+	now := i.now()
+	i.observe(now)
+	if code := i.gate(); code != result.OK {
+		// A ticket of a leaving instance would soon be void.
+		return order.Ticket{}, 0, result.Errorf(code, "the instance issues no tickets now")
+	}
+	if err := i.checkOrderOperation(spec.Service, spec.Operation); err != nil {
+		return order.Ticket{}, 0, err
+	}
+	// Spreads tickets over the shards by a random id.
+	s := i.orders.shard(i.ports.NewID())
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	ticket, expires, err := s.book.Issue(now, spec)
+	if err != nil {
+		i.logWarn(event.TicketLimitReached, event.Fields{"service": spec.Service}, "an order ticket was refused at the limit")
+		return order.Ticket{}, 0, err
+	}
+	return ticket, expires.Sub(now), nil
+}
+
+func (i *Instance) checkOrderOperation(service, operation string) error {
+	doc := i.document(service)
+	if doc == nil {
+		return result.Errorf(result.UnknownService, "there is no service %q", service)
+	}
+	op := doc.FindOperation(operation)
+	if op == nil {
+		return result.Errorf(result.UnknownOperation, "service %s has no operation %q", service, operation)
+	}
+	if !op.NonIdempotent {
+		return result.Errorf(result.BadRequest, "operation %q is idempotent and needs no ticket", operation)
+	}
+	return nil
+}
+
+// SubmitOrder runs an order or returns its recorded outcome. A refusal never
+// says that the order did not run unless its owner knows that from the ticket,
+// because an earlier submission may have run.
+func (i *Instance) SubmitOrder(ctx context.Context, sub port.OrderSubmission) port.OrderAnswer {
+	i.observe(i.now())
+	i.activeQueries.Add(1)
+	defer i.activeQueries.Add(-1)
+	answer := i.routeOrder(ctx, sub)
+	i.ports.Metrics.OrderFinished(answer.Code, answer.Ran)
+	return answer
+}
+
+func (i *Instance) routeOrder(ctx context.Context, sub port.OrderSubmission) port.OrderAnswer {
+	ticket, err := order.ParseTicket(sub.Ticket)
+	if err != nil {
+		return port.OrderAnswer{Code: result.BadRequest, Ran: model.NotRun, Detail: err.Error()}
+	}
+	sub.Deadline = i.orderDeadline(sub)
+	if ticket.Owner == i.cfg.ID {
+		return i.HandleSubmitOrder(ctx, ticket.Boot, sub)
+	}
+	ctx, cancel := context.WithDeadline(ctx, sub.Deadline)
+	defer cancel()
+	answer, err := i.ports.Peers.SubmitOrder(ctx, ticket.Owner, ticket.Boot, sub)
+	if err != nil {
+		return unknownOrder(result.PeerLost, "the instance that issued the ticket did not answer")
+	}
+	return answer
+}
+
+func unknownOrder(code result.Code, detail string) port.OrderAnswer {
+	return port.OrderAnswer{Code: code, Ran: model.RunUnknown, Detail: detail}
+}
+
+// orderDeadline bounds the caller's deadline by that of the priority.
+func (i *Instance) orderDeadline(sub port.OrderSubmission) time.Time {
+	limit := i.now().Add(order.DefaultValidity)
+	if doc := i.document(sub.Service); doc != nil {
+		if p := doc.PriorityIndex(sub.Priority); p >= 0 {
+			limit = i.now().Add(doc.Priorities[p].Deadline())
+		}
+	}
+	if sub.Deadline.IsZero() || sub.Deadline.After(limit) {
+		return limit
+	}
+	return sub.Deadline
+}
+
+// HandleSubmitOrder implements port.PeerHandler: it serves orders whose ticket
+// this instance issued.
+func (i *Instance) HandleSubmitOrder(ctx context.Context, boot model.BootID, sub port.OrderSubmission) port.OrderAnswer {
+	now := i.now()
+	i.observe(now)
+	ticket, err := order.ParseTicket(sub.Ticket)
+	if err != nil || boot != i.boot || ticket.Boot != i.boot || ticket.Owner != i.cfg.ID {
+		return unknownOrder(result.TicketUnknown, "the process that issued the ticket is gone")
+	}
+	s := i.orders.shard(ticket.ID)
+	wait := make(chan port.OrderAnswer, 1)
+	s.mu.Lock()
+	d := s.book.Submit(now, ticket, sub)
+	if d.Answer != nil {
+		s.mu.Unlock()
+		return *d.Answer
+	}
+	s.waiters[ticket.ID] = append(s.waiters[ticket.ID], wait)
+	if d.Start != nil {
+		s.running++
+		go i.runOrder(s, *d.Start)
+	}
+	s.mu.Unlock()
+	return i.awaitOrder(ctx, sub.Deadline, wait)
+}
+
+func (i *Instance) awaitOrder(ctx context.Context, deadline time.Time, wait chan port.OrderAnswer) port.OrderAnswer {
+	expired := make(chan struct{})
+	timer := i.ports.Clock.AfterFunc(deadline.Sub(i.now()), func() { close(expired) })
+	defer timer.Stop()
+	select {
+	case a := <-wait:
+		return a
+	case <-expired:
+		return unknownOrder(result.OutcomeUnknown, "the order is still running")
+	case <-ctx.Done():
+		return unknownOrder(result.OutcomeUnknown, "the order is still running")
+	}
+}
+
+// runOrder sends attempts until the order has an outcome.
+func (i *Instance) runOrder(s *orderShard, attempt order.Attempt) {
+	var tried []model.InstanceID
+	next := &attempt
+	for {
+		outcome, home := i.attemptOrder(*next, tried)
+		tried = append(tried, home)
+		now := i.now()
+		i.observe(now)
+		s.mu.Lock()
+		again, answer := s.book.Finish(now, next.Ticket, next.ID, outcome)
+		if again != nil {
+			s.mu.Unlock()
+			i.ports.Metrics.Retried(outcome.Code)
+			next = again
+			continue
+		}
+		i.finishOrder(s, next.Ticket, answer)
+		s.mu.Unlock()
+		return
+	}
+}
+
+// finishOrder passes the answer to all who wait. The caller holds s.mu.
+func (i *Instance) finishOrder(s *orderShard, ticket model.AttemptID, answer *port.OrderAnswer) {
+	s.running--
+	if answer == nil {
+		i.invariantBroken("order_attempt_is_current", event.Fields{"ticket": ticket.String()})
+		return
+	}
+	if answer.Ran == model.RunUnknown {
+		i.logWarn(event.OrderUnknown, event.Fields{"ticket": ticket.String()}, "the outcome of an order is unknown")
+	}
+	for _, w := range s.waiters[ticket] {
+		w <- *answer
+	}
+	delete(s.waiters, ticket)
+}
+
+// attemptOrder sends one attempt to the home of the order's shard.
+func (i *Instance) attemptOrder(a order.Attempt, tried []model.InstanceID) (order.Outcome, model.InstanceID) {
+	now := i.now()
+	doc := i.document(a.Sub.Service)
+	req, err := i.orderRequest(now, doc, a)
+	if err != nil {
+		return order.Outcome{Code: result.CodeOf(err), Ran: model.NotRun}, ""
+	}
+	home, ok := i.pickHome(now, doc, req.Group.Index, tried)
+	if !ok {
+		return order.Outcome{Code: result.PeerUnreachable, Ran: model.NotRun}, ""
+	}
+	req.TargetBoot = home.Boot
+	ctx, cancel := context.WithDeadline(i.lifecycle.context(), a.Deadline)
+	defer cancel()
+	answer, err := i.callHome(ctx, home.ID, req)
+	return orderOutcome(req, answer, err), home.ID
+}
+
+// orderOutcome maps a home's answer to an outcome. Everything that is not
+// proof of an outcome is unknown.
+func orderOutcome(req model.GroupRequest, answer model.GroupAnswer, err error) order.Outcome {
+	switch {
+	case result.CodeOf(err) == result.PeerUnreachable:
+		return order.Outcome{Code: result.PeerUnreachable, Ran: model.NotRun}
+	case err != nil || answer.ID != req.ID || answer.Code == result.DuplicateAttempt:
+		// A duplicate was refused because the first copy may have run.
+		return order.Outcome{Code: result.OutcomeUnknown, Ran: model.RunUnknown}
+	case answer.Code != result.OK:
+		return order.Outcome{Code: answer.Code, Ran: model.NotRun, RetryAfter: answer.RetryAfter}
+	case len(answer.Outcomes) != 1 || answer.Outcomes[0].Shard != req.Shards[0]:
+		return order.Outcome{Code: result.OutcomeUnknown, Ran: model.RunUnknown}
+	}
+	o := answer.Outcomes[0]
+	return order.Outcome{Code: o.Code, Ran: o.Ran, Result: o.Result, Snapshot: answer.Snapshot, RetryAfter: answer.RetryAfter}
+}
+
+func (i *Instance) orderRequest(now time.Time, doc *document.Document, a order.Attempt) (model.GroupRequest, error) {
+	sub := a.Sub
+	if err := i.checkOrderOperation(sub.Service, sub.Operation); err != nil {
+		return model.GroupRequest{}, err
+	}
+	if doc.PriorityIndex(sub.Priority) < 0 {
+		return model.GroupRequest{}, result.Errorf(result.UnknownPriority, "service %s has no priority %q", sub.Service, sub.Priority)
+	}
+	fingerprint := quarantine.Fingerprint(sub.Service, sub.Operation, sub.Payload)
+	if i.quarantine.Blocked(now, fingerprint) {
+		return model.GroupRequest{}, result.Errorf(result.Quarantined, "the request has crashed upstreams and is refused")
+	}
+	snapshot := doc.Newest()
+	group, ok := doc.ShardGroups(snapshot)[sub.Shard]
+	if !ok {
+		return model.GroupRequest{}, result.Errorf(result.UnknownShard, "snapshot %s has no shard %q", snapshot.ID, sub.Shard)
+	}
+	return model.GroupRequest{
+		ID:            a.ID,
+		Group:         model.GroupKey{Service: doc.Service, Index: group},
+		Revision:      doc.Revision,
+		Operation:     sub.Operation,
+		Priority:      sub.Priority,
+		Caller:        sub.Caller,
+		Payload:       sub.Payload,
+		Fingerprint:   fingerprint,
+		Snapshot:      snapshot.ID,
+		Shards:        []model.ShardID{sub.Shard},
+		LeastShards:   1,
+		Deadline:      a.Deadline,
+		NonIdempotent: true,
+		OrderKey:      a.Key,
+	}, nil
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -133,6 +133,16 @@
 	return "undefined"
 }
 
+// FromName returns the code with the given name, or Internal.
+func FromName(name string) Code {
+	for c, n := range names {
+		if n == name {
+			return c
+		}
+	}
+	return Internal
+}
+
 // Codes returns all defined codes with their names.
 func Codes() map[Code]string {
 	out := make(map[Code]string, len(names))
