Cache scheduling groups and home orders

Both were computed on each query: the groups in time linear in the shards, the order of homes in time linear in the fleet. They are now kept per document and per membership version.

--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -27,6 +27,8 @@
 
 	// Digest is the xxhash of the document's bytes.
 	Digest uint64 `json:"-"`
+
+	derived derived
 }
 
 // Priority is a class of work.
--- a/pkg/document/group.go
+++ b/pkg/document/group.go
@@ -1,6 +1,8 @@
 package document
 
 import (
+	"sync"
+
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
@@ -16,9 +18,38 @@
 	Upstreams []*Upstream
 }
 
-// Groups derives the scheduling groups from the document alone, so that every
-// instance with the same revision derives the same groups.
-func (d *Document) Groups() []Group {
+// derived holds what is computed once from a document, because each query
+// needs it.
+type derived struct {
+	once        sync.Once
+	groups      []Group
+	shardGroups map[model.SnapshotID]map[model.ShardID]int
+}
+
+func (d *Document) derive() *derived {
+	d.derived.once.Do(func() {
+		d.derived.groups = d.computeGroups()
+		d.derived.shardGroups = make(map[model.SnapshotID]map[model.ShardID]int, len(d.Snapshots))
+		for i := range d.Snapshots {
+			s := &d.Snapshots[i]
+			d.derived.shardGroups[s.ID] = shardGroups(d.derived.groups, s)
+		}
+	})
+	return &d.derived
+}
+
+// Groups returns the scheduling groups. They follow from the document alone,
+// so that every instance with the same revision has the same groups. The
+// result is shared and must not be changed.
+func (d *Document) Groups() []Group { return d.derive().groups }
+
+// ShardGroups returns, for each shard of the snapshot, the index of the group
+// that serves it. The result is shared and must not be changed.
+func (d *Document) ShardGroups(s *Snapshot) map[model.ShardID]int {
+	return d.derive().shardGroups[s.ID]
+}
+
+func (d *Document) computeGroups() []Group {
 	components := d.components()
 	var groups []Group
 	for _, c := range components {
@@ -73,11 +104,9 @@
 	return out
 }
 
-// ShardGroups returns, for each shard of the snapshot, the index of the group
-// that serves it.
-func (d *Document) ShardGroups(s *Snapshot) map[model.ShardID]int {
-	byUpstream := make(map[string]int, len(d.Upstreams))
-	for _, g := range d.Groups() {
+func shardGroups(groups []Group, s *Snapshot) map[model.ShardID]int {
+	byUpstream := make(map[string]int)
+	for _, g := range groups {
 		for _, u := range g.Upstreams {
 			byUpstream[u.Name] = g.Key.Index
 		}
--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 
@@ -10,7 +11,6 @@
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/placement"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/query"
@@ -185,43 +185,19 @@
 	a.apply(now, a.query.GroupFailed(now, id, code, ran))
 }
 
-// candidates returns the members that may be homes now.
-func (i *Instance) candidates(now time.Time) []membership.Member {
-	i.control.mu.Lock()
-	defer i.control.mu.Unlock()
-	return i.control.membership.Candidates(now)
-}
-
 // pickHome returns the group's first home in rendezvous order that is not
 // excluded, or the first one at all if every one is.
 func (i *Instance) pickHome(now time.Time, doc *document.Document, index int, exclude []model.InstanceID) (membership.Member, bool) {
-	candidates := i.candidates(now)
-	order := placement.Homes(doc.Groups()[index], candidates, i.cfg.MaxInstances)
+	order := i.homeOrder(now, doc, index)
 	if len(order) == 0 {
 		return membership.Member{}, false
 	}
-	chosen := order[0]
-	for _, id := range order {
-		if !contains(exclude, id) {
-			chosen = id
-			break
-		}
-	}
-	for _, m := range candidates {
-		if m.ID == chosen {
+	for _, m := range order {
+		if !slices.Contains(exclude, m.ID) {
 			return m, true
 		}
 	}
-	return membership.Member{}, false
-}
-
-func contains(ids []model.InstanceID, id model.InstanceID) bool {
-	for _, x := range ids {
-		if x == id {
-			return true
-		}
-	}
-	return false
+	return order[0], true
 }
 
 // errPeerSilent cancels calls to a peer that stopped acknowledging pings.
--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -7,7 +7,6 @@
 
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/placement"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/scheduler"
@@ -145,7 +144,7 @@
 	if doc.Revision > req.Revision && !groupHolds(doc, req) {
 		return nil, result.StaleGroup
 	}
-	if !i.mayBeHome(now, groups[req.Group.Index]) {
+	if !i.mayBeHome(now, doc, req.Group.Index) {
 		return nil, result.NotHomeCandidate
 	}
 	return doc, result.OK
@@ -168,18 +167,6 @@
 	return true
 }
 
-// mayBeHome bounds the instances that may open connections to the group's
-// upstreams to the first MaxInstances in rendezvous order, which keeps the
-// upstreams' connection limits in a fleet of any size.
-func (i *Instance) mayBeHome(now time.Time, group document.Group) bool {
-	for _, id := range placement.Homes(group, i.candidates(now), i.cfg.MaxInstances) {
-		if id == i.cfg.ID {
-			return true
-		}
-	}
-	return false
-}
-
 // run submits the request and waits for its answer.
 func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) model.GroupAnswer {
 	answer := make(chan model.GroupAnswer, 1)
--- a/pkg/instance/status.go
+++ b/pkg/instance/status.go
@@ -4,8 +4,8 @@
 	"sort"
 
 	"github.com/sardineturn/sardineturn/pkg/catalog"
+	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/placement"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/scheduler"
@@ -187,7 +187,7 @@
 	out := Explanation{Service: service, Revision: doc.Revision, Snapshot: snapshot.ID, Priority: priority}
 	groupOf := doc.ShardGroups(snapshot)
 	groups := doc.Groups()
-	candidates := i.candidates(i.now())
+	now := i.now()
 	local := i.groupStatus()
 	for _, sh := range snapshot.Shards {
 		if shard != "" && sh.ID != shard {
@@ -197,7 +197,7 @@
 		out.Shards = append(out.Shards, ShardExplanation{
 			Shard:     sh.ID,
 			Group:     g.Key.String(),
-			Homes:     placement.Homes(g, candidates, i.cfg.MaxInstances),
+			Homes:     memberIDs(i.homeOrder(now, doc, g.Key.Index)),
 			Replicas:  sh.Replicas,
 			Upstreams: upstreamsOf(local, g.Key),
 		})
@@ -208,6 +208,14 @@
 	return out, nil
 }
 
+func memberIDs(members []membership.Member) []model.InstanceID {
+	out := make([]model.InstanceID, 0, len(members))
+	for _, m := range members {
+		out = append(out, m.ID)
+	}
+	return out
+}
+
 func upstreamsOf(local []GroupStatus, key model.GroupKey) any {
 	for _, g := range local {
 		if g.Group == key.String() {
