--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -123,7 +123,14 @@
 		i.ports.Metrics.Refused(code, req.Priority)
 		return model.GroupAnswer{ID: req.ID, Code: code, Snapshot: req.Snapshot}
 	}
-	return i.group(now, doc, req.Group.Index).run(ctx, now, req)
+	// A second try finds a new group if the first was dropped as idle between
+	// the two calls.
+	for range 2 {
+		if answer, ok := i.group(now, doc, req.Group.Index).run(ctx, now, req); ok {
+			return answer
+		}
+	}
+	return model.GroupAnswer{ID: req.ID, Code: result.Leaving, Snapshot: req.Snapshot}
 }
 
 // admitGroup checks whether this instance may act as the home for the request.
@@ -168,14 +175,19 @@
 	return true
 }
 
-// run submits the request and waits for its answer.
-func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) model.GroupAnswer {
+// run submits the request and waits for its answer. It returns false, and has
+// done nothing, if the group was stopped.
+func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) (model.GroupAnswer, bool) {
 	answer := make(chan model.GroupAnswer, 1)
 	g.mu.Lock()
+	if g.stopped {
+		g.mu.Unlock()
+		return model.GroupAnswer{}, false
+	}
 	g.lastUsed = now
 	if _, duplicate := g.waiters[req.ID]; duplicate {
 		g.mu.Unlock()
-		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}
+		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}, true
 	}
 	g.waiters[req.ID] = answer
 	g.apply(now, g.sched.Submit(now, req))
@@ -184,14 +196,14 @@
 	if req.NonIdempotent {
 		// An order attempt is never cancelled: its owner waits for the outcome
 		// or records it as unknown.
-		return <-answer
+		return <-answer, true
 	}
 	select {
 	case a := <-answer:
-		return a
+		return a, true
 	case <-ctx.Done():
 		g.cancel(req.ID)
-		return <-answer
+		return <-answer, true
 	}
 }
 
