--- /dev/null
+++ b/docs/docs_test.go
@@ -0,0 +1,304 @@
+// Package docs holds tests that compare the documentation with the program.
+package docs
+
+import (
+	"cmp"
+	"context"
+	"encoding/json"
+	"fmt"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/cli"
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/settings"
+)
+
+func read(t *testing.T, file string) string {
+	t.Helper()
+	text, err := os.ReadFile(file)
+	must.NoError(t, err)
+	return string(text)
+}
+
+// rows returns the cells of all table rows whose first cell matches.
+func rows(text, first string) [][]string {
+	pattern := regexp.MustCompile("^" + first + "$")
+	var out [][]string
+	for line := range strings.Lines(text) {
+		if !strings.HasPrefix(line, "|") {
+			continue
+		}
+		cells := strings.Split(strings.Trim(strings.TrimSpace(line), "|"), "|")
+		if !pattern.MatchString(strings.TrimSpace(cells[0])) {
+			continue
+		}
+		for i := range cells {
+			cells[i] = strings.Trim(strings.TrimSpace(cells[i]), "`")
+		}
+		out = append(out, cells)
+	}
+	return out
+}
+
+// constants returns name and literal of the constants in a source file whose
+// type is written as typeName, and of all if it is empty.
+func constants(t *testing.T, file, typeName string) map[string]string {
+	t.Helper()
+	parsed, err := parser.ParseFile(token.NewFileSet(), file, nil, 0)
+	must.NoError(t, err)
+	out := make(map[string]string)
+	ast.Inspect(parsed, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		literal, ok := spec.Values[0].(*ast.BasicLit)
+		if ok && (typeName == "" || typeString(spec.Type) == typeName) {
+			out[spec.Names[0].Name] = strings.Trim(literal.Value, `"`)
+		}
+		return true
+	})
+	return out
+}
+
+func typeString(e ast.Expr) string {
+	switch e := e.(type) {
+	case *ast.Ident:
+		return e.Name
+	case *ast.SelectorExpr:
+		return e.Sel.Name
+	default:
+		return ""
+	}
+}
+
+// TestResultCodes guards against codes that callers cannot look up, and
+// against promises that contradict a code's class: 3xxx means not run.
+func TestResultCodes(t *testing.T) {
+	want := make(map[string]string)
+	for code, name := range result.Codes() {
+		want[fmt.Sprint(int(code))] = name
+	}
+	got := make(map[string]string)
+	for _, row := range rows(read(t, "result-codes.md"), `\d+`) {
+		must.Len(t, 5, row, must.Sprint(row))
+		number, name, meaning, ran, again := row[0], row[1], row[2], row[3], row[4]
+		got[number] = name
+		must.NotEq(t, "", meaning)
+		must.RegexMatch(t, regexp.MustCompile(`^(yes|no)\b`), again)
+		allowed := map[byte]string{'1': "yes", '2': "no", '3': "no", '4': "yes unknown", '5': "unknown"}
+		must.StrContains(t, allowed[number[0]], ran)
+	}
+	must.Eq(t, want, got)
+}
+
+// TestLogEvents guards against events that operators cannot look up.
+func TestLogEvents(t *testing.T) {
+	want := make(map[string]string)
+	for name, number := range constants(t, "../pkg/event/event.go", "ID") {
+		want[number] = name
+	}
+	got := make(map[string]string)
+	for _, row := range rows(read(t, "log-events.md"), `\d+`) {
+		must.Len(t, 4, row, must.Sprint(row))
+		must.NotEq(t, "", row[2])
+		must.NotEq(t, "", row[3])
+		got[row[0]] = row[1]
+	}
+	must.Eq(t, want, got)
+}
+
+// TestMetrics guards against metrics that operators cannot look up.
+func TestMetrics(t *testing.T) {
+	want := make(map[string]bool)
+	for constant, name := range constants(t, "../pkg/metrics/names.go", "") {
+		if strings.HasPrefix(constant, "name") {
+			want[metrics.Prefix+"_"+name] = true
+		}
+	}
+	got := make(map[string]bool)
+	for _, row := range rows(read(t, "operations.md"), "`"+metrics.Prefix+"_[a-z_]+`") {
+		got[row[0]] = true
+	}
+	must.Eq(t, want, got)
+}
+
+// TestFaultCodes guards against fault codes that owners cannot look up.
+func TestFaultCodes(t *testing.T) {
+	want := make(map[string]bool)
+	for _, file := range []string{"../pkg/jsoncheck/jsoncheck.go", "../pkg/document/check.go"} {
+		for _, code := range constants(t, file, "Code") {
+			want[code] = true
+		}
+	}
+	_, section, _ := strings.Cut(read(t, "service-document.md"), "## Faults")
+	got := make(map[string]bool)
+	for _, row := range rows(section, "`[a-z_]+`") {
+		got[row[0]] = true
+	}
+	must.Eq(t, want, got)
+}
+
+// TestSchemaTables guards against fields, bounds, defaults and descriptions
+// that differ between the pages and the schemas.
+func TestSchemaTables(t *testing.T) {
+	for page, schema := range map[string][]byte{
+		"settings.md":         settings.Schema(),
+		"service-document.md": document.Schema(),
+	} {
+		must.StrContains(t, read(t, page), schemaTable(t, schema), must.Sprint(page))
+	}
+}
+
+type schemaNode struct {
+	Ref         string                `json:"$ref"`
+	Description string                `json:"description"`
+	Type        string                `json:"type"`
+	Minimum     *float64              `json:"minimum"`
+	Maximum     *float64              `json:"maximum"`
+	Enum        []string              `json:"enum"`
+	Default     any                   `json:"default"`
+	Required    []string              `json:"required"`
+	Properties  map[string]schemaNode `json:"properties"`
+	Items       *schemaNode           `json:"items"`
+	Defs        map[string]schemaNode `json:"$defs"`
+}
+
+// schemaTable renders all fields of a schema as a table, in order of name.
+func schemaTable(t *testing.T, schema []byte) string {
+	t.Helper()
+	var root schemaNode
+	must.NoError(t, json.Unmarshal(schema, &root))
+	var out strings.Builder
+	out.WriteString("| field | type | required | default | meaning |\n|---|---|---|---|---|\n")
+	var walk func(prefix string, n schemaNode)
+	resolve := func(n schemaNode) schemaNode {
+		if n.Ref == "" {
+			return n
+		}
+		target := root.Defs[strings.TrimPrefix(n.Ref, "#/$defs/")]
+		target.Description = cmp.Or(n.Description, target.Description)
+		return target
+	}
+	walk = func(prefix string, n schemaNode) {
+		names := make([]string, 0, len(n.Properties))
+		for name := range n.Properties {
+			names = append(names, name)
+		}
+		slices.Sort(names)
+		for _, name := range names {
+			field := resolve(n.Properties[name])
+			required := "no"
+			if slices.Contains(n.Required, name) {
+				required = "yes"
+			}
+			fmt.Fprintf(&out, "| `%s%s` | %s | %s | %s | %s |\n", prefix, name, typeCell(field, resolve), required, defaultCell(field), field.Description)
+			walk(prefix+name+".", field)
+			if field.Items != nil {
+				walk(prefix+name+"[].", resolve(*field.Items))
+			}
+		}
+	}
+	walk("", root)
+	return out.String()
+}
+
+func typeCell(n schemaNode, resolve func(schemaNode) schemaNode) string {
+	switch {
+	case n.Items != nil:
+		return "array of " + resolve(*n.Items).Type
+	case n.Enum != nil:
+		return "one of " + strings.Join(n.Enum, ", ")
+	case n.Minimum != nil && n.Maximum != nil:
+		return fmt.Sprintf("%s, %.f to %.f", n.Type, *n.Minimum, *n.Maximum)
+	default:
+		return n.Type
+	}
+}
+
+func defaultCell(n schemaNode) string {
+	if f, ok := n.Default.(float64); ok {
+		return strings.TrimSuffix(strings.TrimRight(fmt.Sprintf("%.3f", f), "0"), ".")
+	}
+	if n.Default == nil {
+		return ""
+	}
+	return fmt.Sprint(n.Default)
+}
+
+var (
+	jsonBlock  = regexp.MustCompile("(?s)```json\n(.*?)```")
+	shellBlock = regexp.MustCompile("(?s)```sh\n(.*?)```")
+)
+
+// TestSamplesInPages guards against samples that the program refuses.
+func TestSamplesInPages(t *testing.T) {
+	sample := jsonBlock.FindStringSubmatch(read(t, "service-document.md"))
+	must.Len(t, 2, sample)
+	_, err := document.Parse([]byte(sample[1]))
+	must.NoError(t, err)
+	sample = jsonBlock.FindStringSubmatch(read(t, "settings.md"))
+	must.Len(t, 2, sample)
+	_, err = settings.Parse([]byte(sample[1]), nil)
+	must.NoError(t, err)
+}
+
+// TestCommandsInPages guards against commands that do not work as written.
+// Make targets must be run by CI; commands of the program are run here, with a
+// stand-in for the instance.
+func TestCommandsInPages(t *testing.T) {
+	t.Chdir("..")
+	ci := read(t, ".ci/run")
+	answers := jsonBlock.FindAllStringSubmatch(read(t, "README.md"), -1)
+	must.SliceNotEmpty(t, answers)
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = io.WriteString(w, answers[0][1])
+	}))
+	defer server.Close()
+	toServer := func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, network, server.Listener.Addr().String())
+	}
+	client := &http.Client{Transport: &http.Transport{DialContext: toServer}}
+	seen := make(map[string]bool)
+	for _, page := range []string{"README.md", "docs/operations.md", "docs/service-document.md", "docs/settings.md"} {
+		for _, block := range shellBlock.FindAllStringSubmatch(read(t, page), -1) {
+			for line := range strings.Lines(block[1]) {
+				args := strings.Fields(strings.ReplaceAll(line, "'", ""))
+				if len(args) == 0 {
+					continue
+				}
+				switch args[0] {
+				case "make":
+					must.StrContains(t, ci, strings.TrimSpace(line), must.Sprint(page))
+				case "bin/sardineturn":
+					var out strings.Builder
+					p := &cli.Program{Stdout: &out, Stderr: io.Discard, Client: client}
+					p.Serve = func(context.Context, settings.Settings) error { return nil }
+					must.Eq(t, cli.ExitOK, p.Run(t.Context(), args[1:]), must.Sprint(page, line))
+					if args[1] == "check" {
+						must.StrContains(t, read(t, "README.md"), out.String())
+					}
+					seen[args[1]] = true
+				default:
+					t.Errorf("%s: no test runs %q", page, line)
+				}
+			}
+		}
+	}
+	must.MapContainsKeys(t, seen, []string{"check", "query", "serve"})
+}
