Add the load generator, the launcher and the demo

Experiments and fault tests need open-loop load over the caller interface and single processes that can be killed, paused and restarted.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,11 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Starts a small deployment of separate processes, sends some requests and stops
+# it. KEEP=1 stays up until interrupted.
+demo: build
+	$(BIN)/standin demo
+
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -23,6 +23,8 @@
 type command struct {
 	Platform platformCommand `cmd:"" help:"Run a stand-in for the platform's configuration service and instance list."`
 	Upstream upstreamCommand `cmd:"" help:"Run one or more stand-in upstreams."`
+	Load     loadCommand     `cmd:"" help:"Generate load over the caller interface and check the answers."`
+	Demo     demoCommand     `cmd:"" help:"Start a small deployment, send some requests and stop it."`
 }
 
 func main() {
--- /dev/null
+++ b/pkg/standin/load/generator.go
@@ -0,0 +1,245 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// generator is one load run.
+type generator struct {
+	config   Config
+	balancer *balancer
+	client   *Client
+	recorder *recorder
+	checker  *checker
+	start    time.Time
+	// run is a prefix that keeps request ids of different runs apart.
+	run      string
+	inFlight atomic.Int64
+	pending  sync.WaitGroup
+}
+
+// Run generates the load and returns the report. It sends to the configured
+// addresses only and ends with the last phase, plus the time that callers wait.
+func Run(ctx context.Context, c Config) (Report, error) {
+	c, err := c.normalised()
+	if err != nil {
+		return Report{}, err
+	}
+	g := &generator{
+		config:   c,
+		balancer: newBalancer(c),
+		client:   NewClient(),
+		recorder: newRecorder(c),
+		checker:  newChecker(),
+		run:      fmt.Sprintf("%d-%x", c.Seed, time.Now().UnixNano()),
+	}
+	defer g.client.Close()
+	balancing, stop := context.WithCancel(ctx)
+	defer stop()
+	ready := make(chan struct{})
+	go g.balancer.run(balancing, func() { close(ready) })
+	<-ready
+
+	executions := newExecutionReader(c.UpstreamAdmins)
+	if err := executions.mark(ctx); err != nil {
+		return Report{}, err
+	}
+	g.start = time.Now()
+	samples := make(chan []int)
+	go func() { samples <- executions.sampleAt(ctx, g.start, c.Phases) }()
+	g.send(ctx)
+	g.pending.Wait()
+	started, err := executions.finish(ctx, <-samples)
+	if err != nil {
+		return Report{}, err
+	}
+	if err := ctx.Err(); err != nil {
+		return Report{}, err
+	}
+	time.Sleep(time.Duration(c.SettleMS) * time.Millisecond)
+	if err := executions.compare(ctx, g.checker); err != nil {
+		return Report{}, err
+	}
+	return g.report(executions, started), nil
+}
+
+// send starts all requests at their intended times.
+func (g *generator) send(ctx context.Context) {
+	var wg sync.WaitGroup
+	for i := range g.config.Streams {
+		wg.Go(func() { g.sendStream(ctx, i) })
+	}
+	wg.Wait()
+}
+
+func (g *generator) sendStream(ctx context.Context, stream int) {
+	s := g.config.Streams[stream]
+	times := newSchedule(g.config.Seed, s, g.config.Phases)
+	for n := 0; ; n++ {
+		at, phase, ok := times.next()
+		if !ok || !sleepUntil(ctx, g.start.Add(at)) {
+			return
+		}
+		o := outcome{stream: stream, phase: phase, intended: at}
+		if g.inFlight.Add(1) > int64(g.config.MaxInFlight) {
+			g.inFlight.Add(-1)
+			o.code = codeNotSent
+			g.recorder.add(o)
+			continue
+		}
+		g.pending.Add(1)
+		go func() {
+			defer g.pending.Done()
+			defer g.inFlight.Add(-1)
+			g.request(ctx, s, n, &o)
+			o.latency = time.Since(g.start) - o.intended
+			g.recorder.add(o)
+		}()
+	}
+}
+
+func sleepUntil(ctx context.Context, t time.Time) bool {
+	wait := time.Until(t)
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// request runs one request to its final outcome.
+func (g *generator) request(ctx context.Context, s Stream, n int, o *outcome) {
+	id := fmt.Sprintf("%s-%s-%d", g.run, s.Name, n)
+	caller := fmt.Sprintf("caller-%d", n%s.Callers)
+	payload := payloadFor(s, id, caller)
+	if s.Order {
+		g.order(ctx, s, n, id, caller, payload, o)
+		return
+	}
+	g.query(ctx, s, id, caller, payload, o)
+}
+
+// payloadFor builds a payload with the fields that the upstream stand-in logs.
+func payloadFor(s Stream, id, caller string) json.RawMessage {
+	payload, _ := json.Marshal(map[string]string{
+		"request":  id,
+		"caller":   caller,
+		"priority": s.Priority,
+		"filler":   strings.Repeat("x", s.PayloadBytes),
+	})
+	return payload
+}
+
+func (g *generator) query(ctx context.Context, s Stream, id, caller string, payload json.RawMessage, o *outcome) {
+	q := Query{
+		Service: s.Service, Operation: s.Operation, Priority: s.Priority, Caller: caller,
+		DeadlineMS: s.DeadlineMS, Shards: s.Shards, LeastCoverage: s.LeastCoverage, Payload: payload,
+	}
+	avoid := -1
+	for {
+		instance, ok := g.balancer.pick(avoid)
+		if !ok {
+			o.code = codeNoInstance
+			return
+		}
+		o.sends++
+		a, err := withTimeout(ctx, s, func(ctx context.Context) (Answer, error) {
+			return g.client.Query(ctx, g.config.Instances[instance].Caller, q)
+		})
+		if err == nil {
+			o.code, o.success, o.coverage = a.CodeName, isSuccess(a.Code), a.Coverage
+			if o.sends > 1 {
+				// An earlier send may have run, so "not run" refers to this
+				// send only.
+				a.Ran = ""
+			}
+			g.checker.query(id, a)
+			return
+		}
+		o.code = errorCode(err)
+		if o.sends > s.Resends {
+			return
+		}
+		avoid = instance
+	}
+}
+
+// order takes a ticket and submits the order until its outcome is settled.
+func (g *generator) order(ctx context.Context, s Stream, n int, id, caller string, payload json.RawMessage, o *outcome) {
+	ticket, instance, ok := g.ticket(ctx, s, id, caller, o)
+	if !ok {
+		return
+	}
+	order := Order{
+		Ticket: ticket, Service: s.Service, Operation: s.Operation, Priority: s.Priority, Caller: caller,
+		Shard: s.Shards[n%len(s.Shards)], DeadlineMS: s.DeadlineMS, Payload: payload,
+	}
+	for {
+		o.sends++
+		a, err := withTimeout(ctx, s, func(ctx context.Context) (OrderAnswer, error) {
+			return g.client.Order(ctx, g.config.Instances[instance].Caller, order)
+		})
+		if err == nil {
+			o.code, o.success = a.CodeName, isSuccess(a.Code)
+			g.checker.order(id, a)
+			return
+		}
+		o.code = codeUnknownOpen
+		if o.sends > s.Resends {
+			return
+		}
+		if instance, ok = g.balancer.pick(instance); !ok {
+			return
+		}
+	}
+}
+
+func (g *generator) ticket(ctx context.Context, s Stream, id, caller string, o *outcome) (string, int, bool) {
+	instance, ok := g.balancer.pick(-1)
+	if !ok {
+		o.code = codeNoInstance
+		return "", 0, false
+	}
+	r := TicketRequest{Service: s.Service, Operation: s.Operation, Caller: caller, Key: id}
+	t, err := withTimeout(ctx, s, func(ctx context.Context) (Ticket, error) {
+		return g.client.Ticket(ctx, g.config.Instances[instance].Caller, r)
+	})
+	switch {
+	case err != nil:
+		o.code = errorCode(err)
+		return "", 0, false
+	case t.Ticket == "":
+		o.code = t.CodeName
+		return "", 0, false
+	}
+	return t.Ticket, instance, true
+}
+
+func withTimeout[T any](ctx context.Context, s Stream, f func(context.Context) (T, error)) (T, error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Duration(s.DeadlineMS)*time.Millisecond+callerGrace)
+	defer cancel()
+	v, err := f(ctx)
+	if err != nil && ctx.Err() != nil {
+		err = ctx.Err()
+	}
+	return v, err
+}
+
+func errorCode(err error) string {
+	if err == context.DeadlineExceeded {
+		return codeNoAnswer
+	}
+	return codeTransport
+}
--- /dev/null
+++ b/pkg/standin/load/load_test.go
@@ -0,0 +1,180 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+	"net/http/httptest"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+// TestScheduleFollowsPhases guards against load that differs between two runs
+// with one seed, and against a flood that starts or ends at another time.
+func TestScheduleFollowsPhases(t *testing.T) {
+	s := Stream{Name: "a", Rate: 100}
+	phases := []Phase{
+		{DurationMS: 10_000},
+		{DurationMS: 10_000, Rates: map[string]float64{"a": 1000}},
+		{DurationMS: 10_000, Rates: map[string]float64{"a": 0}},
+		{DurationMS: 10_000},
+	}
+	collect := func() (times []time.Duration, counts [4]int) {
+		for sch := newSchedule(7, s, phases); ; {
+			at, phase, ok := sch.next()
+			if !ok {
+				return times, counts
+			}
+			must.Eq(t, phase, int(at/(10*time.Second)))
+			times = append(times, at)
+			counts[phase]++
+		}
+	}
+	times, counts := collect()
+	again, _ := collect()
+	must.Eq(t, times, again)
+	// Five standard deviations of a Poisson count.
+	must.InDelta(t, 1000, float64(counts[0]), 160)
+	must.InDelta(t, 10_000, float64(counts[1]), 500)
+	must.Eq(t, 0, counts[2])
+	must.InDelta(t, 1000, float64(counts[3]), 160)
+}
+
+// TestBalancerLags guards against a balancer that knows of a lost instance at
+// once, which would hide failures that callers see.
+func TestBalancerLags(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBalancer(Config{Instances: make([]Target, 2), Balancer: Balancer{PollMS: 100, LagMS: 1000}})
+		var down atomic.Bool
+		b.targets[0].Operator = "a"
+		b.probe = func(_ context.Context, operator string) bool { return operator != "a" || !down.Load() }
+		ctx, cancel := context.WithCancel(t.Context())
+		go b.run(ctx, func() {})
+		synctest.Wait()
+		picks := func() (n int) {
+			for range 10 {
+				if i, _ := b.pick(-1); i == 0 {
+					n++
+				}
+			}
+			return n
+		}
+		must.Eq(t, 5, picks())
+		down.Store(true)
+		time.Sleep(1050 * time.Millisecond)
+		must.Eq(t, 5, picks())
+		time.Sleep(100 * time.Millisecond)
+		must.Eq(t, 0, picks())
+		cancel()
+		time.Sleep(2 * time.Second)
+	})
+}
+
+// TestOpenLoop guards against a generator that waits for answers before it
+// sends, which hides the queueing delay of a stalled system.
+func TestOpenLoop(t *testing.T) {
+	var arrived atomic.Int64
+	release := make(chan struct{})
+	var once sync.Once
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/ready" {
+			return
+		}
+		if arrived.Add(1) == 20 {
+			once.Do(func() { close(release) })
+		}
+		<-release
+		_ = json.NewEncoder(w).Encode(Answer{Code: codeOK, CodeName: "ok", Ran: "ran"})
+	}))
+	defer server.Close()
+	address := server.Listener.Addr().String()
+	report, err := Run(t.Context(), Config{
+		Seed:      1,
+		Instances: []Target{{Caller: address, Operator: address}},
+		Streams:   []Stream{{Name: "a", Rate: 200, DeadlineMS: 600_000}},
+		Phases:    []Phase{{DurationMS: 500}},
+	})
+	must.NoError(t, err)
+	s := report.Phases[0].Streams[0]
+	must.GreaterEq(t, 20, s.Requests)
+	must.Eq(t, s.Requests, s.Success)
+	// The first request waited for the twentieth, and its wait is in the
+	// percentiles: the maximum is not below the spread of the sends.
+	must.Greater(t, s.Latency.P50, s.Latency.Max)
+	must.False(t, report.ExecutionsChecked)
+}
+
+func shardResult(shard, snapshot, request string) ShardResult {
+	value, _ := json.Marshal(upstreamResult{Shard: shard, Snapshot: snapshot, Request: request})
+	return ShardResult{Shard: shard, Result: value}
+}
+
+// TestCheckerDetects guards against a check that passes on the fault it is for.
+func TestCheckerDetects(t *testing.T) {
+	good := func() Answer {
+		return Answer{
+			Code: codeOK, Ran: "ran", Snapshot: "v1",
+			Coverage: Coverage{Answered: 1, Total: 1},
+			Results:  []ShardResult{shardResult("s", "v1", "me")},
+		}
+	}
+	query := func(change func(*Answer)) func(*checker) {
+		return func(c *checker) {
+			a := good()
+			change(&a)
+			c.query("me", a)
+		}
+	}
+	ran := func(request, key string) upstream.Execution {
+		return upstream.Execution{Request: request, OrderKey: key}
+	}
+	cases := []struct {
+		name, want string
+		run        func(*checker)
+	}{
+		{"good", "", query(func(*Answer) {})},
+		{"other caller's answer", checkOwnAnswer, query(func(a *Answer) { a.Results[0] = shardResult("s", "v1", "you") })},
+		{"mixed snapshots", checkOneSnapshot, query(func(a *Answer) { a.Results[0] = shardResult("s", "v0", "me") })},
+		{"missing result", checkCoverage, query(func(a *Answer) { a.Results = nil })},
+		{"unlisted missing shard", checkCoverage, query(func(a *Answer) { a.Coverage.Total, a.Code = 2, codePartial })},
+		{"unmarked partial", checkPartial, query(func(a *Answer) {
+			a.Coverage = Coverage{Answered: 1, Total: 2, Missing: []MissingShard{{Shard: "t"}}}
+		})},
+		{"not run but ran", checkNotRun, func(c *checker) {
+			c.query("me", Answer{Code: 3000, Ran: "not_run"})
+			c.executions([]upstream.Execution{ran("me", "")})
+		}},
+		{"order twice", checkOnce, func(c *checker) { c.executions([]upstream.Execution{ran("o", "o"), ran("o", "o")}) }},
+		{"order not run but ran", checkNotRun, func(c *checker) {
+			c.order("o", OrderAnswer{Code: 3000, Ran: "not_run"})
+			c.executions([]upstream.Execution{ran("o", "o")})
+		}},
+		{"order lost", checkOrderRan, func(c *checker) {
+			c.order("o", OrderAnswer{Code: 4000, Ran: "ran"})
+			c.executions(nil)
+		}},
+		{"order unknown", "", func(c *checker) {
+			c.order("o", OrderAnswer{Code: 4002, Ran: "unknown"})
+			c.executions([]upstream.Execution{ran("o", "o")})
+		}},
+	}
+	for _, tc := range cases {
+		t.Run(tc.name, func(t *testing.T) {
+			c := newChecker()
+			tc.run(c)
+			if tc.want == "" {
+				must.MapEmpty(t, c.violations)
+				return
+			}
+			must.MapLen(t, 1, c.violations)
+			must.NotNil(t, c.violations[tc.want])
+		})
+	}
+}
--- /dev/null
+++ b/pkg/standin/load/recorder.go
@@ -0,0 +1,126 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Bounds of the latency histograms, in microseconds.
+const (
+	minLatencyUS = 1
+	maxLatencyUS = 120_000_000
+	digits       = 3
+)
+
+// outcome is the final result of one request.
+type outcome struct {
+	stream, phase int
+	intended      time.Duration
+	latency       time.Duration
+	// code is a result code, or one of the generator's own names.
+	code     string
+	success  bool
+	coverage Coverage
+	sends    int
+}
+
+// Codes of requests without an answer.
+const (
+	codeTransport   = "transport_error"
+	codeNoInstance  = "no_ready_instance"
+	codeNotSent     = "not_sent"
+	codeNoAnswer    = "caller_timeout"
+	codeUnknownOpen = "order_open"
+)
+
+// cell holds the outcomes of one stream in one phase.
+type cell struct {
+	requests, sends, answered, success, full, onTarget int
+	covered, wanted                                    int
+	codes                                              map[string]int
+	all, good                                          *hdrhistogram.Histogram
+	coverageSum                                        float64
+}
+
+func newCell() *cell {
+	return &cell{
+		codes: make(map[string]int),
+		all:   hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
+		good:  hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
+	}
+}
+
+func (c *cell) add(o outcome, target time.Duration) {
+	c.requests++
+	c.sends += o.sends
+	c.codes[o.code]++
+	us := min(max(o.latency.Microseconds(), minLatencyUS), maxLatencyUS)
+	if o.code != codeNotSent && o.code != codeNoInstance {
+		c.answered++
+		_ = c.all.RecordValue(us)
+	}
+	if !o.success {
+		return
+	}
+	c.success++
+	_ = c.good.RecordValue(us)
+	c.covered += o.coverage.Answered
+	c.wanted += o.coverage.Total
+	if o.coverage.Total > 0 {
+		c.coverageSum += float64(o.coverage.Answered) / float64(o.coverage.Total)
+	}
+	if o.coverage.Answered == o.coverage.Total {
+		c.full++
+	}
+	if o.latency <= target {
+		c.onTarget++
+	}
+}
+
+// window is a point of a stream's time series.
+type window struct {
+	Requests int `json:"requests"`
+	Success  int `json:"success"`
+	OnTarget int `json:"on_target"`
+}
+
+// recorder collects outcomes.
+type recorder struct {
+	config Config
+
+	mu      sync.Mutex
+	cells   [][]*cell
+	windows [][]window
+}
+
+func newRecorder(c Config) *recorder {
+	r := &recorder{config: c}
+	length := time.Duration(c.WindowMS) * time.Millisecond
+	count := int((c.duration() + length - 1) / length)
+	for range c.Streams {
+		cells := make([]*cell, len(c.Phases))
+		for i := range cells {
+			cells[i] = newCell()
+		}
+		r.cells = append(r.cells, cells)
+		r.windows = append(r.windows, make([]window, count))
+	}
+	return r
+}
+
+func (r *recorder) add(o outcome) {
+	target := time.Duration(r.config.Streams[o.stream].TargetMS) * time.Millisecond
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.cells[o.stream][o.phase].add(o, target)
+	w := &r.windows[o.stream][int(o.intended/(time.Duration(r.config.WindowMS)*time.Millisecond))]
+	w.Requests++
+	if o.success {
+		w.Success++
+		if o.latency <= target {
+			w.OnTarget++
+		}
+	}
+}
--- /dev/null
+++ b/pkg/standin/load/report.go
@@ -0,0 +1,200 @@
+package load
+
+import (
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+)
+
+// Report is the result of a load run.
+type Report struct {
+	Seed    uint64        `json:"seed"`
+	Phases  []PhaseReport `json:"phases"`
+	Windows []WindowsOf   `json:"windows"`
+	// Violations counts broken properties by check; it is empty when all hold.
+	Violations map[string]*Violation `json:"violations"`
+	// ExecutionsChecked is false without upstream admins, or when a stand-in
+	// dropped log entries, so that absence of violations proves nothing.
+	ExecutionsChecked bool `json:"executions_checked"`
+	PeakConnections   int  `json:"peak_connections_per_upstream"`
+}
+
+// PhaseReport covers one phase.
+type PhaseReport struct {
+	Name       string `json:"name"`
+	DurationMS int    `json:"duration_ms"`
+	// Executions is the number of executions that started in the phase.
+	Executions int            `json:"executions"`
+	Streams    []StreamReport `json:"streams"`
+	// ExecutionsPerRequest relates executions to all requests, and
+	// ExecutionsPerResult to all shard results in answers.
+	ExecutionsPerRequest float64 `json:"executions_per_request"`
+	ExecutionsPerResult  float64 `json:"executions_per_result"`
+}
+
+// StreamReport covers one stream in one phase. Latencies are measured from the
+// intended send time.
+type StreamReport struct {
+	Name     string `json:"name"`
+	Service  string `json:"service"`
+	Priority string `json:"priority"`
+	Requests int    `json:"requests"`
+	Sends    int    `json:"sends"`
+	Success  int    `json:"success"`
+	// OnTargetShare is the share of all requests that got a successful answer
+	// within the target.
+	OnTargetShare float64 `json:"on_target_share"`
+	SuccessShare  float64 `json:"success_share"`
+	// FullShare and MeanCoverage refer to successful answers.
+	FullShare    float64        `json:"full_coverage_share"`
+	MeanCoverage float64        `json:"mean_coverage"`
+	Results      int            `json:"results"`
+	Codes        map[string]int `json:"codes"`
+	// Latency covers successful answers, LatencyAll every request that was
+	// sent.
+	Latency    Percentiles `json:"latency_ms"`
+	LatencyAll Percentiles `json:"latency_all_ms"`
+}
+
+// Percentiles are latencies in milliseconds.
+type Percentiles struct {
+	P50  float64 `json:"p50"`
+	P90  float64 `json:"p90"`
+	P99  float64 `json:"p99"`
+	P999 float64 `json:"p999"`
+	Max  float64 `json:"max"`
+}
+
+// WindowsOf is the time series of a stream.
+type WindowsOf struct {
+	Stream   string   `json:"stream"`
+	WindowMS int      `json:"window_ms"`
+	Windows  []window `json:"windows"`
+}
+
+func (g *generator) report(e *executionReader, started []int) Report {
+	r := Report{
+		Seed:              g.config.Seed,
+		Violations:        g.checker.violations,
+		ExecutionsChecked: len(e.admins) > 0 && e.dropped == 0,
+		PeakConnections:   e.peakConnections,
+	}
+	for i, p := range g.config.Phases {
+		phase := PhaseReport{Name: p.Name, DurationMS: p.DurationMS}
+		if i < len(started) {
+			phase.Executions = started[i]
+		}
+		requests, results := 0, 0
+		for n, s := range g.config.Streams {
+			sr := g.recorder.cells[n][i].report(s)
+			requests += sr.Requests
+			results += sr.Results
+			phase.Streams = append(phase.Streams, sr)
+		}
+		phase.ExecutionsPerRequest = ratio(phase.Executions, requests)
+		phase.ExecutionsPerResult = ratio(phase.Executions, results)
+		r.Phases = append(r.Phases, phase)
+	}
+	for n, s := range g.config.Streams {
+		r.Windows = append(r.Windows, WindowsOf{Stream: s.Name, WindowMS: g.config.WindowMS, Windows: g.recorder.windows[n]})
+	}
+	return r
+}
+
+func (c *cell) report(s Stream) StreamReport {
+	r := StreamReport{
+		Name: s.Name, Service: s.Service, Priority: s.Priority,
+		Requests: c.requests, Sends: c.sends, Success: c.success,
+		OnTargetShare: ratio(c.onTarget, c.requests),
+		SuccessShare:  ratio(c.success, c.requests),
+		FullShare:     ratio(c.full, c.success),
+		Results:       c.covered,
+		Codes:         c.codes,
+		Latency:       percentiles(c.good),
+		LatencyAll:    percentiles(c.all),
+	}
+	if c.success > 0 {
+		r.MeanCoverage = c.coverageSum / float64(c.success)
+	}
+	if s.Order {
+		// An order has one shard and no coverage.
+		r.Results, r.MeanCoverage = c.success, r.SuccessShare
+	}
+	return r
+}
+
+func ratio(a, b int) float64 {
+	if b == 0 {
+		return 0
+	}
+	return float64(a) / float64(b)
+}
+
+func percentiles(h *hdrhistogram.Histogram) Percentiles {
+	at := func(q float64) float64 {
+		return float64(h.ValueAtQuantile(q)) * float64(time.Microsecond) / float64(time.Millisecond)
+	}
+	if h.TotalCount() == 0 {
+		return Percentiles{}
+	}
+	return Percentiles{P50: at(50), P90: at(90), P99: at(99), P999: at(99.9), Max: at(100)}
+}
+
+// WriteTable writes the report as a table for people.
+func (r Report) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	for _, p := range r.Phases {
+		fmt.Fprintf(t, "phase %s: %d ms, %d executions, %.2f per request, %.3f per result\n",
+			p.Name, p.DurationMS, p.Executions, p.ExecutionsPerRequest, p.ExecutionsPerResult)
+		fmt.Fprintln(t, "stream\trequests\ton target\tsuccess\tfull\tcoverage\tp50\tp90\tp99\tp99.9\tmax\t codes\t")
+		for _, s := range p.Streams {
+			fmt.Fprintf(t, "%s\t%d\t%.2f%%\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t %s\t\n",
+				s.Name, s.Requests, 100*s.OnTargetShare, 100*s.SuccessShare, 100*s.FullShare, 100*s.MeanCoverage,
+				s.Latency.P50, s.Latency.P90, s.Latency.P99, s.Latency.P999, s.Latency.Max, codeList(s.Codes))
+		}
+		if err := t.Flush(); err != nil {
+			return err
+		}
+	}
+	return r.writeChecks(w)
+}
+
+func (r Report) writeChecks(w io.Writer) error {
+	if !r.ExecutionsChecked {
+		fmt.Fprintln(w, "executions were not checked completely")
+	}
+	_, err := fmt.Fprintf(w, "violations: %d\n", r.ViolationCount())
+	for name, v := range r.Violations {
+		fmt.Fprintf(w, "  %s: %d\n", name, v.Count)
+		for _, s := range v.Samples {
+			fmt.Fprintf(w, "    %s\n", s)
+		}
+	}
+	return err
+}
+
+// ViolationCount returns the number of violations of all checks.
+func (r Report) ViolationCount() int {
+	total := 0
+	for _, v := range r.Violations {
+		total += v.Count
+	}
+	return total
+}
+
+// codeList lists the codes other than ok by name.
+func codeList(codes map[string]int) string {
+	var parts []string
+	for name, n := range codes {
+		if name != "ok" {
+			parts = append(parts, fmt.Sprintf("%s=%d", name, n))
+		}
+	}
+	sort.Strings(parts)
+	return strings.Join(parts, " ")
+}
--- /dev/null
+++ b/pkg/standin/load/schedule.go
@@ -0,0 +1,51 @@
+package load
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// schedule yields the intended send times of one stream, as offsets from the
+// start of the run. They depend on the seed and the configuration alone, never
+// on answers, so that a slow system does not slow down its load.
+type schedule struct {
+	stream Stream
+	phases []Phase
+	rng    *rand.Rand
+	phase  int
+	// at is the last send time and end the end of the current phase.
+	at  time.Duration
+	end time.Duration
+}
+
+func newSchedule(seed uint64, s Stream, phases []Phase) *schedule {
+	h := fnv.New64a()
+	_, _ = h.Write([]byte(s.Name))
+	return &schedule{
+		stream: s,
+		phases: phases,
+		rng:    rand.New(rand.NewPCG(seed, h.Sum64())),
+		end:    phases[0].duration(),
+	}
+}
+
+// next returns the next send time and its phase, and false after the last.
+func (s *schedule) next() (time.Duration, int, bool) {
+	for s.phase < len(s.phases) {
+		if r := s.phases[s.phase].rate(s.stream); r > 0 {
+			gap := time.Duration(s.rng.ExpFloat64() / r * float64(time.Second))
+			if s.at+gap < s.end {
+				s.at += gap
+				return s.at, s.phase, true
+			}
+		}
+		// The gaps are memoryless, so the next phase starts a new one.
+		s.at = s.end
+		s.phase++
+		if s.phase < len(s.phases) {
+			s.end += s.phases[s.phase].duration()
+		}
+	}
+	return 0, 0, false
+}
