--- a/pkg/document/document.go
+++ b/pkg/document/document.go
@@ -28,7 +28,8 @@
 	// Digest is the xxhash of the document's bytes.
 	Digest uint64 `json:"-"`
 
-	derived derived
+	// derived is set by Parse.
+	derived *derived
 }
 
 // Priority is a class of work.
--- a/pkg/document/group.go
+++ b/pkg/document/group.go
@@ -1,8 +1,6 @@
 package document
 
 import (
-	"sync"
-
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
@@ -18,24 +16,26 @@
 	Upstreams []*Upstream
 }
 
-// derived holds what is computed once from a document, because each query
+// derived holds what Parse computes once from a document, because each query
 // needs it.
 type derived struct {
-	once        sync.Once
 	groups      []Group
 	shardGroups map[model.SnapshotID]map[model.ShardID]int
 }
 
 func (d *Document) derive() *derived {
-	d.derived.once.Do(func() {
-		d.derived.groups = d.computeGroups()
-		d.derived.shardGroups = make(map[model.SnapshotID]map[model.ShardID]int, len(d.Snapshots))
-		for i := range d.Snapshots {
-			s := &d.Snapshots[i]
-			d.derived.shardGroups[s.ID] = shardGroups(d.derived.groups, s)
-		}
-	})
-	return &d.derived
+	if d.derived != nil {
+		return d.derived
+	}
+	out := &derived{
+		groups:      d.computeGroups(),
+		shardGroups: make(map[model.SnapshotID]map[model.ShardID]int, len(d.Snapshots)),
+	}
+	for i := range d.Snapshots {
+		s := &d.Snapshots[i]
+		out.shardGroups[s.ID] = shardGroups(out.groups, s)
+	}
+	return out
 }
 
 // Groups returns the scheduling groups. They follow from the document alone,
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -24,6 +24,7 @@
 		}
 	}
 	if len(lines) == 0 {
+		d.derived = d.derive()
 		return d, nil
 	}
 	if more := len(lines) - maxReportedFaults; more > 0 {
