Add experiments with a baseline program

standin experiment runs load and faults against nine instances as separate processes, for the product and for a baseline in which every instance acts alone, and compares the figures with the stated aims.

--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -21,10 +21,12 @@
 const shutdownGrace = 5 * time.Second
 
 type command struct {
-	Platform platformCommand `cmd:"" help:"Run a stand-in for the platform's configuration service and instance list."`
-	Upstream upstreamCommand `cmd:"" help:"Run one or more stand-in upstreams."`
-	Load     loadCommand     `cmd:"" help:"Generate load over the caller interface and check the answers."`
-	Demo     demoCommand     `cmd:"" help:"Start a small deployment, send some requests and stop it."`
+	Platform   platformCommand   `cmd:"" help:"Run a stand-in for the platform's configuration service and instance list."`
+	Upstream   upstreamCommand   `cmd:"" help:"Run one or more stand-in upstreams."`
+	Load       loadCommand       `cmd:"" help:"Generate load over the caller interface and check the answers."`
+	Serve      serveCommand      `cmd:"" help:"Run an instance of the baseline that experiments compare with."`
+	Experiment experimentCommand `cmd:"" help:"Run load and faults against the product and the baseline, and compare with the aims."`
+	Demo       demoCommand       `cmd:"" help:"Start a small deployment, send some requests and stop it."`
 }
 
 func main() {
--- /dev/null
+++ b/pkg/standin/experiment/deployment.go
@@ -0,0 +1,172 @@
+package experiment
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math"
+	"path/filepath"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+const (
+	instanceCount = 9
+	maxInstances  = 10
+	readyTimeout  = 60 * time.Second
+	listLagMS     = 500
+	balancerLagMS = 500
+	// adminPage is the number of log entries read in one request.
+	adminPage = 5000
+)
+
+// deployment is a fleet of one program with one service.
+type deployment struct {
+	fleet    *launch.Fleet
+	service  launch.Service
+	host     *launch.UpstreamHost
+	capacity float64
+	// leftAt is when an upstream began to leave.
+	leftAt time.Time
+	// rolled receives the result of a rolling restart.
+	rolled chan error
+}
+
+func deploy(ctx context.Context, o Options, program, dir string, s launch.Service) (*deployment, error) {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	fleet, err := launch.NewFleet(ctx, launch.Config{
+		Sardineturn:   program,
+		Standin:       o.Standin,
+		Dir:           dir,
+		Cluster:       filepath.Base(dir),
+		ListLagMS:     listLagMS,
+		BalancerLagMS: balancerLagMS,
+		MaxInstances:  maxInstances,
+		LogLevel:      "info",
+		Seed:          o.Seed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{fleet: fleet, service: s, capacity: capacityOf(s), rolled: make(chan error, 1)}
+	if err := d.start(ctx); err != nil {
+		return nil, errors.Join(err, fleet.Stop())
+	}
+	return d, nil
+}
+
+func (d *deployment) start(ctx context.Context) error {
+	var err error
+	if d.host, err = d.fleet.StartService(ctx, d.service); err != nil {
+		return err
+	}
+	for n := range instanceCount {
+		if _, err := d.fleet.StartInstance(ctx, d.service.DataCentres[n%len(d.service.DataCentres)]); err != nil {
+			return err
+		}
+	}
+	for _, i := range d.fleet.Instances() {
+		if err := i.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// capacityOf returns the queries per second that the service's slots can serve
+// if each query runs once on each shard.
+func capacityOf(s launch.Service) float64 {
+	t := s.Service[""]
+	meanMS := t.MedianMS * math.Exp(t.Sigma*t.Sigma/2)
+	slots := float64(s.Upstreams * s.Slots)
+	return slots * 1000 / (meanMS * float64(s.Shards))
+}
+
+func (d *deployment) upstreamName(n int) string { return d.host.Upstreams[n].Name }
+
+// crash breaks an upstream's connections and refuses new ones for a time.
+func (d *deployment) crash(ctx context.Context, n int, refuse time.Duration) error {
+	path := "/admin/crash?upstream=" + d.upstreamName(n)
+	return launch.PostJSON(ctx, d.host.Admin, path, map[string]any{"refuse_ms": refuse.Milliseconds()}, nil)
+}
+
+// victim returns the instance that faults are applied to: the service's home
+// if it can be told, else the first.
+func (d *deployment) victim() *launch.Instance {
+	instances := d.fleet.Instances()
+	var explanation struct {
+		Shards []struct {
+			Homes []string `json:"homes"`
+		} `json:"shards"`
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
+	defer cancel()
+	path := "/explain?service=" + d.service.Name
+	for _, asked := range instances {
+		err := launch.GetJSON(ctx, asked.Settings.OperatorAddress, path, &explanation)
+		if err != nil || len(explanation.Shards) == 0 || len(explanation.Shards[0].Homes) == 0 {
+			continue
+		}
+		for _, i := range instances {
+			if i.Settings.InstanceID == explanation.Shards[0].Homes[0] {
+				return i
+			}
+		}
+	}
+	return instances[0]
+}
+
+// rollout restarts all instances, one after another, as a rollout does.
+func (d *deployment) rollout(ctx context.Context) {
+	var failed error
+	for _, i := range d.fleet.Instances() {
+		if err := i.Leave(ctx); err != nil {
+			failed = errors.Join(failed, fmt.Errorf("%s: %w", i.Name, err))
+		}
+		if err := i.Restart(ctx); err != nil {
+			failed = errors.Join(failed, err)
+			break
+		}
+		if err := i.WaitReady(ctx); err != nil {
+			failed = errors.Join(failed, err)
+			break
+		}
+	}
+	d.rolled <- failed
+}
+
+// targets lists the instances for the load generator.
+func (d *deployment) targets() []load.Target {
+	var out []load.Target
+	for _, i := range d.fleet.Instances() {
+		out = append(out, load.Target{Caller: i.Settings.CallerAddress, Operator: i.Settings.OperatorAddress})
+	}
+	return out
+}
+
+// executionsAfter counts executions on the named upstream that started later
+// than the given time.
+func (d *deployment) executionsAfter(ctx context.Context, name string, after time.Time) (int, error) {
+	count := 0
+	since := 0
+	for {
+		var page upstream.Executions
+		path := fmt.Sprintf("/admin/executions?since=%d&limit=%d", since, adminPage)
+		if err := launch.GetJSON(ctx, d.host.Admin, path, &page); err != nil {
+			return 0, err
+		}
+		for _, e := range page.Executions {
+			if e.Upstream == name && e.Start.After(after) {
+				count++
+			}
+		}
+		if page.Next == since {
+			return count, nil
+		}
+		since = page.Next
+	}
+}
--- /dev/null
+++ b/pkg/standin/experiment/outcome.go
@@ -0,0 +1,100 @@
+package experiment
+
+import (
+	"math"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+// outcome is the result of one scenario with one program.
+type outcome struct {
+	scenario       scenario
+	service        launch.Service
+	capacity       float64
+	report         load.Report
+	lateExecutions int
+}
+
+func (o *outcome) phase(name string) load.PhaseReport {
+	for _, p := range o.report.Phases {
+		if p.Name == name {
+			return p
+		}
+	}
+	return load.PhaseReport{}
+}
+
+// stream returns the report of the n-th priority in a phase.
+func (o *outcome) stream(phase string, n int) load.StreamReport {
+	p := o.phase(phase)
+	if n >= len(p.Streams) {
+		return load.StreamReport{}
+	}
+	return p.Streams[n]
+}
+
+func ratio(a, b float64) float64 {
+	if b == 0 {
+		return math.NaN()
+	}
+	return a / b
+}
+
+// demandOrShare is what a priority is due in the fault phase: its demand, or
+// its guaranteed share of capacity if that is less, in queries.
+func (o *outcome) due(n int) float64 {
+	seconds := float64(o.phase(phaseFault).DurationMS) / 1000
+	share := o.service.Priorities[n].GuaranteedShare * o.capacity * seconds
+	return min(share, float64(o.stream(phaseFault, n).Requests))
+}
+
+// keptShare is the successful answers of a priority relative to what it is due.
+func (o *outcome) keptShare(n int) float64 {
+	return ratio(float64(o.stream(phaseFault, n).Success), o.due(n))
+}
+
+// goodput is the successful answers of all priorities relative to capacity.
+func (o *outcome) goodput() float64 {
+	success := 0
+	p := o.phase(phaseFault)
+	for _, s := range p.Streams {
+		success += s.Success
+	}
+	return ratio(float64(success), o.capacity*float64(p.DurationMS)/1000)
+}
+
+// answeredShare is the share of a priority's requests that got an answer of any
+// code, so neither a connection error nor silence.
+func (o *outcome) answeredShare(phase string, n int) float64 {
+	s := o.stream(phase, n)
+	lost := s.Codes["transport"] + s.Codes["no_answer"]
+	return ratio(float64(s.Requests-lost), float64(s.Requests))
+}
+
+// cutOff is the number of requests that ended without an answer from the start
+// of the fault on.
+func (o *outcome) cutOff() float64 {
+	total := 0
+	for _, name := range []string{phaseFault, phaseAfter} {
+		for _, s := range o.phase(name).Streams {
+			total += s.Codes["transport"] + s.Codes["no_answer"]
+		}
+	}
+	return float64(total)
+}
+
+// recovery is the time in seconds from the start of the fault phase until the
+// share within target of a priority stays at the level or above.
+func (o *outcome) recovery(n int, level float64) float64 {
+	series := o.report.Windows[n]
+	first := (warmupMS + phaseMS) / series.WindowMS
+	last := first - 1
+	for w := first; w < len(series.Windows); w++ {
+		win := series.Windows[w]
+		if win.Requests > 0 && float64(win.OnTarget) < level*float64(win.Requests) {
+			last = w
+		}
+	}
+	return float64((last-first+1)*series.WindowMS) / 1000
+}
--- /dev/null
+++ b/pkg/standin/experiment/plot.go
@@ -0,0 +1,66 @@
+package experiment
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sort"
+	"strings"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+// Write writes the rows in JSON and one picture per scenario and program: the
+// share of requests within target over time, by priority.
+func (r Result) Write(dir, customer string) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	if err := r.WriteJSON(filepath.Join(dir, customer+".json")); err != nil {
+		return err
+	}
+	names := make([]string, 0, len(r.Reports))
+	for name := range r.Reports {
+		names = append(names, name)
+	}
+	sort.Strings(names)
+	for _, name := range names {
+		file := filepath.Join(dir, customer+"-"+strings.ReplaceAll(name, " ", "-")+".svg")
+		if err := drawWindows(file, customer+" "+name, r.Reports[name]); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func drawWindows(file, title string, report load.Report) error {
+	p := plot.New()
+	p.Title.Text = title
+	p.X.Label.Text = "time (s)"
+	p.Y.Label.Text = "share of requests within target"
+	p.Y.Min, p.Y.Max = 0, 1
+	p.Legend.Top = false
+	var lines []any
+	for _, series := range report.Windows {
+		points := make(plotter.XYs, 0, len(series.Windows))
+		for n, w := range series.Windows {
+			if w.Requests == 0 {
+				continue
+			}
+			points = append(points, plotter.XY{
+				X: float64(n*series.WindowMS) / 1000,
+				Y: float64(w.OnTarget) / float64(w.Requests),
+			})
+		}
+		lines = append(lines, series.Stream, points)
+	}
+	if err := plotutil.AddLines(p, lines...); err != nil {
+		return fmt.Errorf("plot %s: %w", title, err)
+	}
+	return p.Save(14*vg.Centimeter, 8*vg.Centimeter, file)
+}
--- /dev/null
+++ b/pkg/standin/experiment/run.go
@@ -0,0 +1,207 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"math"
+	"os"
+	"path/filepath"
+	"slices"
+	"text/tabwriter"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+// windowMS is the resolution of time series and of recovery times.
+const windowMS = 250
+
+// Options configure a series of experiments.
+type Options struct {
+	// Sardineturn and Standin are the paths of the two programs.
+	Sardineturn string
+	Standin     string
+	// Dir holds logs and settings files.
+	Dir  string
+	Seed uint64
+	// Customer is "shevitsa" or "scalai".
+	Customer string
+	// Only names the scenarios to run; all when empty.
+	Only []string
+	// NoBaseline leaves out the runs of the baseline.
+	NoBaseline bool
+}
+
+// Row is one line of the resulting table.
+type Row struct {
+	Customer string  `json:"customer"`
+	Scenario string  `json:"scenario"`
+	Aim      string  `json:"aim"`
+	Bound    string  `json:"bound"`
+	Product  float64 `json:"product"`
+	// Baseline is null when it was not run.
+	Baseline *float64 `json:"baseline"`
+	Met      bool     `json:"met"`
+	Seed     uint64   `json:"seed"`
+}
+
+// Result is what a series measured.
+type Result struct {
+	Rows []Row
+	// Reports holds the load reports by scenario and program.
+	Reports map[string]load.Report
+	// Violations counts broken properties over all runs of the product.
+	Violations map[string]int
+}
+
+// Run runs the scenarios, product and baseline in turn.
+func Run(ctx context.Context, o Options, log io.Writer) (Result, error) {
+	service := launch.Shevitsa()[0]
+	if o.Customer == "scalai" {
+		service = launch.Scalai()[0]
+	}
+	result := Result{Reports: make(map[string]load.Report), Violations: make(map[string]int)}
+	for _, s := range scenarios() {
+		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
+			continue
+		}
+		if err := result.run(ctx, o, s, service, log); err != nil {
+			return result, fmt.Errorf("%s: %w", s.name, err)
+		}
+	}
+	return result, nil
+}
+
+func (r *Result) run(ctx context.Context, o Options, s scenario, service launch.Service, log io.Writer) error {
+	product, err := runOne(ctx, o, s, service, o.Sardineturn, "sardineturn")
+	if err != nil {
+		return err
+	}
+	r.Reports[s.name+" sardineturn"] = product.report
+	for check, v := range product.report.Violations {
+		r.Violations[check] += v.Count
+	}
+	var baseline *outcome
+	if !o.NoBaseline {
+		if baseline, err = runOne(ctx, o, s, service, o.Standin, "baseline"); err != nil {
+			return err
+		}
+		r.Reports[s.name+" baseline"] = baseline.report
+	}
+	for _, a := range s.aims {
+		row := newRow(o, s, a, product, baseline)
+		r.Rows = append(r.Rows, row)
+		fmt.Fprintf(log, "%s: %s: %.3f (bound %s, met %v)\n", s.name, a.text, row.Product, row.Bound, row.Met)
+	}
+	return nil
+}
+
+func newRow(o Options, s scenario, a aim, product, baseline *outcome) Row {
+	bound := fmt.Sprintf("<= %g", a.limit)
+	if a.atLeast {
+		bound = fmt.Sprintf(">= %g", a.limit)
+	}
+	row := Row{Customer: o.Customer, Scenario: s.name, Aim: a.text, Bound: bound, Product: a.measure(product), Seed: o.Seed}
+	row.Met = a.met(row.Product)
+	if baseline != nil {
+		if v := a.measure(baseline); !math.IsNaN(v) && !math.IsInf(v, 0) {
+			row.Baseline = &v
+		}
+	}
+	return row
+}
+
+// runOne runs a scenario with one program.
+func runOne(ctx context.Context, o Options, s scenario, service launch.Service, program, label string) (*outcome, error) {
+	dir := filepath.Join(o.Dir, fmt.Sprintf("%s-%s-%s", o.Customer, s.name, label))
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return nil, err
+	}
+	d, err := deploy(ctx, o, program, dir, service)
+	if err != nil {
+		return nil, err
+	}
+	out, err := d.measure(ctx, o, s)
+	// A program that a fault has killed or paused may not end cleanly; that is
+	// not the measured property.
+	_ = d.fleet.Stop()
+	return out, err
+}
+
+func (d *deployment) measure(ctx context.Context, o Options, s scenario) (*outcome, error) {
+	config := load.Config{
+		Seed:           o.Seed,
+		Instances:      d.targets(),
+		UpstreamAdmins: []string{d.host.Admin},
+		Balancer:       load.Balancer{PollMS: 200, LagMS: balancerLagMS},
+		Streams:        streams(d.service, d.capacity, steadyLoad),
+		Phases:         s.phases(d.service, d.capacity),
+		WindowMS:       windowMS,
+	}
+	faults := make(chan error, 1)
+	go func() { faults <- d.applyFaults(ctx, s) }()
+	report, err := load.Run(ctx, config)
+	if err := errors.Join(err, <-faults); err != nil {
+		return nil, err
+	}
+	if err := d.awaitRollout(s); err != nil {
+		return nil, err
+	}
+	out := &outcome{scenario: s, service: d.service, capacity: d.capacity, report: report}
+	if !d.leftAt.IsZero() {
+		const grace = 3 * time.Second
+		out.lateExecutions, err = d.executionsAfter(ctx, d.upstreamName(0), d.leftAt.Add(grace))
+	}
+	return out, err
+}
+
+// applyFaults injects the fault at the start of the fault phase and takes it
+// back at its end.
+func (d *deployment) applyFaults(ctx context.Context, s scenario) error {
+	if s.fault == nil {
+		return nil
+	}
+	time.Sleep((warmupMS + phaseMS) * time.Millisecond)
+	if err := s.fault(ctx, d); err != nil {
+		return err
+	}
+	if s.undo == nil {
+		return nil
+	}
+	time.Sleep(phaseMS * time.Millisecond)
+	return s.undo(ctx, d)
+}
+
+func (d *deployment) awaitRollout(s scenario) error {
+	if s.name != rolloutScenario().name {
+		return nil
+	}
+	return <-d.rolled
+}
+
+// WriteTable writes the rows as a table.
+func (r Result) WriteTable(w io.Writer) error {
+	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
+	fmt.Fprintln(t, "customer\tscenario\taim\tbound\tbaseline\tproduct\tmet\tseed")
+	for _, row := range r.Rows {
+		baseline := "-"
+		if row.Baseline != nil {
+			baseline = fmt.Sprintf("%.3f", *row.Baseline)
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%.3f\t%v\t%d\n", row.Customer, row.Scenario, row.Aim, row.Bound, baseline, row.Product, row.Met, row.Seed)
+	}
+	return t.Flush()
+}
+
+// WriteJSON writes rows and reports to a file.
+func (r Result) WriteJSON(path string) error {
+	content, err := json.MarshalIndent(r.Rows, "", "  ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(path, append(content, '\n'), 0o644)
+}
--- /dev/null
+++ b/pkg/standin/experiment/scenario.go
@@ -0,0 +1,247 @@
+// Package experiment runs load and faults against a deployment of separate
+// processes, for sardineturn and for the baseline in turn, and compares the
+// figures with the stated aims.
+package experiment
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+// Phase lengths. A phase of 5 s has over 400 requests of the most urgent
+// priority at the smaller customer's size, enough for a 99th percentile.
+const (
+	warmupMS = 2000
+	phaseMS  = 5000
+)
+
+// Names of phases.
+const (
+	phaseWarmup = "warmup"
+	phaseSteady = "steady"
+	phaseFault  = "fault"
+	phaseAfter  = "after"
+)
+
+// Loads as fractions of the service's capacity, by priority.
+var steadyLoad = [3]float64{0.25, 0.2, 0.1}
+
+// floodFactor is the size of a flood in multiples of capacity.
+const floodFactor = 3
+
+// scenario is one experiment.
+type scenario struct {
+	name string
+	// faultLoad replaces the steady load during the fault phase.
+	faultLoad [3]float64
+	// afterMS is the length of a last phase without the fault, if any.
+	afterMS int
+	// fault is called at the start of the fault phase, and undo at its end.
+	fault func(context.Context, *deployment) error
+	undo  func(context.Context, *deployment) error
+	aims  []aim
+}
+
+// aim is a stated target and how its figure is taken from a run.
+type aim struct {
+	text string
+	// limit is the bound from the statement; the figure must not be above it,
+	// or not below it if atLeast is true.
+	limit   float64
+	atLeast bool
+	measure func(*outcome) float64
+}
+
+func (a aim) met(value float64) bool {
+	if a.atLeast {
+		return value >= a.limit
+	}
+	return value <= a.limit
+}
+
+func scenarios() []scenario {
+	return []scenario{
+		stragglerScenario(),
+		floodScenario("flood-least-urgent", 2),
+		floodScenario("flood-most-urgent", 0),
+		shardLostScenario(),
+		instanceScenario("instance-killed", func(ctx context.Context, d *deployment) error {
+			return d.victim().Lose(ctx)
+		}, nil),
+		instanceScenario("instance-paused", func(_ context.Context, d *deployment) error {
+			d.victim().Pause()
+			return nil
+		}, func(_ context.Context, d *deployment) error {
+			d.victim().Resume()
+			return nil
+		}),
+		rolloutScenario(),
+		leavingScenario(),
+	}
+}
+
+func stragglerScenario() scenario {
+	const slowdown = 20
+	return scenario{
+		name:      "straggler",
+		faultLoad: steadyLoad,
+		fault: func(ctx context.Context, d *deployment) error {
+			return d.host.SetFaults(ctx, d.upstreamName(0), map[string]any{"slowdown": slowdown})
+		},
+		aims: []aim{
+			{text: "p99 of the most urgent with one replica 20 times slower, relative to fault-free", limit: 2, measure: func(o *outcome) float64 {
+				return ratio(o.stream(phaseFault, 0).LatencyAll.P99, o.stream(phaseSteady, 0).LatencyAll.P99)
+			}},
+			{text: "extra upstream executions per request", limit: 0.05, measure: extraLoad},
+			{text: "mean coverage of the most urgent", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+				return o.stream(phaseFault, 0).MeanCoverage
+			}},
+		},
+	}
+}
+
+// extraLoad is the growth of executions per requested shard in the fault phase
+// relative to the steady phase, minus one.
+func extraLoad(o *outcome) float64 {
+	return ratio(o.phase(phaseFault).ExecutionsPerRequest, o.phase(phaseSteady).ExecutionsPerRequest) - 1
+}
+
+func floodScenario(name string, flooding int) scenario {
+	faultLoad := steadyLoad
+	faultLoad[flooding] = floodFactor
+	s := scenario{name: name, faultLoad: faultLoad}
+	if flooding == 2 {
+		s.aims = []aim{
+			{text: "share of the most urgent within target", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+				return o.stream(phaseFault, 0).OnTargetShare
+			}},
+			{text: "middle priority's success relative to its demand or guaranteed share", limit: 1, atLeast: true, measure: func(o *outcome) float64 {
+				return o.keptShare(1)
+			}},
+		}
+		return s
+	}
+	s.aims = []aim{
+		{text: "middle priority's success relative to its demand or guaranteed share", limit: 0.95, atLeast: true, measure: func(o *outcome) float64 {
+			return o.keptShare(1)
+		}},
+		{text: "least urgent's success relative to its demand or guaranteed share", limit: 0.95, atLeast: true, measure: func(o *outcome) float64 {
+			return o.keptShare(2)
+		}},
+		{text: "goodput relative to capacity", limit: 0.9, atLeast: true, measure: (*outcome).goodput},
+	}
+	return s
+}
+
+func shardLostScenario() scenario {
+	return scenario{
+		name:      "shard-lost",
+		faultLoad: steadyLoad,
+		fault: func(ctx context.Context, d *deployment) error {
+			for _, n := range []int{0, 1} {
+				if err := d.crash(ctx, n, phaseMS*time.Millisecond); err != nil {
+					return err
+				}
+			}
+			return nil
+		},
+		aims: []aim{
+			{text: "requests of the most urgent answered within their deadline", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+				return o.answeredShare(phaseFault, 0)
+			}},
+			{text: "upstream executions per shard result, added by retries and hedges", limit: 0.1, measure: func(o *outcome) float64 {
+				return ratio(o.phase(phaseFault).ExecutionsPerResult, o.phase(phaseSteady).ExecutionsPerResult) - 1
+			}},
+		},
+	}
+}
+
+func instanceScenario(name string, fault, undo func(context.Context, *deployment) error) scenario {
+	return scenario{
+		name:      name,
+		faultLoad: steadyLoad,
+		fault:     fault,
+		undo:      undo,
+		afterMS:   phaseMS,
+		aims: []aim{
+			{text: "seconds until the most urgent is back to 95% within target", limit: 3, measure: func(o *outcome) float64 {
+				return o.recovery(0, 0.95)
+			}},
+		},
+	}
+}
+
+func rolloutScenario() scenario {
+	return scenario{
+		name:      "rolling-restart",
+		faultLoad: steadyLoad,
+		afterMS:   4 * phaseMS,
+		fault: func(ctx context.Context, d *deployment) error {
+			go d.rollout(ctx)
+			return nil
+		},
+		aims: []aim{
+			{text: "requests cut off (connection errors) during a restart of all instances", limit: 0, measure: (*outcome).cutOff},
+			{text: "share of the most urgent within target", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+				return o.stream(phaseAfter, 0).OnTargetShare
+			}},
+		},
+	}
+}
+
+func leavingScenario() scenario {
+	return scenario{
+		name:      "upstream-leaving",
+		faultLoad: steadyLoad,
+		fault: func(ctx context.Context, d *deployment) error {
+			d.leftAt = time.Now()
+			return d.host.SetFaults(ctx, d.upstreamName(0), map[string]any{"draining": true})
+		},
+		aims: []aim{
+			{text: "executions on the leaving upstream from 3 s after the first sign", limit: 0, measure: func(o *outcome) float64 {
+				return float64(o.lateExecutions)
+			}},
+			{text: "mean coverage of the most urgent", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+				return o.stream(phaseFault, 0).MeanCoverage
+			}},
+		},
+	}
+}
+
+// streams returns the load of the service at the given fractions of capacity.
+func streams(s launch.Service, capacity float64, fractions [3]float64) []load.Stream {
+	out := make([]load.Stream, 0, len(s.Priorities))
+	for n, p := range s.Priorities {
+		out = append(out, load.Stream{
+			Name:       p.Name,
+			Service:    s.Name,
+			Operation:  launch.OperationSearch,
+			Priority:   p.Name,
+			Callers:    5,
+			Rate:       capacity * fractions[n],
+			DeadlineMS: p.DeadlineMS,
+			TargetMS:   p.TargetMS,
+		})
+	}
+	return out
+}
+
+// phases returns the run's phases.
+func (s scenario) phases(st launch.Service, capacity float64) []load.Phase {
+	rates := make(map[string]float64)
+	for n, p := range st.Priorities {
+		rates[p.Name] = capacity * s.faultLoad[n]
+	}
+	out := []load.Phase{
+		{Name: phaseWarmup, DurationMS: warmupMS},
+		{Name: phaseSteady, DurationMS: phaseMS},
+		{Name: phaseFault, DurationMS: phaseMS, Rates: rates},
+	}
+	if s.afterMS > 0 {
+		out = append(out, load.Phase{Name: phaseAfter, DurationMS: s.afterMS})
+	}
+	return out
+}
