Bound the faults of a document and warn of few connections

A generated document with a fault in every entry cost each instance up to 690 MB of allocations, because every fault was collected and a path was built for every value.

Connection limits below max_instances, or too small for the slots after the division by it, were not pointed out; they are warnings now. Probes also answer HEAD.

--- a/pkg/adapter/operatorhttp/operatorhttp.go
+++ b/pkg/adapter/operatorhttp/operatorhttp.go
@@ -98,8 +98,9 @@
 		event.Error(log, event.InternalError, event.Fields{"path": c.Request.URL.Path, "panic": fmt.Sprint(reason)}, "operator request failed")
 		fail(c, http.StatusInternalServerError, result.Internal, "the request failed inside the instance")
 	}))
-	router.GET("/live", func(c *gin.Context) { c.String(http.StatusOK, "live\n") })
-	router.GET("/ready", func(c *gin.Context) { ready(c, op) })
+	probes := []string{http.MethodGet, http.MethodHead}
+	router.Match(probes, "/live", func(c *gin.Context) { c.String(http.StatusOK, "live\n") })
+	router.Match(probes, "/ready", func(c *gin.Context) { ready(c, op) })
 	router.GET("/metrics", gin.WrapH(metrics))
 	router.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, op.Status()) })
 	router.GET("/explain", func(c *gin.Context) { explain(c, op) })
--- a/pkg/document/check.go
+++ b/pkg/document/check.go
@@ -27,11 +27,17 @@
 	SlotsOverLimit   jsoncheck.Code = "slots_over_connection_limit"
 	BadAddress       jsoncheck.Code = "bad_address"
 	DeadlineUnder    jsoncheck.Code = "deadline_under_target"
+	FewConnections   jsoncheck.Code = "few_connections"
 	LargeGroup       jsoncheck.Code = "large_scheduling_group"
 	UnusedUpstream   jsoncheck.Code = "unused_upstream"
 	HedgesOverExtra  jsoncheck.Code = "hedge_budget_over_extra_budget"
 )
 
+// usualInstances is the default of the setting max_instances, by which an
+// upstream's connections are divided. Validity must not depend on settings, so
+// the default stands for the actual value, and only warnings use it.
+const usualInstances = 10
+
 // Fault is one fault of a document.
 type Fault struct {
 	jsoncheck.Fault
@@ -82,16 +88,25 @@
 
 type checker struct {
 	faults []Fault
+	// own counts the faults that the schema check did not find.
+	own int
 }
 
 func (c *checker) fault(code jsoncheck.Code, path, format string, args ...any) {
-	f := jsoncheck.Fault{Path: path, Code: code, Reason: fmt.Sprintf(format, args...)}
-	c.faults = append(c.faults, Fault{Fault: f})
+	c.add(false, code, path, format, args...)
 }
 
 func (c *checker) warn(code jsoncheck.Code, path, format string, args ...any) {
-	c.fault(code, path, format, args...)
-	c.faults[len(c.faults)-1].Warning = true
+	c.add(true, code, path, format, args...)
+}
+
+func (c *checker) add(warning bool, code jsoncheck.Code, path, format string, args ...any) {
+	if c.own >= jsoncheck.MaxFaults {
+		return
+	}
+	c.own++
+	f := jsoncheck.Fault{Path: path, Code: code, Reason: fmt.Sprintf(format, args...)}
+	c.faults = append(c.faults, Fault{Fault: f, Warning: warning})
 }
 
 // unique reports a value that occurred before. Empty values are left to the
@@ -187,6 +202,20 @@
 	}
 }
 
+// connections warns of limits that do not go round among the instances.
+func (c *checker) connections(path string, u Upstream) {
+	path += ".connection_limit"
+	perInstance := u.ConnectionLimit / usualInstances
+	switch {
+	case perInstance == 0:
+		c.warn(FewConnections, path, "%d instances open at least one connection each, which exceeds the limit of %d",
+			usualInstances, u.ConnectionLimit)
+	case perInstance < u.Slots:
+		c.warn(FewConnections, path, "each of %d instances opens at most %d connections, too few for %d slots",
+			usualInstances, perInstance, u.Slots)
+	}
+}
+
 // warnings reports what is valid but probably not intended.
 func (c *checker) warnings(d *Document) {
 	for _, g := range d.Groups() {
@@ -204,9 +233,11 @@
 		}
 	}
 	for i, u := range d.Upstreams {
+		path := fmt.Sprintf("$.upstreams[%d]", i)
 		if !used[u.Name] {
-			c.warn(UnusedUpstream, fmt.Sprintf("$.upstreams[%d]", i), "no shard has a replica on %q", u.Name)
+			c.warn(UnusedUpstream, path, "no shard has a replica on %q", u.Name)
 		}
+		c.connections(path, u)
 	}
 	if d.Budgets.Hedge() > d.Budgets.Extra() {
 		c.warn(HedgesOverExtra, "$.budgets", "hedges may use %g of first attempts, but hedges and retries together only %g",
--- a/pkg/document/parse.go
+++ b/pkg/document/parse.go
@@ -10,7 +10,7 @@
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
-// maxReportedFaults bounds the length of an error. Check returns all faults.
+// maxReportedFaults bounds the length of an error, which is logged.
 const maxReportedFaults = 10
 
 // Parse decodes and checks a document. Validity depends on the content alone,
@@ -32,8 +32,9 @@
 	return nil, result.Errorf(result.InvalidDocument, "invalid document: %s", strings.Join(lines, "; "))
 }
 
-// Check returns every fault of a document, ordered by path. A document is
-// valid if all of them are warnings.
+// Check returns every fault of a document, ordered by path, up to
+// jsoncheck.MaxFaults of each kind of check. A document is valid if all of
+// them are warnings.
 func Check(content []byte) []Fault {
 	_, faults := examine(content)
 	return faults
