Reckon admission with the slots that are reached

Admission counted all slots, also those that the waiting shards have no replica for, and allowed two whole requests in a standing queue whatever their size. It now follows the slots in use while work waits, allows one waiting shard per slot, and never aims below 1.25 times what a request needs without a queue. The state of each upstream is computed once per step, because the replica choice looked at it for every waiting shard.

--- a/pkg/scheduler/admission.go
+++ b/pkg/scheduler/admission.go
@@ -18,6 +18,9 @@
 	// targetFraction of the target is what admission aims at while the queue
 	// stands; the rest is for the variation of waits.
 	targetFraction = 0.6
+	// ownFactor times the time that a request needs without a queue is the
+	// least limit for requests that are large for their target.
+	ownFactor = 1.25
 	// leastSlots keeps expected waits finite for a priority without share.
 	leastSlots = 0.25
 	// minRetryDelay and maxRetryDelay bound the delay advised with a refusal.
@@ -108,40 +111,42 @@
 	case remaining < r.op.median:
 		return result.DeadlineTooShort
 	}
-	limit := remaining
-	if s.standingQueue(r.prio) {
-		limit = min(limit, time.Duration(targetFraction*float64(r.prio.target)))
-	}
-	if s.expectedFinish(r) > limit {
+	if s.expectedFinish(r) > s.timeLimit(r, remaining) {
 		return result.Overloaded
 	}
 	return result.OK
 }
 
+// timeLimit returns the expected time to the minimum useful coverage up to
+// which the request is admitted. In a standing queue it is a part of the
+// target, but not less than what the request needs without a queue.
+func (s *Scheduler) timeLimit(r *request, remaining time.Duration) time.Duration {
+	if !s.standingQueue(r.prio) {
+		return remaining
+	}
+	aim := time.Duration(targetFraction * float64(r.prio.target))
+	own := s.timeFor(r.prio, r.need()) + r.op.p95
+	return min(remaining, max(aim, time.Duration(ownFactor*float64(own))))
+}
+
+// timeFor estimates how long the priority's slots work on the shards.
+func (s *Scheduler) timeFor(p *priority, shards int) time.Duration {
+	seconds := float64(shards) * p.cost / s.slotsFor(p) * p.margin
+	return time.Duration(seconds * float64(time.Second))
+}
+
 // standingQueue reports whether the priority has had waiting work for longer
 // than its target, or has lately shed load. Then the queue is not a burst but
 // costs every request latency without serving more, so that admission aims at
-// the target instead of the deadline. A short queue is always allowed, so that
-// slots do not idle.
+// the target instead of the deadline. One waiting shard per slot is always
+// allowed, so that slots do not idle.
 func (s *Scheduler) standingQueue(p *priority) bool {
-	if p.target <= 0 || p.queued() <= 1 {
+	if p.target <= 0 || float64(p.waitingParts) < s.effectiveSlots() {
 		return false
 	}
 	return s.now.Sub(p.waitingSince) > p.target || s.sheds(p)
 }
 
-// queued returns the number of requests that were not started, up to two.
-func (p *priority) queued() int {
-	n := 0
-	for _, q := range p.callers {
-		n += len(q.requests)
-		if n > 1 {
-			break
-		}
-	}
-	return n
-}
-
 func (s *Scheduler) admit(r *request) {
 	s.nextSeq++
 	r.seq = s.nextSeq
@@ -199,7 +204,7 @@
 // share, or what the others leave. Less urgent priorities are counted with at
 // most their share, because the rest of their use gives way.
 func (s *Scheduler) slotsFor(p *priority) float64 {
-	capacity := s.usableSlots()
+	capacity := s.effectiveSlots()
 	left := capacity
 	lessUrgent := false
 	for _, other := range s.priorities {
@@ -217,18 +222,14 @@
 
 // expectedWait estimates the wait of a new request until its first start.
 func (s *Scheduler) expectedWait(p *priority) time.Duration {
-	work := float64(p.waitingParts) * p.cost
-	return time.Duration(work / s.slotsFor(p) * p.margin * float64(time.Second))
+	return s.timeFor(p, p.waitingParts)
 }
 
 // expectedFinish estimates the time until the request has its minimum useful
 // coverage: the work ahead of it and its own at the priority's slots, and the
 // duration of the last attempt.
 func (s *Scheduler) expectedFinish(r *request) time.Duration {
-	p := r.prio
-	work := float64(p.ahead(r)+r.need()) * p.cost
-	wait := work / s.slotsFor(p) * p.margin * float64(time.Second)
-	return time.Duration(wait) + r.op.p95
+	return s.timeFor(r.prio, r.prio.ahead(r)+r.need()) + r.op.p95
 }
 
 // ahead returns the number of parts that start before the request: those of
--- a/pkg/scheduler/credits.go
+++ b/pkg/scheduler/credits.go
@@ -33,6 +33,7 @@
 	for _, p := range s.priorities {
 		total += p.inFlight
 	}
+	s.observeConcurrency(total, elapsed)
 	consumed := float64(total) * elapsed
 	spare := consumed
 	capacity := s.nominalSlots()
@@ -47,6 +48,26 @@
 	s.passOn(spare, capacity)
 }
 
+// observeConcurrency follows the number of slots that are in use while work
+// waits. It is below the number of slots when the waiting shards have too few
+// replicas to use them all.
+func (s *Scheduler) observeConcurrency(inFlight int, elapsed float64) {
+	reached := s.usableSlots()
+	for _, p := range s.priorities {
+		if p.waitingParts > 0 {
+			reached = min(reached, float64(inFlight))
+			break
+		}
+	}
+	decay := math.Exp(-elapsed / usageWindow.Seconds())
+	s.concurrency = s.concurrency*decay + reached*(1-decay)
+}
+
+// effectiveSlots is the number of slots that admission reckons with.
+func (s *Scheduler) effectiveSlots() float64 {
+	return max(min(s.concurrency, s.usableSlots()), 1)
+}
+
 // passOn gives unused credit to the most urgent priorities with work.
 func (s *Scheduler) passOn(spare, capacity float64) {
 	for _, p := range s.priorities {
--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -111,7 +111,7 @@
 	var bestChoice choice
 	fewest := 0
 	for _, p := range r.parts {
-		if p.state != partWaiting {
+		if p.state != partWaiting || !hasFree(p) {
 			continue
 		}
 		if best != nil && fewest <= 1 {
@@ -128,6 +128,16 @@
 	return best, bestChoice
 }
 
+// hasFree reports whether some replica of the part has a free slot.
+func hasFree(p *part) bool {
+	for _, u := range p.replicas {
+		if u.free() {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *Scheduler) usableReplicas(p *part) int {
 	n := 0
 	for _, u := range p.replicas {
--- a/pkg/scheduler/finish.go
+++ b/pkg/scheduler/finish.go
@@ -29,6 +29,7 @@
 	a.prio.inFlight--
 	reply = s.checkReply(a, reply)
 	s.observeReply(a, reply)
+	s.changed()
 	s.observeIsolation(a, reply)
 	if !a.detached {
 		s.settle(a, reply)
--- a/pkg/scheduler/reconfigure.go
+++ b/pkg/scheduler/reconfigure.go
@@ -35,6 +35,7 @@
 		s.replicas[snapshot.ID] = shards
 	}
 	s.refreshMedian()
+	s.changed()
 }
 
 func (s *Scheduler) adoptPriorities(d *document.Document) {
--- a/pkg/scheduler/replica.go
+++ b/pkg/scheduler/replica.go
@@ -152,8 +152,8 @@
 	return since >= probeLongest || since >= probeInterval && requests >= probeRequests
 }
 
-// degraded reports whether the upstream is much slower than the group.
-func (s *Scheduler) degraded(u *upstream) bool {
+// computeDegraded compares the upstream's latency with the group's.
+func (s *Scheduler) computeDegraded(u *upstream) bool {
 	if len(s.order) < 2 {
 		return false
 	}
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -33,8 +33,10 @@
 
 // Scheduler holds the state of one group. It is not safe for concurrent use.
 type Scheduler struct {
-	cfg        Config
-	now        time.Time
+	cfg Config
+	now time.Time
+	// version counts changes that affect the conditions of upstreams.
+	version    uint64
 	out        []Action
 	priorities []*priority
 	upstreams  map[string]*upstream
@@ -53,7 +55,9 @@
 	isolation isolation
 	replicas  replicaIndex
 	accruedAt time.Time
-	nextSeq   uint64
+	// concurrency is the mean number of slots in use while work waits.
+	concurrency float64
+	nextSeq     uint64
 	// medianFactor caches the group's median latency factor.
 	medianFactor float64
 	// probedAt and seqAtProbe limit probes of degraded upstreams.
@@ -87,6 +91,7 @@
 		medianFactor: 1,
 	}
 	s.adopt(cfg.Document, cfg.Group)
+	s.concurrency = s.nominalSlots()
 	s.out = nil
 	return s
 }
@@ -130,6 +135,7 @@
 		now = s.now
 	}
 	s.now = now
+	s.changed()
 	s.accrue(now)
 	s.sweep()
 	for {
@@ -154,6 +160,7 @@
 
 // finishStep dispatches waiting work and returns the step's actions.
 func (s *Scheduler) finishStep() []Action {
+	s.changed()
 	s.dispatch()
 	s.hedge()
 	s.reportStates()
--- a/pkg/scheduler/status.go
+++ b/pkg/scheduler/status.go
@@ -59,7 +59,11 @@
 func (s *Scheduler) Status(now time.Time) Status {
 	saved := s.now
 	s.now = now
-	defer func() { s.now = saved }()
+	s.changed()
+	defer func() {
+		s.now = saved
+		s.changed()
+	}()
 	out := Status{
 		Group:          s.cfg.Group.Key.String(),
 		Revision:       s.cfg.Document.Revision,
--- a/pkg/scheduler/upstream.go
+++ b/pkg/scheduler/upstream.go
@@ -58,7 +58,8 @@
 	// reserved is true while the upstream is kept free for a suspect.
 	reserved bool
 	// removed is true when the document no longer has the upstream.
-	removed bool
+	removed   bool
+	condition condition
 	// available is the value of the last availability check.
 	available bool
 	// reported is the state that was last logged.
@@ -98,11 +99,35 @@
 // free reports whether a new attempt may start as far as slots are concerned.
 func (u *upstream) free() bool { return !u.reserved && u.inFlight() < int(u.limit) }
 
-// excluded reports whether the upstream must not get new attempts.
-func (s *Scheduler) excluded(u *upstream) bool {
-	return u.removed || u.leaving || s.draining(u)
+// condition is what the replica choice needs to know of an upstream. It is
+// computed once per step, because a step looks at it for every waiting shard.
+type condition struct {
+	version  uint64
+	excluded bool
+	degraded bool
+}
+
+// conditionOf returns the upstream's condition in this step.
+func (s *Scheduler) conditionOf(u *upstream) *condition {
+	c := &u.condition
+	if c.version != s.version {
+		c.version = s.version
+		c.excluded = u.removed || u.leaving || s.draining(u)
+		c.degraded = s.computeDegraded(u)
+	}
+	return c
 }
 
+// changed makes conditions be computed again. It is called when time advances
+// and when something about an upstream was learned.
+func (s *Scheduler) changed() { s.version++ }
+
+// excluded reports whether the upstream must not get new attempts.
+func (s *Scheduler) excluded(u *upstream) bool { return s.conditionOf(u).excluded }
+
+// degraded reports whether the upstream is much slower than the group.
+func (s *Scheduler) degraded(u *upstream) bool { return s.conditionOf(u).degraded }
+
 // draining reports whether the upstream said that it is leaving. A draining
 // hint on every upstream of the group is taken for a wrong report; upstreams
 // that do drain refuse work with a draining reply.
