Attribute executions to requests, and end abandoned dials

The load generator counted an execution in the phase in which it started, so that a flood's backlog was counted in the next phase. It now reads the request id from the execution log and counts per stream and phase. In the upstream adapter, a dial that waited for a place outlived its request, because http.Transport does not cancel dials; dials to an unreachable upstream could accumulate. They now end with their request. The upstream stand-in reports the times of its last arrival and start, for the check that a leaving upstream gets no new work.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -182,7 +182,7 @@
 }
 
 func (p *pool) get(ctx context.Context, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
+	req, err := http.NewRequestWithContext(withRequest(ctx), http.MethodGet, "http://"+p.address+path, nil)
 	if err != nil {
 		return nil, result.Wrap(result.Internal, err)
 	}
@@ -214,7 +214,7 @@
 // stale reports whether a failed exchange got a kept connection and surely
 // wrote nothing to it. The connection is unusable afterwards.
 func (e *exchange) stale() bool {
-	return e.conn != nil && e.reused && !e.conn.seal(e.mark)
+	return e.conn != nil && (e.reused || e.conn.spare) && !e.conn.seal(e.mark)
 }
 
 // onceBody hides the concrete reader type, so that http.NewRequest does not
@@ -227,7 +227,7 @@
 			e.conn, e.mark, e.reused = c, c.mark(), info.Reused
 		}
 	}}
-	ctx = httptrace.WithClientTrace(ctx, trace)
+	ctx = withRequest(httptrace.WithClientTrace(ctx, trace))
 	url := "http://" + e.pool.address + path
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, onceBody{bytes.NewReader(body)})
 	if err != nil {
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -295,6 +295,21 @@
 	must.LessEq(t, 3, c.pool(u.Address(), 3).peak)
 }
 
+// TestAbandonedDialEnds guards against dials that keep waiting for a place after
+// their request has ended, which accumulate while an upstream is unreachable.
+func TestAbandonedDialEnds(t *testing.T) {
+	p := newPool("127.0.0.1:1", 0)
+	request, cancel := context.WithCancel(t.Context())
+	errs := make(chan error)
+	go func() {
+		_, err := p.connect(context.WithoutCancel(withRequest(request)))
+		errs <- err
+	}()
+	cancel()
+	must.ErrorIs(t, <-errs, context.Canceled)
+	p.close()
+}
+
 // TestSmallerLimit guards against a document change that leaves more
 // connections open than the new limit allows.
 func TestSmallerLimit(t *testing.T) {
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -18,6 +18,8 @@
 	net.Conn
 	onClose func()
 	closed  sync.Once
+	// spare is true for a connection that was opened ahead of need.
+	spare bool
 
 	mu      sync.Mutex
 	sealed  bool
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -60,9 +60,22 @@
 	return p
 }
 
+type requestKey struct{}
+
+// withRequest attaches the request's context to itself. The transport dials
+// with a context that keeps the request's values but not its cancellation.
+func withRequest(ctx context.Context) context.Context {
+	return context.WithValue(ctx, requestKey{}, ctx)
+}
+
 // connect returns a live spare connection, or dials when the limit allows,
-// or waits for either.
+// or waits for either until the request that needs it has ended. Without that
+// end, requests to an unreachable upstream would leave waiting dials behind.
 func (p *pool) connect(ctx context.Context) (net.Conn, error) {
+	request, ok := ctx.Value(requestKey{}).(context.Context)
+	if !ok {
+		request = ctx
+	}
 	for {
 		c, reserved, changed := p.takeOrReserve()
 		if c != nil {
@@ -73,6 +86,8 @@
 		}
 		select {
 		case <-changed:
+		case <-request.Done():
+			return nil, request.Err()
 		case <-ctx.Done():
 			return nil, ctx.Err()
 		case <-p.ctx.Done():
@@ -163,6 +178,7 @@
 	if err != nil {
 		return
 	}
+	c.spare = true
 	p.mu.Lock()
 	if p.ctx.Err() == nil && p.open <= p.limit {
 		p.spare = append(p.spare, c)
--- a/pkg/standin/launch/fleet.go
+++ b/pkg/standin/launch/fleet.go
@@ -171,7 +171,7 @@
 		if err := PostJSON(ctx, h.Admin, path, IndexOf(h.Document, u.Name), nil); err != nil {
 			return nil, err
 		}
-		if err := PostJSON(ctx, f.PlatformAdmin, "/admin/upstreams", platform.Upstream{Address: u.Address}, nil); err != nil {
+		if err := f.ListUpstream(ctx, u.Address, false); err != nil {
 			return nil, err
 		}
 	}
@@ -183,6 +183,19 @@
 	return PostJSON(ctx, f.PlatformAdmin, "/admin/documents", d, nil)
 }
 
+// ChangeDocument changes the document of a service, raises its revision and
+// writes it. The document of h is replaced.
+func (f *Fleet) ChangeDocument(ctx context.Context, h *UpstreamHost, change func(*document.Document)) error {
+	change(&h.Document)
+	h.Document.Revision++
+	return f.WriteDocument(ctx, h.Document)
+}
+
+// ListUpstream writes an upstream's entry in the platform's list.
+func (f *Fleet) ListUpstream(ctx context.Context, address string, leaving bool) error {
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/upstreams", platform.Upstream{Address: address, Leaving: leaving}, nil)
+}
+
 // SetPlatformFaults overlays faults of the platform, in the form of its admin
 // interface.
 func (f *Fleet) SetPlatformFaults(ctx context.Context, faults any) error {
--- a/pkg/standin/load/check.go
+++ b/pkg/standin/load/check.go
@@ -33,6 +33,9 @@
 	violations map[string]*Violation
 	notRun     map[string]bool
 	orders     map[string]string
+	// ranQueries and ranOrders count executions by request id.
+	ranQueries map[string]int
+	ranOrders  map[string]int
 }
 
 func newChecker() *checker {
@@ -40,6 +43,8 @@
 		violations: make(map[string]*Violation),
 		notRun:     make(map[string]bool),
 		orders:     make(map[string]string),
+		ranQueries: make(map[string]int),
+		ranOrders:  make(map[string]int),
 	}
 }
 
@@ -117,33 +122,33 @@
 	c.orders[id] = a.Ran
 }
 
-// executions compares the outcomes with what the upstreams ran.
-func (c *checker) executions(all []upstream.Execution) {
-	orders := make(map[string]int)
-	queries := make(map[string]int)
-	for _, e := range all {
-		if e.OrderKey != "" {
-			orders[e.Request]++
-		} else {
-			queries[e.Request]++
-		}
+// executed counts an execution from the upstreams' log.
+func (c *checker) executed(e upstream.Execution) {
+	if e.OrderKey != "" {
+		c.ranOrders[e.Request]++
+		return
 	}
-	for id, n := range orders {
+	c.ranQueries[e.Request]++
+}
+
+// compare compares the outcomes with what the upstreams ran.
+func (c *checker) compare() {
+	for id, n := range c.ranOrders {
 		if n > 1 {
 			c.report(checkOnce, "order %s ran %d times", id, n)
 		}
 	}
 	for id, ran := range c.orders {
 		switch {
-		case ran == "not_run" && orders[id] > 0:
+		case ran == "not_run" && c.ranOrders[id] > 0:
 			c.report(checkNotRun, "order %s was refused as not run and ran", id)
-		case ran == "ran" && orders[id] == 0:
+		case ran == "ran" && c.ranOrders[id] == 0:
 			c.report(checkOrderRan, "order %s was reported as run and did not run", id)
 		}
 	}
 	for id := range c.notRun {
-		if queries[id] > 0 {
-			c.report(checkNotRun, "query %s was refused as not run and ran on %d shards", id, queries[id])
+		if c.ranQueries[id] > 0 {
+			c.report(checkNotRun, "query %s was refused as not run and ran on %d shards", id, c.ranQueries[id])
 		}
 	}
 }
--- a/pkg/standin/load/executions.go
+++ b/pkg/standin/load/executions.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
 	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
@@ -30,101 +29,59 @@
 // mark remembers the ends of the logs.
 func (r *executionReader) mark(ctx context.Context) error {
 	for i := range r.admins {
-		for {
-			page, err := r.page(ctx, i, r.since[i])
-			if err != nil {
-				return err
-			}
-			r.since[i] = page.Next
-			if len(page.Executions) == 0 {
-				break
-			}
+		page, err := r.page(ctx, i, 0, 1)
+		if err != nil {
+			return err
 		}
+		r.since[i] = page.Total
 	}
 	return nil
 }
 
-func (r *executionReader) page(ctx context.Context, i, since int) (upstream.Executions, error) {
+func (r *executionReader) page(ctx context.Context, i, since, limit int) (upstream.Executions, error) {
 	var page upstream.Executions
-	path := fmt.Sprintf("/admin/executions?since=%d&limit=%d", since, executionPage)
+	path := fmt.Sprintf("/admin/executions?since=%d&limit=%d", since, limit)
 	err := launch.GetJSON(ctx, r.admins[i], path, &page)
 	return page, err
 }
 
-// compare hands all executions since mark to the checker.
-func (r *executionReader) compare(ctx context.Context, c *checker) error {
-	if len(r.admins) == 0 {
-		return nil
-	}
-	var all []upstream.Execution
+// read hands all executions since mark to add, and reads the counters.
+func (r *executionReader) read(ctx context.Context, add func(upstream.Execution)) error {
 	for i := range r.admins {
-		for since := r.since[i]; ; {
-			page, err := r.page(ctx, i, since)
-			if err != nil {
-				return err
-			}
-			if len(page.Executions) == 0 {
-				r.dropped += page.Dropped
-				break
-			}
-			since = page.Next
-			all = append(all, page.Executions...)
+		if err := r.readLog(ctx, i, add); err != nil {
+			return err
+		}
+		if err := r.readCounters(ctx, i); err != nil {
+			return err
 		}
 	}
-	c.executions(all)
 	return nil
 }
 
-// sampleAt returns the total number of executions at the start of each phase.
-func (r *executionReader) sampleAt(ctx context.Context, start time.Time, phases []Phase) []int {
-	var out []int
-	for _, p := range phases {
-		if !sleepUntil(ctx, start) {
-			return out
-		}
-		total, err := r.started(ctx)
+func (r *executionReader) readLog(ctx context.Context, i int, add func(upstream.Execution)) error {
+	for since := r.since[i]; ; {
+		page, err := r.page(ctx, i, since, executionPage)
 		if err != nil {
-			return out
+			return err
 		}
-		out = append(out, total)
-		start = start.Add(p.duration())
-	}
-	return out
-}
-
-// finish turns the samples into the number of executions that started in each
-// phase. An execution belongs to the phase in which it starts, which may be
-// after that of its request; the last phase includes all that follow.
-func (r *executionReader) finish(ctx context.Context, samples []int) ([]int, error) {
-	if len(r.admins) == 0 {
-		return nil, nil
-	}
-	last, err := r.started(ctx)
-	if err != nil {
-		return nil, err
-	}
-	out := make([]int, len(samples))
-	for i := range samples {
-		end := last
-		if i+1 < len(samples) {
-			end = samples[i+1]
+		if len(page.Executions) == 0 {
+			r.dropped += page.Dropped
+			return nil
+		}
+		since = page.Next
+		for _, e := range page.Executions {
+			add(e)
 		}
-		out[i] = end - samples[i]
 	}
-	return out, nil
 }
 
-func (r *executionReader) started(ctx context.Context) (int, error) {
-	total := 0
-	for _, admin := range r.admins {
-		var counters map[string]upstream.Counters
-		if err := launch.GetJSON(ctx, admin, "/admin/counters", &counters); err != nil {
-			return 0, err
-		}
-		for _, c := range counters {
-			total += c.Started
-			r.peakConnections = max(r.peakConnections, c.PeakConnections)
-		}
+func (r *executionReader) readCounters(ctx context.Context, i int) error {
+	var counters map[string]upstream.Counters
+	if err := launch.GetJSON(ctx, r.admins[i], "/admin/counters", &counters); err != nil {
+		return err
+	}
+	for _, c := range counters {
+		r.peakConnections = max(r.peakConnections, c.PeakConnections)
 	}
-	return total, nil
+	return nil
 }
--- a/pkg/standin/load/generator.go
+++ b/pkg/standin/load/generator.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
 )
 
 // generator is one load run.
@@ -51,22 +53,19 @@
 		return Report{}, err
 	}
 	g.start = time.Now()
-	samples := make(chan []int)
-	go func() { samples <- executions.sampleAt(ctx, g.start, c.Phases) }()
 	g.send(ctx)
 	g.pending.Wait()
-	started, err := executions.finish(ctx, <-samples)
-	if err != nil {
-		return Report{}, err
-	}
 	if err := ctx.Err(); err != nil {
 		return Report{}, err
 	}
 	time.Sleep(time.Duration(c.SettleMS) * time.Millisecond)
-	if err := executions.compare(ctx, g.checker); err != nil {
+	if err := executions.read(ctx, g.executed); err != nil {
 		return Report{}, err
 	}
-	return g.report(executions, started), nil
+	if len(c.UpstreamAdmins) > 0 {
+		g.checker.compare()
+	}
+	return g.report(executions), nil
 }
 
 // send starts all requests at their intended times.
@@ -121,7 +120,7 @@
 
 // request runs one request to its final outcome.
 func (g *generator) request(ctx context.Context, s Stream, n int, o *outcome) {
-	id := fmt.Sprintf("%s-%s-%d", g.run, s.Name, n)
+	id := fmt.Sprintf("%s.%d.%d.%d", g.run, o.stream, o.phase, n)
 	caller := fmt.Sprintf("caller-%d", n%s.Callers)
 	payload := payloadFor(s, id, caller)
 	if s.Order {
@@ -131,6 +130,20 @@
 	g.query(ctx, s, id, caller, payload, o)
 }
 
+// executed attributes an execution to the stream and phase of its request.
+func (g *generator) executed(e upstream.Execution) {
+	var stream, phase, n int
+	suffix, own := strings.CutPrefix(e.Request, g.run+".")
+	if !own {
+		return
+	}
+	if _, err := fmt.Sscanf(suffix, "%d.%d.%d", &stream, &phase, &n); err != nil {
+		return
+	}
+	g.recorder.cells[stream][phase].executions++
+	g.checker.executed(e)
+}
+
 // payloadFor builds a payload with the fields that the upstream stand-in logs.
 func payloadFor(s Stream, id, caller string) json.RawMessage {
 	payload, _ := json.Marshal(map[string]string{
--- a/pkg/standin/load/load_test.go
+++ b/pkg/standin/load/load_test.go
@@ -135,6 +135,12 @@
 	ran := func(request, key string) upstream.Execution {
 		return upstream.Execution{Request: request, OrderKey: key}
 	}
+	executed := func(c *checker, all ...upstream.Execution) {
+		for _, e := range all {
+			c.executed(e)
+		}
+		c.compare()
+	}
 	cases := []struct {
 		name, want string
 		run        func(*checker)
@@ -149,20 +155,20 @@
 		})},
 		{"not run but ran", checkNotRun, func(c *checker) {
 			c.query("me", Answer{Code: 3000, Ran: "not_run"})
-			c.executions([]upstream.Execution{ran("me", "")})
+			executed(c, ran("me", ""))
 		}},
-		{"order twice", checkOnce, func(c *checker) { c.executions([]upstream.Execution{ran("o", "o"), ran("o", "o")}) }},
+		{"order twice", checkOnce, func(c *checker) { executed(c, ran("o", "o"), ran("o", "o")) }},
 		{"order not run but ran", checkNotRun, func(c *checker) {
 			c.order("o", OrderAnswer{Code: 3000, Ran: "not_run"})
-			c.executions([]upstream.Execution{ran("o", "o")})
+			executed(c, ran("o", "o"))
 		}},
 		{"order lost", checkOrderRan, func(c *checker) {
 			c.order("o", OrderAnswer{Code: 4000, Ran: "ran"})
-			c.executions(nil)
+			executed(c)
 		}},
 		{"order unknown", "", func(c *checker) {
 			c.order("o", OrderAnswer{Code: 4002, Ran: "unknown"})
-			c.executions([]upstream.Execution{ran("o", "o")})
+			executed(c, ran("o", "o"))
 		}},
 	}
 	for _, tc := range cases {
--- a/pkg/standin/load/recorder.go
+++ b/pkg/standin/load/recorder.go
@@ -38,7 +38,8 @@
 // cell holds the outcomes of one stream in one phase.
 type cell struct {
 	requests, sends, answered, success, full, onTarget int
-	covered, wanted                                    int
+	covered, executions                                int
+	missing                                            map[string]int
 	codes                                              map[string]int
 	all, good                                          *hdrhistogram.Histogram
 	coverageSum                                        float64
@@ -46,9 +47,10 @@
 
 func newCell() *cell {
 	return &cell{
-		codes: make(map[string]int),
-		all:   hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
-		good:  hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
+		codes:   make(map[string]int),
+		missing: make(map[string]int),
+		all:     hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
+		good:    hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
 	}
 }
 
@@ -56,6 +58,9 @@
 	c.requests++
 	c.sends += o.sends
 	c.codes[o.code]++
+	for _, m := range o.coverage.Missing {
+		c.missing[m.Reason]++
+	}
 	us := min(max(o.latency.Microseconds(), minLatencyUS), maxLatencyUS)
 	if o.code != codeNotSent && o.code != codeNoInstance {
 		c.answered++
@@ -67,7 +72,6 @@
 	c.success++
 	_ = c.good.RecordValue(us)
 	c.covered += o.coverage.Answered
-	c.wanted += o.coverage.Total
 	if o.coverage.Total > 0 {
 		c.coverageSum += float64(o.coverage.Answered) / float64(o.coverage.Total)
 	}
--- a/pkg/standin/load/report.go
+++ b/pkg/standin/load/report.go
@@ -28,11 +28,12 @@
 type PhaseReport struct {
 	Name       string `json:"name"`
 	DurationMS int    `json:"duration_ms"`
-	// Executions is the number of executions that started in the phase.
+	// Executions is the number of upstream executions for requests of the
+	// phase.
 	Executions int            `json:"executions"`
 	Streams    []StreamReport `json:"streams"`
 	// ExecutionsPerRequest relates executions to all requests, and
-	// ExecutionsPerResult to all shard results in answers.
+	// ExecutionsPerResult to all shard results in successful answers.
 	ExecutionsPerRequest float64 `json:"executions_per_request"`
 	ExecutionsPerResult  float64 `json:"executions_per_result"`
 }
@@ -51,10 +52,15 @@
 	OnTargetShare float64 `json:"on_target_share"`
 	SuccessShare  float64 `json:"success_share"`
 	// FullShare and MeanCoverage refer to successful answers.
-	FullShare    float64        `json:"full_coverage_share"`
-	MeanCoverage float64        `json:"mean_coverage"`
-	Results      int            `json:"results"`
-	Codes        map[string]int `json:"codes"`
+	FullShare    float64 `json:"full_coverage_share"`
+	MeanCoverage float64 `json:"mean_coverage"`
+	// CoverageOfAll counts a request without a successful answer as uncovered.
+	CoverageOfAll float64        `json:"coverage_of_all"`
+	Results       int            `json:"results"`
+	Executions    int            `json:"executions"`
+	Codes         map[string]int `json:"codes"`
+	// MissingShards counts missing shards by reason.
+	MissingShards map[string]int `json:"missing_shards"`
 	// Latency covers successful answers, LatencyAll every request that was
 	// sent.
 	Latency    Percentiles `json:"latency_ms"`
@@ -77,7 +83,7 @@
 	Windows  []window `json:"windows"`
 }
 
-func (g *generator) report(e *executionReader, started []int) Report {
+func (g *generator) report(e *executionReader) Report {
 	r := Report{
 		Seed:              g.config.Seed,
 		Violations:        g.checker.violations,
@@ -86,14 +92,12 @@
 	}
 	for i, p := range g.config.Phases {
 		phase := PhaseReport{Name: p.Name, DurationMS: p.DurationMS}
-		if i < len(started) {
-			phase.Executions = started[i]
-		}
 		requests, results := 0, 0
 		for n, s := range g.config.Streams {
 			sr := g.recorder.cells[n][i].report(s)
 			requests += sr.Requests
 			results += sr.Results
+			phase.Executions += sr.Executions
 			phase.Streams = append(phase.Streams, sr)
 		}
 		phase.ExecutionsPerRequest = ratio(phase.Executions, requests)
@@ -114,16 +118,19 @@
 		SuccessShare:  ratio(c.success, c.requests),
 		FullShare:     ratio(c.full, c.success),
 		Results:       c.covered,
+		Executions:    c.executions,
 		Codes:         c.codes,
+		MissingShards: c.missing,
 		Latency:       percentiles(c.good),
 		LatencyAll:    percentiles(c.all),
 	}
-	if c.success > 0 {
-		r.MeanCoverage = c.coverageSum / float64(c.success)
-	}
 	if s.Order {
 		// An order has one shard and no coverage.
-		r.Results, r.MeanCoverage = c.success, r.SuccessShare
+		c.coverageSum, r.Results = float64(c.success), c.success
+	}
+	if c.success > 0 {
+		r.MeanCoverage = c.coverageSum / float64(c.success)
+		r.CoverageOfAll = c.coverageSum / float64(c.requests)
 	}
 	return r
 }
@@ -151,10 +158,10 @@
 	for _, p := range r.Phases {
 		fmt.Fprintf(t, "phase %s: %d ms, %d executions, %.2f per request, %.3f per result\n",
 			p.Name, p.DurationMS, p.Executions, p.ExecutionsPerRequest, p.ExecutionsPerResult)
-		fmt.Fprintln(t, "stream\trequests\ton target\tsuccess\tfull\tcoverage\tp50\tp90\tp99\tp99.9\tmax\t codes\t")
+		fmt.Fprintln(t, "stream\trequests\ton target\tsuccess\tfull\tcoverage\texecutions\tp50\tp90\tp99\tp99.9\tmax\t codes\t")
 		for _, s := range p.Streams {
-			fmt.Fprintf(t, "%s\t%d\t%.2f%%\t%.2f%%\t%.2f%%\t%.2f%%\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t %s\t\n",
-				s.Name, s.Requests, 100*s.OnTargetShare, 100*s.SuccessShare, 100*s.FullShare, 100*s.MeanCoverage,
+			fmt.Fprintf(t, "%s\t%d\t%.2f%%\t%.2f%%\t%.2f%%\t%.2f%%\t%d\t%.1f\t%.1f\t%.1f\t%.1f\t%.1f\t %s\t\n",
+				s.Name, s.Requests, 100*s.OnTargetShare, 100*s.SuccessShare, 100*s.FullShare, 100*s.MeanCoverage, s.Executions,
 				s.Latency.P50, s.Latency.P90, s.Latency.P99, s.Latency.P999, s.Latency.Max, codeList(s.Codes))
 		}
 		if err := t.Flush(); err != nil {
--- a/pkg/standin/upstream/admin.go
+++ b/pkg/standin/upstream/admin.go
@@ -102,6 +102,7 @@
 	mux.HandleFunc("POST /admin/repartition", h.repartition)
 	mux.HandleFunc("POST /admin/crash", h.forEach(crash))
 	mux.HandleFunc("POST /admin/drop-connections", h.forEach(dropConnections))
+	mux.HandleFunc("POST /admin/cold-start", h.forEach(startCold))
 	mux.HandleFunc("POST /admin/reset", h.reset)
 	mux.HandleFunc("GET /admin/upstreams", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, h.List()) })
 	mux.HandleFunc("GET /admin/faults", h.faults)
@@ -239,6 +240,11 @@
 	return nil
 }
 
+func startCold(u *Upstream, _ []byte) error {
+	u.StartCold()
+	return nil
+}
+
 // repartition moves shards of a snapshot from one upstream to another.
 func (h *Host) repartition(w http.ResponseWriter, r *http.Request) {
 	var req shardsRequest
--- a/pkg/standin/upstream/execution.go
+++ b/pkg/standin/upstream/execution.go
@@ -72,7 +72,9 @@
 type Executions struct {
 	Executions []Execution `json:"executions"`
 	// Next is the value of "since" for the next page.
-	Next    int `json:"next"`
+	Next int `json:"next"`
+	// Total is the number of executions in the log.
+	Total   int `json:"total"`
 	Dropped int `json:"dropped"`
 }
 
@@ -81,7 +83,7 @@
 func (l *Log) page(since, limit int, ordersOnly bool) Executions {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := Executions{Executions: []Execution{}, Next: max(0, since), Dropped: l.dropped}
+	out := Executions{Executions: []Execution{}, Next: max(0, since), Total: len(l.entries), Dropped: l.dropped}
 	for out.Next < len(l.entries) && len(out.Executions) < limit {
 		e := l.entries[out.Next]
 		out.Next++
--- a/pkg/standin/upstream/upstream.go
+++ b/pkg/standin/upstream/upstream.go
@@ -43,6 +43,10 @@
 	PeakInFlight    int            `json:"peak_in_flight"`
 	Crashes         int            `json:"crashes"`
 	BusyMS          float64        `json:"busy_ms"`
+	// LastRequest and LastStart are the times of the last arrival and of the
+	// last start, to check when a leaving upstream got its last work.
+	LastRequest time.Time `json:"last_request"`
+	LastStart   time.Time `json:"last_start"`
 }
 
 // Upstream is one stand-in upstream with its own listener.
@@ -199,14 +203,17 @@
 	close(u.crashed)
 	u.crashed = make(chan struct{})
 	u.mu.Unlock()
-	u.listener.refuse(d, func() {
-		u.mu.Lock()
-		u.started = time.Now()
-		u.mu.Unlock()
-	})
+	u.listener.refuse(d, u.StartCold)
 	u.listener.dropAll()
 }
 
+// StartCold makes the upstream behave as after a start.
+func (u *Upstream) StartCold() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.started = time.Now()
+}
+
 // DropConnections breaks all connections.
 func (u *Upstream) DropConnections() { u.listener.dropAll() }
 
@@ -234,6 +241,7 @@
 
 func (u *Upstream) execute(w http.ResponseWriter, r *http.Request) {
 	arrived := time.Now()
+	u.arrive(arrived)
 	var req request
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
 	if err == nil {
@@ -370,12 +378,20 @@
 	return "ok"
 }
 
+func (u *Upstream) arrive(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counters.Requests++
+	u.counters.LastRequest = now
+}
+
 // begin counts a start and returns the channel that a crash closes.
 func (u *Upstream) begin(now time.Time) <-chan struct{} {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	u.running++
 	u.counters.Started++
+	u.counters.LastStart = now
 	u.counters.PeakInFlight = max(u.counters.PeakInFlight, u.running)
 	u.remember(now)
 	return u.crashed
@@ -435,7 +451,6 @@
 		a.Ran, status = "ran", http.StatusOK
 	}
 	u.mu.Lock()
-	u.counters.Requests++
 	u.counters.States[state]++
 	u.mu.Unlock()
 	if u.chance(b.WrongEchoFraction) {
