Give upstreams an earlier deadline and warm by address and count

An upstream that got the attempt's own deadline answered "expired" at the moment at which the attempt was cancelled, so that an overload cost a connection for each expired attempt and left open whether it ran. The upstream's deadline is now 2 ms earlier. Warm takes the address and the count, as the instance has no limit at hand before the first attempt. goleak checks the adapter's tests.

--- a/cmd/standin/demo_test.go
+++ b/cmd/standin/demo_test.go
@@ -161,8 +161,8 @@
 }
 
 // TestLoadAgainstFleet guards against a load generator that does not agree with
-// the stand-ins about what was sent, answered and run, and against a kill of an
-// instance that ends or pauses another one.
+// the stand-ins about what was sent, answered and run, and against a
+// launcher that kills, restarts or pauses the wrong process.
 func TestLoadAgainstFleet(t *testing.T) {
 	self, err := os.Executable()
 	must.NoError(t, err)
@@ -209,4 +209,11 @@
 	must.NoError(t, lost.Restart(t.Context()))
 	must.NoError(t, lost.WaitReady(t.Context()))
 	must.NoError(t, fleet.Instances()[1].Leave(t.Context()))
+
+	lost.Pause()
+	ctx, cancel := context.WithTimeout(t.Context(), 100*time.Millisecond)
+	defer cancel()
+	must.Error(t, lost.WaitReady(ctx))
+	lost.Resume()
+	must.NoError(t, lost.WaitReady(t.Context()))
 }
--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -24,6 +24,10 @@
 	idleTimeout    = 30 * time.Minute
 	statusTimeout  = 200 * time.Millisecond
 	maxHeaderBytes = 16 << 10
+	// hopAllowance is taken from the deadline that the upstream gets, so that
+	// its answer "expired" arrives before the attempt is cancelled, which would
+	// cost the connection.
+	hopAllowance = 2 * time.Millisecond
 )
 
 // Client holds a connection pool for each upstream address.
@@ -63,9 +67,10 @@
 }
 
 // Warm opens up to n connections ahead of need, in the background, as far as
-// the address's limit allows. The limit is set by maxConnections.
-func (c *Client) Warm(address string, n, maxConnections int) {
-	c.pool(address, maxConnections).warm(n)
+// the limit of the last attempt allows. Before the first attempt, n is the
+// limit.
+func (c *Client) Warm(address string, n int) {
+	c.known(address, n).warm(n)
 }
 
 // OpenConnections returns the number of connections to the address, including
@@ -91,17 +96,23 @@
 	return total
 }
 
-func (c *Client) pool(address string, limit int) *pool {
-	limit = max(1, limit)
+// known returns the pool of an address as it is, and a new one with the given
+// limit if there is none.
+func (c *Client) known(address string, limit int) *pool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	p := c.pools[address]
 	if p == nil {
-		p = newPool(address, limit)
+		p = newPool(address, max(1, limit))
 		c.pools[address] = p
-		return p
 	}
-	p.resize(limit)
+	return p
+}
+
+// pool returns the pool of an address with the given limit in force.
+func (c *Client) pool(address string, limit int) *pool {
+	p := c.known(address, limit)
+	p.resize(max(1, limit))
 	return p
 }
 
@@ -123,7 +134,7 @@
 	}
 	defer p.requests.Release()
 
-	left := call.Deadline.Sub(c.clock.Now())
+	left := call.Deadline.Sub(c.clock.Now()) - hopAllowance
 	if left < time.Millisecond {
 		return port.UpstreamReply{Code: result.DeadlineExceeded, Ran: model.NotRun}
 	}
@@ -160,12 +171,7 @@
 func (c *Client) Status(ctx context.Context, address string) (port.UpstreamStatus, error) {
 	ctx, cancel := context.WithTimeout(ctx, statusTimeout)
 	defer cancel()
-	c.mu.Lock()
-	p := c.pools[address]
-	c.mu.Unlock()
-	if p == nil {
-		p = c.pool(address, 1)
-	}
+	p := c.known(address, 1)
 	if !p.requests.TryAcquire() {
 		return port.UpstreamStatus{}, result.Errorf(result.ConnectionLimit, "all connections to %s are in use", address)
 	}
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+	"go.uber.org/goleak"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
@@ -30,6 +31,9 @@
 	}
 }
 
+// TestMain guards against goroutines and connections that outlive the client.
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
 func newClient(t *testing.T) *Client {
 	c := New(port.SystemClock{})
 	t.Cleanup(c.Close)
@@ -153,7 +157,7 @@
 func TestStaleSpareConnection(t *testing.T) {
 	u := startUpstream(t, func(*upstream.Behaviour) {})
 	c := newClient(t)
-	c.Warm(u.Address(), 2, 3)
+	c.Warm(u.Address(), 2)
 	p := c.pool(u.Address(), 3)
 	p.dials.Wait()
 	waitFor(t, func() bool { return u.Counters().OpenConnections == 2 })
@@ -167,7 +171,8 @@
 func TestWarmConnectionsAreUsed(t *testing.T) {
 	u := startUpstream(t, func(*upstream.Behaviour) {})
 	c := newClient(t)
-	c.Warm(u.Address(), 5, 3)
+	c.pool(u.Address(), 3)
+	c.Warm(u.Address(), 5)
 	c.pool(u.Address(), 3).dials.Wait()
 	must.Eq(t, 3, c.OpenConnections(u.Address()))
 	executeMany(t, c, u.Address(), 30, func(int) context.Context { return t.Context() })
@@ -220,6 +225,19 @@
 	must.False(t, reply.ConnectionBroken)
 }
 
+// TestUpstreamDeadlineIsEarlier guards against an upstream that answers
+// "expired" only after the attempt was cancelled, which costs the connection.
+func TestUpstreamDeadlineIsEarlier(t *testing.T) {
+	call := newCall("", 1)
+	left := time.Until(call.Deadline)
+	body, err := encodeRequest(call, left-hopAllowance)
+	must.NoError(t, err)
+	var req executeRequest
+	must.NoError(t, json.Unmarshal(body, &req))
+	must.Less(t, left.Milliseconds(), req.DeadlineMS)
+	must.Less(t, call.Deadline.UnixMilli(), req.DeadlineUnixMS)
+}
+
 // TestCrashIsBroken guards against a crash that goes unnoticed, which would
 // keep the crashing request in circulation.
 func TestCrashIsBroken(t *testing.T) {
@@ -285,7 +303,7 @@
 			time.AfterFunc(time.Duration(i%7)*time.Millisecond, cancel)
 		}
 		if i%10 == 0 {
-			c.Warm(u.Address(), 2, 3)
+			c.Warm(u.Address(), 2)
 		}
 		return ctx
 	})
@@ -315,7 +333,7 @@
 func TestSmallerLimit(t *testing.T) {
 	u := startUpstream(t, func(*upstream.Behaviour) {})
 	c := newClient(t)
-	c.Warm(u.Address(), 3, 3)
+	c.Warm(u.Address(), 3)
 	c.pool(u.Address(), 3).dials.Wait()
 	call := newCall(u.Address(), 1)
 	call.MaxConnections = 1
--- a/pkg/adapter/upstreamhttp/wire.go
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -71,6 +71,7 @@
 	"failed":           {notRun: result.UpstreamFailed, ran: result.UpstreamFailed},
 }
 
+// encodeRequest encodes a call with the time that is left for the upstream.
 func encodeRequest(call port.UpstreamCall, left time.Duration) ([]byte, error) {
 	return json.Marshal(executeRequest{
 		Attempt:        call.Attempt.String(),
@@ -81,7 +82,7 @@
 		Payload:        call.Payload,
 		OrderKey:       call.OrderKey,
 		DeadlineMS:     left.Milliseconds(),
-		DeadlineUnixMS: call.Deadline.UnixMilli(),
+		DeadlineUnixMS: call.Deadline.Add(-hopAllowance).UnixMilli(),
 	})
 }
 
