--- a/pkg/standin/launch/service.go
+++ b/pkg/standin/launch/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -26,7 +27,7 @@
 	// Replicas is the number of upstreams that hold each shard.
 	Replicas    int
 	DataCentres []model.DataCentre
-	// Behaviour is laid over the default behaviour of the upstreams.
+	// Service replaces the service times of the upstreams.
 	Service map[string]upstream.ServiceTime
 }
 
@@ -43,6 +44,14 @@
 	return b
 }
 
+// Capacity returns the number of queries to all shards per second that the
+// upstreams can run at the mean service time of the default operation.
+func (s Service) Capacity() float64 {
+	dist := s.Behaviour().Service[""]
+	meanMS := dist.MedianMS * math.Exp(dist.Sigma*dist.Sigma/2)
+	return float64(s.Upstreams*s.Slots) * 1000 / meanMS / float64(s.Shards)
+}
+
 // ShardIDs returns the ids of the service's shards.
 func (s Service) ShardIDs() []model.ShardID {
 	out := make([]model.ShardID, s.Shards)
--- a/pkg/standin/load/config.go
+++ b/pkg/standin/load/config.go
@@ -60,6 +60,12 @@
 	LeastCoverage float64  `json:"least_coverage"`
 	Shards        []string `json:"shards"`
 	PayloadBytes  int      `json:"payload_bytes"`
+	// DistinctPayloads is the number of payloads that take turns in a phase; 0
+	// makes all distinct. Requests that share a payload cannot be told apart in
+	// the execution log, so "not run" is not checked for them.
+	DistinctPayloads int `json:"distinct_payloads"`
+	// Mark is put into the payload, for instance to crash upstreams.
+	Mark string `json:"mark"`
 	// Order makes the requests orders with a ticket; each acts on one of
 	// Shards, in turn.
 	Order bool `json:"order"`
@@ -121,6 +127,9 @@
 		if s.Order && len(s.Shards) == 0 {
 			return c, fmt.Errorf("stream %q has orders and needs shards", s.Name)
 		}
+		if s.Order && s.DistinctPayloads > 0 {
+			return c, fmt.Errorf("stream %q has orders, which need distinct payloads", s.Name)
+		}
 		s.Callers = orDefault(s.Callers, 1)
 		s.DeadlineMS = orDefault(s.DeadlineMS, defaultDeadlineMS)
 		s.TargetMS = orDefault(s.TargetMS, s.DeadlineMS)
--- a/pkg/standin/upstream/execution.go
+++ b/pkg/standin/upstream/execution.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"sync"
 	"time"
+	"unique"
 )
 
 // maxExecutions bounds the log of one process. The count of dropped entries is
@@ -55,6 +56,10 @@
 		return -1
 	}
 	e.Sequence = len(l.entries)
+	// Entries share the strings that repeat.
+	for _, text := range []*string{&e.Service, &e.Operation, &e.Snapshot, &e.Shard, &e.Caller, &e.Priority} {
+		*text = unique.Make(*text).Value()
+	}
 	l.entries = append(l.entries, e)
 	return e.Sequence
 }
