--- a/pkg/standin/upstream/execution.go
+++ b/pkg/standin/upstream/execution.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"sync"
 	"time"
+	"unique"
 )
 
 // maxExecutions bounds the log of one process. The count of dropped entries is
@@ -55,6 +56,10 @@
 		return -1
 	}
 	e.Sequence = len(l.entries)
+	// Entries share the strings that repeat.
+	for _, text := range []*string{&e.Service, &e.Operation, &e.Snapshot, &e.Shard, &e.Caller, &e.Priority} {
+		*text = unique.Make(*text).Value()
+	}
 	l.entries = append(l.entries, e)
 	return e.Sequence
 }
@@ -72,7 +77,9 @@
 type Executions struct {
 	Executions []Execution `json:"executions"`
 	// Next is the value of "since" for the next page.
-	Next    int `json:"next"`
+	Next int `json:"next"`
+	// Total is the number of executions in the log.
+	Total   int `json:"total"`
 	Dropped int `json:"dropped"`
 }
 
@@ -81,7 +88,7 @@
 func (l *Log) page(since, limit int, ordersOnly bool) Executions {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	out := Executions{Executions: []Execution{}, Next: max(0, since), Dropped: l.dropped}
+	out := Executions{Executions: []Execution{}, Next: max(0, since), Total: len(l.entries), Dropped: l.dropped}
 	for out.Next < len(l.entries) && len(out.Executions) < limit {
 		e := l.entries[out.Next]
 		out.Next++
