Require Warm and Retain of upstream adapters, and run orders in experiments

The optional interface no longer matched after Warm changed its arguments, so connections were silently not opened ahead of need. The paused-instance scenario resumed the new home instead of the paused one, and then waited for the paused one's metrics without a time limit.

--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -392,8 +392,8 @@
 		i.unschedule("status " + g.key.String())
 		dropped = true
 	}
-	if adapter, ok := i.ports.Upstreams.(connectionKeeper); ok && dropped {
-		adapter.Retain(i.homeAddresses())
+	if dropped {
+		i.ports.Upstreams.Retain(i.homeAddresses())
 	}
 }
 
--- a/pkg/instance/warm.go
+++ b/pkg/instance/warm.go
@@ -13,19 +13,8 @@
 // burst of new connections after a restart.
 const warmSpread = 200 * time.Millisecond
 
-// connectionKeeper is implemented by upstream adapters that hold connections.
-type connectionKeeper interface {
-	// Warm opens connections ahead of need.
-	Warm(address string, n, maxConnections int)
-	// Retain closes the connections to all other addresses.
-	Retain(keep map[string]bool)
-}
-
 // warmSoon arranges a look at which groups this instance is now the home of.
 func (i *Instance) warmSoon() {
-	if _, ok := i.ports.Upstreams.(connectionKeeper); !ok {
-		return
-	}
 	i.schedule("warm", i.jitter(warmSpread), i.warmHomes)
 }
 
@@ -85,13 +74,9 @@
 }
 
 func (i *Instance) warmGroup(now time.Time, doc *document.Document, index int) {
-	adapter, ok := i.ports.Upstreams.(connectionKeeper)
-	if !ok {
-		return
-	}
 	i.group(now, doc, index)
 	for _, u := range doc.Groups()[index].Upstreams {
 		limit := max(1, u.ConnectionLimit/i.cfg.MaxInstances)
-		adapter.Warm(u.Address, min(u.Slots, limit), limit)
+		i.ports.Upstreams.Warm(u.Address, min(u.Slots, limit))
 	}
 }
--- a/pkg/port/port.go
+++ b/pkg/port/port.go
@@ -84,6 +84,10 @@
 	Execute(ctx context.Context, call UpstreamCall) UpstreamReply
 	// Status reads the health and load endpoints.
 	Status(ctx context.Context, address string) (UpstreamStatus, error)
+	// Warm opens up to n connections ahead of need.
+	Warm(address string, n int)
+	// Retain closes the connections to all other addresses.
+	Retain(keep map[string]bool)
 }
 
 // RawDocument is a service document as the platform holds it.
--- a/pkg/standin/experiment/counters.go
+++ b/pkg/standin/experiment/counters.go
@@ -6,8 +6,12 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"time"
 )
 
+// scrapeTimeout bounds a scrape of an instance that may be paused.
+const scrapeTimeout = 2 * time.Second
+
 // attemptsMetric is the instances' counter of upstream attempts by kind.
 const attemptsMetric = "sardineturn_upstream_attempts_total{"
 
@@ -22,6 +26,8 @@
 }
 
 func addAttempts(ctx context.Context, address string, total map[string]float64) {
+	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
+	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
 	if err != nil {
 		return
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -29,6 +29,7 @@
 	service  launch.Service
 	host     *launch.UpstreamHost
 	capacity float64
+	paused   *launch.Instance
 	// leftAt is when an upstream began to leave.
 	leftAt time.Time
 	// rolled receives the result of a rolling restart.
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -20,6 +20,12 @@
 // windowMS is the resolution of time series and of recovery times.
 const windowMS = 250
 
+// Labels of the two programs.
+const (
+	productLabel  = "sardineturn"
+	baselineLabel = "baseline"
+)
+
 // Options configure a series of experiments.
 type Options struct {
 	// Sardineturn and Standin are the paths of the two programs.
@@ -77,20 +83,20 @@
 }
 
 func (r *Result) run(ctx context.Context, o Options, s scenario, service launch.Service, log io.Writer) error {
-	product, err := runOne(ctx, o, s, service, o.Sardineturn, "sardineturn")
+	product, err := runOne(ctx, o, s, service, o.Sardineturn, productLabel)
 	if err != nil {
 		return err
 	}
-	r.Reports[s.name+" sardineturn"] = product.report
+	r.Reports[s.name+" "+productLabel] = product.report
 	for check, v := range product.report.Violations {
 		r.Violations[check] += v.Count
 	}
 	var baseline *outcome
 	if !o.NoBaseline {
-		if baseline, err = runOne(ctx, o, s, service, o.Standin, "baseline"); err != nil {
+		if baseline, err = runOne(ctx, o, s, service, o.Standin, baselineLabel); err != nil {
 			return err
 		}
-		r.Reports[s.name+" baseline"] = baseline.report
+		r.Reports[s.name+" "+baselineLabel] = baseline.report
 	}
 	for _, a := range s.aims {
 		row := newRow(o, s, a, product, baseline)
@@ -125,7 +131,7 @@
 	if err != nil {
 		return nil, err
 	}
-	out, err := d.measure(ctx, o, s)
+	out, err := d.measure(ctx, o, s, label)
 	if err == nil {
 		err = writeJSON(filepath.Join(dir, "report.json"), out.report)
 	}
@@ -135,7 +141,7 @@
 	return out, err
 }
 
-func (d *deployment) measure(ctx context.Context, o Options, s scenario) (*outcome, error) {
+func (d *deployment) measure(ctx context.Context, o Options, s scenario, label string) (*outcome, error) {
 	config := load.Config{
 		Seed:           o.Seed,
 		Instances:      d.targets(),
@@ -145,6 +151,9 @@
 		Phases:         s.phases(d.service, d.capacity),
 		WindowMS:       windowMS,
 	}
+	if s.orders && label == productLabel {
+		config.Streams = append(config.Streams, orderStream(d.service))
+	}
 	faults := make(chan error, 1)
 	var before map[string]float64
 	go func() {
--- a/pkg/standin/experiment/scenario.go
+++ b/pkg/standin/experiment/scenario.go
@@ -5,6 +5,7 @@
 
 import (
 	"context"
+	"math"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
@@ -43,7 +44,21 @@
 	// fault is called at the start of the fault phase, and undo at its end.
 	fault func(context.Context, *deployment) error
 	undo  func(context.Context, *deployment) error
-	aims  []aim
+	// orders adds a stream of orders, which the baseline does not serve.
+	orders bool
+	aims   []aim
+}
+
+// brokenPromises is the number of broken properties that the load tool found:
+// answers that mix snapshots or requests, misstate coverage, say "not run"
+// after a run, or orders that ran twice.
+func brokenPromises() aim {
+	return aim{text: "broken properties of answers and orders", limit: 0, measure: func(o *outcome) float64 {
+		if !o.report.ExecutionsChecked {
+			return math.Inf(1)
+		}
+		return float64(o.report.ViolationCount())
+	}}
 }
 
 // aim is a stated target and how its figure is taken from a run.
@@ -73,10 +88,11 @@
 			return d.victim().Lose(ctx)
 		}, nil),
 		instanceScenario("instance-paused", func(_ context.Context, d *deployment) error {
-			d.victim().Pause()
+			d.paused = d.victim()
+			d.paused.Pause()
 			return nil
 		}, func(_ context.Context, d *deployment) error {
-			d.victim().Resume()
+			d.paused.Resume()
 			return nil
 		}),
 		rolloutScenario(),
@@ -167,7 +183,9 @@
 		fault:     fault,
 		undo:      undo,
 		afterMS:   phaseMS,
+		orders:    true,
 		aims: []aim{
+			brokenPromises(),
 			{text: "seconds until the most urgent is back to 95% within target", limit: 3, measure: func(o *outcome) float64 {
 				return o.recovery(0, 0.95)
 			}},
@@ -180,11 +198,13 @@
 		name:      "rolling-restart",
 		faultLoad: steadyLoad,
 		afterMS:   4 * phaseMS,
+		orders:    true,
 		fault: func(ctx context.Context, d *deployment) error {
 			go d.rollout(ctx)
 			return nil
 		},
 		aims: []aim{
+			brokenPromises(),
 			{text: "requests cut off (connection errors) during a restart of all instances", limit: 0, measure: (*outcome).cutOff},
 			{text: "share of the most urgent within target", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
 				return o.stream(phaseAfter, 0).OnTargetShare
@@ -212,6 +232,34 @@
 	}
 }
 
+const (
+	ordersPerSecond = 10
+	// orderResends is how often a caller sends an order again whose outcome is
+	// open, through the next instance.
+	orderResends = 3
+)
+
+// orderStream returns a stream of orders of the middle priority.
+func orderStream(s launch.Service) load.Stream {
+	p := s.Priorities[1]
+	out := load.Stream{
+		Name:       "orders",
+		Service:    s.Name,
+		Operation:  launch.OperationReserve,
+		Priority:   p.Name,
+		Callers:    5,
+		Rate:       ordersPerSecond,
+		DeadlineMS: p.DeadlineMS,
+		TargetMS:   p.TargetMS,
+		Order:      true,
+		Resends:    orderResends,
+	}
+	for _, id := range s.ShardIDs() {
+		out.Shards = append(out.Shards, string(id))
+	}
+	return out
+}
+
 // streams returns the load of the service at the given fractions of capacity.
 func streams(s launch.Service, capacity float64, fractions [3]float64) []load.Stream {
 	out := make([]load.Stream, 0, len(s.Priorities))
