--- /dev/null
+++ b/pkg/catalog/catalog_test.go
@@ -0,0 +1,221 @@
+package catalog
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// TestMain fixes the seed of random tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+var (
+	start   = time.Unix(1_700_000_000, 0)
+	errTest = errors.New("failed")
+)
+
+func parseTest(b []byte) (*document.Document, error) {
+	d := &document.Document{}
+	_, err := fmt.Sscanf(string(b), "%s %d", &d.Service, &d.Revision)
+	return d, err
+}
+
+func raw(service, content string) port.RawDocument {
+	return port.RawDocument{Service: service, Content: []byte(content)}
+}
+
+// TestOfferModel guards against a catalog whose revisions go down, whose hash
+// depends on the order of adoption, or that does not tell a peer what it lacks.
+func TestOfferModel(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := New(parseTest), New(parseTest)
+		revision := make(map[string]uint64)
+		offer := rapid.Custom(func(t *rapid.T) port.RawDocument {
+			service := rapid.SampledFrom([]string{"x", "y", "z"}).Draw(t, "service")
+			content := fmt.Sprintf("%s %d %d", service, rapid.IntRange(1, 5).Draw(t, "revision"), rapid.IntRange(0, 1).Draw(t, "body"))
+			return raw(service, content)
+		})
+		docs := rapid.SliceOfN(offer, 1, 30).Draw(t, "documents")
+		for _, d := range docs {
+			out := a.Offer(d)
+			must.Eq(t, revision[d.Service], out.Previous)
+			parsed, _ := parseTest(d.Content)
+			must.Eq(t, parsed.Revision > revision[d.Service], out.Verdict == Adopted)
+			must.Eq(t, parsed.Revision < revision[d.Service], out.Verdict == Older)
+			revision[d.Service] = max(revision[d.Service], parsed.Revision)
+			must.Eq(t, revision[d.Service], a.Get(d.Service).Revision)
+			must.False(t, a.Lacks(port.DocumentVersion{Service: d.Service, Revision: revision[d.Service]}))
+			must.True(t, a.Lacks(port.DocumentVersion{Service: d.Service, Revision: revision[d.Service] + 1}))
+		}
+		newer := a.Newer(b.Versions())
+		slices.Reverse(newer)
+		for _, d := range newer {
+			must.Eq(t, Adopted, b.Offer(d).Verdict)
+		}
+		must.Eq(t, a.Hash(), b.Hash())
+		must.Eq(t, a.Versions(), b.Versions())
+		must.SliceEmpty(t, a.Newer(b.Versions()))
+	})
+}
+
+// TestRefusalsReportedOnce guards against a log line for every read of the same
+// conflicting or invalid document, and against a conflict that peers never see.
+func TestRefusalsReportedOnce(t *testing.T) {
+	c := New(parseTest)
+	must.Eq(t, Adopted, c.Offer(raw("x", "x 1 a")).Verdict)
+	for i, content := range []string{"x 1 b", "x 1 b", "x 1 c", "broken", "broken", "y 2"} {
+		out := c.Offer(raw("x", content))
+		must.Error(t, out.Err)
+		must.Eq(t, i != 1 && i != 4, out.FirstTime, must.Sprint(content))
+		must.Eq(t, 1, out.Document.Revision)
+	}
+	must.Len(t, 4, c.Refusals())
+	other := New(parseTest)
+	other.Offer(raw("x", "x 1 b"))
+	must.NotEq(t, c.Hash(), other.Hash())
+	must.Eq(t, Conflict, other.Offer(c.Newer(other.Versions())[0]).Verdict)
+	must.Eq(t, Adopted, c.Offer(raw("x", "x 2 b")).Verdict)
+	must.SliceEmpty(t, c.Refusals())
+}
+
+// TestNewerIsBounded guards against an answer to a peer over the message limit.
+func TestNewerIsBounded(t *testing.T) {
+	c := New(parseTest)
+	for i := range 5 {
+		service := fmt.Sprintf("s%d", i)
+		content := append(fmt.Appendf(nil, "%s 1 ", service), make([]byte, document.MaxBytes-100)...)
+		must.Eq(t, Adopted, c.Offer(port.RawDocument{Service: service, Content: content}).Verdict)
+	}
+	must.Len(t, 3, c.Newer(nil))
+}
+
+func newTestReader(seed uint64) *Reader {
+	return NewReader(ReaderConfig{Rand: rand.New(rand.NewPCG(seed, 0))})
+}
+
+// reads counts the reads in a span of time that all end in err after latency.
+func reads(r *Reader, now time.Time, span, latency time.Duration, version uint64, err error) (int, time.Time) {
+	count := 0
+	for end := now.Add(span); now.Before(end); now = now.Add(10 * time.Millisecond) {
+		if _, ok := r.Next(now); ok {
+			count++
+			now = now.Add(latency)
+			r.Finished(now, version, err)
+		}
+	}
+	return count, now
+}
+
+// TestReaderFailures guards against a reader that hammers a failing platform,
+// that does not say that it cannot reach it, or that never recovers.
+func TestReaderFailures(t *testing.T) {
+	r := newTestReader(1)
+	must.True(t, r.NextWake().IsZero())
+	must.True(t, r.SetRole(start, true, 0))
+	count, now := reads(r, start, time.Second, 0, 0, errTest)
+	must.True(t, r.Unreachable())
+	must.Less(t, 8, count)
+	count, now = reads(r, now, time.Minute, 0, 0, errTest)
+	must.Less(t, 35, count)
+	must.Greater(t, 12, count)
+	_, now = reads(r, now, DefaultMaxBackoff, 0, 7, nil)
+	must.False(t, r.Unreachable())
+	read, ok := r.Next(r.NextWake())
+	must.True(t, ok)
+	must.Eq(t, Read{Since: 7, Wait: DefaultWatchWait}, read)
+	_, ok = r.Next(now.Add(time.Hour))
+	must.False(t, ok)
+}
+
+// TestReaderTrials guards against an instance that stays flagged for good after
+// it lost the role, and against trials whose rate grows with the fleet.
+func TestReaderTrials(t *testing.T) {
+	r := newTestReader(2)
+	r.SetRole(start, true, 0)
+	_, now := reads(r, start, time.Second, 0, 0, errTest)
+	const flagged = 100
+	r.SetRole(now, false, flagged)
+	count, now := reads(r, now, 10*flagged*DefaultTrialInterval, 0, 0, errTest)
+	must.Less(t, 20, count)
+	must.Greater(t, 5, count)
+	reads(r, now, 2*flagged*DefaultTrialInterval, 0, 1, nil)
+	must.False(t, r.Unreachable())
+	must.True(t, r.NextWake().IsZero())
+}
+
+// TestReaderPlatformReset guards against a reader that waits for a version that
+// a reset platform reaches only after a long time.
+func TestReaderPlatformReset(t *testing.T) {
+	r := newTestReader(3)
+	r.SetRole(start, true, 0)
+	reads(r, start, time.Second, 0, 9, nil)
+	_, now := reads(r, start.Add(time.Second), 300*time.Millisecond, 0, 2, nil)
+	read, ok := r.Next(now.Add(DefaultMaxBackoff))
+	must.True(t, ok)
+	must.Eq(t, 0, read.Since)
+}
+
+func newTestPlan(seed uint64) *FetchPlan {
+	return NewFetchPlan(FetchConfig{Rand: rand.New(rand.NewPCG(seed, 0))})
+}
+
+// TestFetchAnnounced guards against fetches beyond the limits in flight, in rate
+// and per peer, and against a failing peer that blocks another one.
+func TestFetchAnnounced(t *testing.T) {
+	p := newTestPlan(1)
+	now := start
+	p.Observe(now, "a", 1, true)
+	first, ok := p.Next(now)
+	must.True(t, ok)
+	must.Eq(t, "a", first)
+	now = now.Add(DefaultFetchInterval)
+	_, ok = p.Next(now)
+	must.False(t, ok)
+	p.Observe(now, "b", 1, true)
+	second, ok := p.Next(now)
+	must.True(t, ok)
+	must.Eq(t, "b", second)
+	p.Finished(now, "a", false, errTest)
+	_, ok = p.Next(now.Add(DefaultFetchInterval))
+	must.False(t, ok)
+	p.SetHash(now, 1)
+	p.Finished(now, "b", true, nil)
+	must.True(t, p.NextWake().IsZero())
+}
+
+// TestFetchByHash guards against fetches during the usual spread of a change,
+// and against endless fetches from a peer that has nothing new.
+func TestFetchByHash(t *testing.T) {
+	p := newTestPlan(2)
+	fetches := 0
+	for ms := range 60_000 {
+		now := start.Add(time.Duration(ms) * time.Millisecond)
+		if ms%200 == 0 {
+			p.Observe(now, model.InstanceID(fmt.Sprint("peer", ms%5)), 5, false)
+		}
+		if peer, ok := p.Next(now); ok {
+			must.Greater(t, 1000, ms)
+			fetches++
+			p.Finished(now, peer, false, nil)
+		}
+	}
+	must.Between(t, 4, fetches, 9)
+}
--- a/pkg/membership/codec.go
+++ b/pkg/membership/codec.go
@@ -22,6 +22,9 @@
 	ErrMalformed = errors.New("malformed control datagram")
 	// ErrOtherCluster means that the datagram belongs to another cluster.
 	ErrOtherCluster = errors.New("control datagram of another cluster")
+	// ErrSameID means that the sender has this instance's id: two processes
+	// run with the same settings, or the datagram is this process's own.
+	ErrSameID = errors.New("control datagram from a process with this instance's id")
 )
 
 const (
@@ -249,7 +252,8 @@
 }
 
 // Receive handles a datagram. It returns an error and changes nothing if the
-// datagram is malformed or of another cluster.
+// datagram is malformed or of another cluster. With ErrSameID, a later process
+// under this instance's id is taken note of.
 func (m *Membership) Receive(now time.Time, from string, datagram []byte) (Received, error) {
 	c, sender, members, err := m.decode(datagram)
 	if err != nil {
@@ -258,7 +262,7 @@
 	m.detectPause(now)
 	if sender.ID == m.self.ID {
 		m.applySelf(sender)
-		return Received{}, fmt.Errorf("%w: sender has this instance's id", ErrMalformed)
+		return Received{}, ErrSameID
 	}
 	n := m.applySender(now, sender)
 	for _, r := range members {
--- /dev/null
+++ b/pkg/placement/placement_test.go
@@ -0,0 +1,120 @@
+package placement
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+// TestMain fixes the seed of random tests unless one is given.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == "0" {
+		_ = f.Value.Set("20261204")
+	}
+	os.Exit(m.Run())
+}
+
+func fleet(n, dcs int) []membership.Member {
+	out := make([]membership.Member, n)
+	for i := range out {
+		out[i].ID = model.InstanceID(fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250))
+		out[i].DataCentre = model.DataCentre(fmt.Sprint("dc", i%dcs))
+	}
+	return out
+}
+
+func group(index int, dcs ...model.DataCentre) document.Group {
+	g := document.Group{Key: model.GroupKey{Service: "s", Index: index}}
+	for _, dc := range dcs {
+		g.Upstreams = append(g.Upstreams, &document.Upstream{DataCentre: dc})
+	}
+	return g
+}
+
+// TestHomesOrder guards against an order that depends on the order of the
+// candidates, and against homes that move when another instance goes.
+func TestHomesOrder(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		members := fleet(rapid.IntRange(1, 40).Draw(t, "members"), 3)
+		g := group(rapid.IntRange(0, 99).Draw(t, "group"), "dc0", "dc1", "dc2", "dc1")
+		all := Homes(g, members, len(members))
+		limit := rapid.IntRange(0, len(members)).Draw(t, "limit")
+		mixed := rapid.Permutation(members).Draw(t, "order")
+		must.Eq(t, all[:limit], Homes(g, mixed, limit))
+		gone := rapid.IntRange(0, len(members)-1).Draw(t, "gone")
+		want := slices.DeleteFunc(slices.Clone(all), func(id model.InstanceID) bool { return id == members[gone].ID })
+		must.Eq(t, want, Homes(g, slices.Delete(members, gone, gone+1), len(all)))
+	})
+}
+
+// TestHomesPreferMajority guards against a home far from most of its upstreams,
+// and against a preference for one half.
+func TestHomesPreferMajority(t *testing.T) {
+	members := fleet(30, 3)
+	for i := range 50 {
+		homes := Homes(group(i, "dc2", "dc1", "dc2"), members, 10)
+		for _, id := range homes {
+			at := slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == id })
+			must.Eq(t, "dc2", members[at].DataCentre)
+		}
+	}
+	must.Eq(t, "", majority(group(0, "dc1", "dc2")))
+}
+
+// TestHomesSpread guards against a hash that loads few instances.
+func TestHomesSpread(t *testing.T) {
+	counts := make(map[model.InstanceID]int)
+	members := fleet(9, 3)
+	for i := range 900 {
+		counts[Homes(group(i), members, 1)[0]]++
+	}
+	for _, c := range counts {
+		must.Between(t, 60, c, 140)
+	}
+	must.MapLen(t, 9, counts)
+}
+
+// TestReaders guards against a data centre without readers while the platform
+// cannot be reached, and against readers that leave or cannot reach it while
+// others can.
+func TestReaders(t *testing.T) {
+	members := fleet(12, 3)
+	before := Readers("dc1", members, 2)
+	must.Len(t, 2, before)
+	mark := func(id model.InstanceID, f func(*membership.Member)) {
+		f(&members[slices.IndexFunc(members, func(m membership.Member) bool { return m.ID == id })])
+	}
+	mark(before[0], func(m *membership.Member) { m.PlatformUnreachable = true })
+	after := Readers("dc1", members, 2)
+	must.Eq(t, before[1], after[0])
+	must.SliceNotContains(t, after, before[0])
+	mark(after[0], func(m *membership.Member) { m.State = membership.Leaving })
+	must.SliceNotContains(t, Readers("dc1", members, 2), after[0])
+	for i := range members {
+		members[i].PlatformUnreachable = true
+	}
+	must.Len(t, 2, Readers("dc1", members, 2))
+}
+
+// BenchmarkHomes prints the cost that callers avoid by keeping results.
+func BenchmarkHomes(b *testing.B) {
+	for _, n := range []int{9, 100, 400, 1600, 3100} {
+		members := fleet(n, 12)
+		b.Run(fmt.Sprintf("members=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				Homes(group(1, "dc1", "dc2"), members, 10)
+			}
+		})
+	}
+}
