Keep members after a short stall and tell all members of a leave

TestShortStall found that a process stalled for 600 ms suspected every member: the waits were extended exactly by the delay, so they ended in the late tick, before the acks in the socket were read. They are extended by 50 ms more. TestFleet found that a leave was sent twice to some of 59 members and not to others, since the round-robin order starts again in between; the members are now taken in one pass.

--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -65,6 +65,8 @@
 	// lateTolerance is the lateness of a tick from which timers are shifted:
 	// acks may wait unread in the socket.
 	lateTolerance = 25 * time.Millisecond
+	// readSlack is added to all waits after a late tick.
+	readSlack = 50 * time.Millisecond
 	// joinWindow is the time after a join in which acks to the new member are
 	// filled up with member records and quarantine entries.
 	joinWindow = 10 * time.Second
@@ -410,9 +412,14 @@
 	m.self.State = Leaving
 	m.self.Incarnation++
 	m.selfChanged()
+	count := len(m.live.items)
+	if count == 0 {
+		return nil
+	}
 	var out []Send
-	for i := 0; i < min(leaveFanout, len(m.live.items)); i++ {
-		n := m.live.pick(m.cfg.Rand)
+	start := m.cfg.Rand.IntN(count)
+	for i := range min(leaveFanout, count) {
+		n := m.live.items[(start+i)%count]
 		out = append(out, m.send(now, n.ControlAddress, message{kind: kindAck, about: m.about(n)}))
 	}
 	return out
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -74,7 +74,8 @@
 }
 
 // catchUp handles a late tick. After a pause all waits start again. After a
-// shorter delay they are extended by it, since acks may not have been read.
+// shorter delay they are extended by it and by the time to read the datagrams
+// that arrived meanwhile.
 func (m *Membership) catchUp(now time.Time) {
 	if m.detectPause(now) {
 		return
@@ -83,6 +84,7 @@
 	if late <= lateTolerance {
 		return
 	}
+	late += readSlack
 	for _, p := range m.probes {
 		p.ackBy = p.ackBy.Add(late)
 		p.failBy = p.failBy.Add(late)
