--- a/pkg/standin/upstream/execution.go
+++ b/pkg/standin/upstream/execution.go
@@ -99,6 +99,13 @@
 	return out
 }
 
+// All returns all executions.
+func (l *Log) All() []Execution {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return append([]Execution(nil), l.entries...)
+}
+
 // duplicates returns the order keys that started more than once.
 func (l *Log) duplicates() map[string]int {
 	l.mu.Lock()
