Count a closed connection until the upstream notices it

An instance may hold 3 connections to an upstream with 3 slots, but the upstreams counted 4: a cancelled attempt's connection was replaced before the upstream had noticed that it was closed, so that ten instances together could exceed the upstream's limit. The place of a connection that this side closes is now freed 2 ms later.

--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -5,6 +5,7 @@
 	"net"
 	"sync"
 	"syscall"
+	"time"
 )
 
 var (
@@ -72,13 +73,26 @@
 	return wrote
 }
 
-// Close closes the connection and frees its place in the pool once.
+// Close closes the connection and frees its place in the pool. Unless the
+// upstream closed it first, the place stays taken for a moment, because the
+// upstream counts the connection until it notices.
 func (c *conn) Close() error {
-	err := c.Conn.Close()
-	c.closed.Do(c.onClose)
+	var err error
+	c.closed.Do(func() {
+		noticed := !alive(c.Conn)
+		err = c.Conn.Close()
+		if noticed {
+			c.onClose()
+			return
+		}
+		time.AfterFunc(closeLinger, c.onClose)
+	})
 	return err
 }
 
+// closeLinger covers the time until the upstream notices a closed connection.
+const closeLinger = 2 * time.Millisecond
+
 // alive reports whether the peer has kept the connection open, without
 // consuming data. It uses Control rather than Read because the transport's
 // read loop holds the read lock of the descriptor.
