Report the first explanation of each code under load

A refusal or a transport error in a load report could not be traced, because only its code was kept. The report now holds the first explanation of each code for each stream and phase.

--- a/pkg/standin/load/generator.go
+++ b/pkg/standin/load/generator.go
@@ -177,7 +177,7 @@
 			return g.client.Query(ctx, g.config.Instances[instance].Caller, q)
 		})
 		if err == nil {
-			o.code, o.success, o.coverage = a.CodeName, isSuccess(a.Code), a.Coverage
+			o.code, o.detail, o.success, o.coverage = a.CodeName, a.Detail, isSuccess(a.Code), a.Coverage
 			if o.sends > 1 || s.DistinctPayloads > 0 {
 				// Another send with this payload may have run, so "not run"
 				// refers to this send only.
@@ -186,7 +186,7 @@
 			g.checker.query(id, a)
 			return
 		}
-		o.code = errorCode(err)
+		o.code, o.detail = errorCode(err), err.Error()
 		if o.sends > s.Resends {
 			return
 		}
@@ -210,11 +210,11 @@
 			return g.client.Order(ctx, g.config.Instances[instance].Caller, order)
 		})
 		if err == nil {
-			o.code, o.success = a.CodeName, isSuccess(a.Code)
+			o.code, o.detail, o.success = a.CodeName, a.Detail, isSuccess(a.Code)
 			g.checker.order(id, a)
 			return
 		}
-		o.code = codeUnknownOpen
+		o.code, o.detail = codeUnknownOpen, err.Error()
 		if o.sends > s.Resends {
 			return
 		}
@@ -236,10 +236,10 @@
 	})
 	switch {
 	case err != nil:
-		o.code = errorCode(err)
+		o.code, o.detail = errorCode(err), err.Error()
 		return "", 0, false
 	case t.Ticket == "":
-		o.code = t.CodeName
+		o.code, o.detail = t.CodeName, t.Detail
 		return "", 0, false
 	}
 	return t.Ticket, instance, true
--- a/pkg/standin/load/recorder.go
+++ b/pkg/standin/load/recorder.go
@@ -20,7 +20,9 @@
 	intended      time.Duration
 	latency       time.Duration
 	// code is a result code, or one of the generator's own names.
-	code     string
+	code string
+	// detail explains a code to people.
+	detail   string
 	success  bool
 	coverage Coverage
 	sends    int
@@ -40,15 +42,18 @@
 	requests, sends, answered, success, full, onTarget int
 	covered, executions                                int
 	missing                                            map[string]int
-	codes                                              map[string]int
-	all, good                                          *hdrhistogram.Histogram
-	coverageSum                                        float64
+	// details holds the first explanation of each code.
+	details     map[string]string
+	codes       map[string]int
+	all, good   *hdrhistogram.Histogram
+	coverageSum float64
 }
 
 func newCell() *cell {
 	return &cell{
 		codes:   make(map[string]int),
 		missing: make(map[string]int),
+		details: make(map[string]string),
 		all:     hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
 		good:    hdrhistogram.New(minLatencyUS, maxLatencyUS, digits),
 	}
@@ -58,6 +63,9 @@
 	c.requests++
 	c.sends += o.sends
 	c.codes[o.code]++
+	if c.details[o.code] == "" && o.detail != "" {
+		c.details[o.code] = o.detail
+	}
 	for _, m := range o.coverage.Missing {
 		c.missing[m.Reason]++
 	}
--- a/pkg/standin/load/report.go
+++ b/pkg/standin/load/report.go
@@ -59,6 +59,8 @@
 	Results       int            `json:"results"`
 	Executions    int            `json:"executions"`
 	Codes         map[string]int `json:"codes"`
+	// Details holds the first explanation of each code.
+	Details map[string]string `json:"details"`
 	// MissingShards counts missing shards by reason.
 	MissingShards map[string]int `json:"missing_shards"`
 	// Latency covers successful answers, LatencyAll every request that was
@@ -120,6 +122,7 @@
 		Results:       c.covered,
 		Executions:    c.executions,
 		Codes:         c.codes,
+		Details:       c.details,
 		MissingShards: c.missing,
 		Latency:       percentiles(c.good),
 		LatencyAll:    percentiles(c.all),
