Request a ticket again when an instance does not answer

An order whose ticket request met a lost or paused instance ended at once, which counted a caller's missing retry as a failure of the system. A ticket that is never used has no effect, so the generator now asks the next instance, up to the stream's number of resends.

--- a/pkg/standin/load/generator.go
+++ b/pkg/standin/load/generator.go
@@ -224,25 +224,28 @@
 	}
 }
 
+// ticket requests a ticket, again from the next instance when one does not
+// answer: a ticket that is never used has no effect.
 func (g *generator) ticket(ctx context.Context, s Stream, id, caller string, o *outcome) (string, int, bool) {
-	instance, ok := g.balancer.pick(-1)
-	if !ok {
-		o.code = codeNoInstance
-		return "", 0, false
-	}
 	r := TicketRequest{Service: s.Service, Operation: s.Operation, Caller: caller, Key: id}
-	t, err := withTimeout(ctx, s, func(ctx context.Context) (Ticket, error) {
-		return g.client.Ticket(ctx, g.config.Instances[instance].Caller, r)
-	})
-	switch {
-	case err != nil:
+	avoid := -1
+	for range s.Resends + 1 {
+		instance, ok := g.balancer.pick(avoid)
+		if !ok {
+			o.code = codeNoInstance
+			return "", 0, false
+		}
+		t, err := withTimeout(ctx, s, func(ctx context.Context) (Ticket, error) {
+			return g.client.Ticket(ctx, g.config.Instances[instance].Caller, r)
+		})
+		if err == nil {
+			o.code, o.detail = t.CodeName, t.Detail
+			return t.Ticket, instance, t.Ticket != ""
+		}
 		o.code, o.detail = errorCode(err), err.Error()
-		return "", 0, false
-	case t.Ticket == "":
-		o.code, o.detail = t.CodeName, t.Detail
-		return "", 0, false
+		avoid = instance
 	}
-	return t.Ticket, instance, true
+	return "", 0, false
 }
 
 func withTimeout[T any](ctx context.Context, s Stream, f func(context.Context) (T, error)) (T, error) {
