--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,14 @@
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
+# Runs SEEDS random fault schedules, from seed FIRST on, with several instances
+# in one process; prints the counts of runs, faults and checks.
+SEEDS ?= 100
+FIRST ?= 0
+KINDS ?=
+soak:
+	$(GO) test -count=1 -timeout 30m -v -run '^TestSoakLong$$' ./pkg/instance -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.kinds=$(KINDS)
+
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
