--- a/pkg/scheduler/main_test.go
+++ b/pkg/scheduler/main_test.go
@@ -12,6 +12,7 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "20261204")
 		_ = flag.Set("rapid.nofailfile", "true")
+		_ = flag.Set("rapid.checks", "3000")
 	}
 	os.Exit(m.Run())
 }
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -82,6 +82,7 @@
 	starts    int
 	inFlight  int
 	ran       map[model.ShardID]bool
+	honest    map[model.ShardID]bool
 	maybeRan  bool
 	poisonous bool
 }
@@ -277,7 +278,7 @@
 
 func (w *world) submit(req model.GroupRequest) *submission {
 	req.Payload = json.RawMessage(`"` + req.ID.String() + `"`)
-	sub := &submission{req: req, at: w.now, ran: make(map[model.ShardID]bool)}
+	sub := &submission{req: req, at: w.now, ran: make(map[model.ShardID]bool), honest: make(map[model.ShardID]bool)}
 	w.subs[req.ID] = sub
 	w.byPayload[string(req.Payload)] = sub
 	w.all = append(w.all, sub)
@@ -446,6 +447,8 @@
 		r.Result = json.RawMessage(`"` + string(c.call.Shard) + `"`)
 		if c.host.lying {
 			r.Shard += "x"
+		} else {
+			c.owner.honest[c.call.Shard] = true
 		}
 	}
 	w.after(network, func() {
@@ -492,6 +495,8 @@
 		w.fault("outcome of another shard")
 	case o.Ran == model.NotRun && sub.ran[shard]:
 		w.fault("shard %s ran, but is reported as not run (%v)", shard, o.Code)
+	case o.Code == result.OK && !sub.honest[shard]:
+		w.fault("result of a reply that does not match")
 	case o.Code == result.OK && string(o.Result) != `"`+string(shard)+`"`:
 		w.fault("result of another shard")
 	case o.Code == result.OK && o.Ran != model.Ran:
--- a/pkg/scheduler/rival_test.go
+++ b/pkg/scheduler/rival_test.go
@@ -93,21 +93,39 @@
 }
 
 func (r *rival) Tick(now time.Time) []Action {
+	if next, ok := r.NextWake(); ok && !next.After(now) {
+		r.expire(now)
+	}
+	if !r.full() {
+		r.queue = slices.DeleteFunc(r.queue, func(s *rivalShard) bool { return s.request.done || r.start(s) })
+	}
+	out := r.out
+	r.out = nil
+	return out
+}
+
+// expire ends the requests whose deadline has passed.
+func (r *rival) expire(now time.Time) {
 	for _, q := range r.requests {
 		if !q.req.Deadline.After(now) {
 			r.end(q)
 		}
 	}
 	r.requests = slices.DeleteFunc(r.requests, func(q *rivalRequest) bool { return q.done })
-	r.queue = slices.DeleteFunc(r.queue, func(s *rivalShard) bool { return s.request.done || r.start(s) })
 	for id, s := range r.attempts {
 		if s.request.done {
 			r.out = append(r.out, Stop{Attempt: id})
 		}
 	}
-	out := r.out
-	r.out = nil
-	return out
+}
+
+func (r *rival) full() bool {
+	for _, u := range r.cfg.Group.Upstreams {
+		if r.inFlight[u.Name] < u.Slots {
+			return false
+		}
+	}
+	return true
 }
 
 func (r *rival) start(s *rivalShard) bool {
@@ -135,7 +153,7 @@
 func (r *rival) NextWake() (time.Time, bool) {
 	var first time.Time
 	for _, q := range r.requests {
-		if first.IsZero() || q.req.Deadline.Before(first) {
+		if !q.done && (first.IsZero() || q.req.Deadline.Before(first)) {
 			first = q.req.Deadline
 		}
 	}
--- a/pkg/scheduler/scenario_test.go
+++ b/pkg/scheduler/scenario_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
 const (
@@ -55,6 +56,21 @@
 	return float64(useful) / (w.capacity() * d.Seconds())
 }
 
+// refusedAtOnce returns the fraction of refusals given without any wait.
+func (w *world) refusedAtOnce() float64 {
+	refused, atOnce := 0, 0
+	for _, s := range w.all {
+		if s.answer.Code == result.OK {
+			continue
+		}
+		refused++
+		if s.latency == 0 {
+			atOnce++
+		}
+	}
+	return float64(atOnce) / float64(max(refused, 1))
+}
+
 // TestFloodFromLeastUrgent guards against a flood of work that can wait, which
 // makes urgent work late or takes the middle priority's share.
 func TestFloodFromLeastUrgent(t *testing.T) {
@@ -87,6 +103,7 @@
 		}
 		t.Logf("goodput %.3f", w.goodput(floodTime))
 		must.GreaterEq(t, 0.9, w.goodput(floodTime))
+		must.GreaterEq(t, 0.98, w.refusedAtOnce())
 	}
 }
 
