Run a peer's attempt at most once, also after a refusal

Cause: the scheduler remembers only the ids of accepted attempts. A copy of a message that arrived after the first one was refused could be accepted and run after the requester was told not run; an order could then run twice, because its owner may start another attempt after not run. Ruled out: the order book and the scheduler's own removal of attempts; the run follows a second delivery at the home. Change: the home claims each attempt id on arrival, until its deadline. TestRefusedAttemptNeverRuns failed before the change and passes after it.

--- a/pkg/instance/control.go
+++ b/pkg/instance/control.go
@@ -140,6 +140,7 @@
 	i.observe(now)
 	i.orders.expire(now)
 	i.hints.expire(now)
+	i.claims.expire(now)
 	i.dropIdleGroups(now)
 	i.setGauges()
 	i.schedule("maintenance", maintenanceInterval, i.maintenanceTick)
--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -118,6 +118,9 @@
 func (i *Instance) HandleRunGroup(ctx context.Context, req model.GroupRequest) model.GroupAnswer {
 	now := i.now()
 	i.observe(now)
+	if !i.claims.claim(req.ID, req.Deadline) {
+		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}
+	}
 	doc, code := i.admitGroup(now, &req)
 	if code != result.OK {
 		i.ports.Metrics.Refused(code, req.Priority)
@@ -126,6 +129,36 @@
 	return i.group(now, doc, req.Group.Index).run(ctx, now, req)
 }
 
+// claimTable holds the ids of all attempts that arrived, until their deadline.
+// A copy of a message that arrives after the first one was refused must not
+// run, because its requester was told that the attempt did not run.
+type claimTable struct {
+	mu  sync.Mutex
+	ids map[model.AttemptID]time.Time
+}
+
+// claim reports whether the id arrives for the first time.
+func (t *claimTable) claim(id model.AttemptID, deadline time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if _, known := t.ids[id]; known {
+		return false
+	}
+	t.ids[id] = deadline
+	return true
+}
+
+// expire drops ids after their deadline, when the scheduler refuses them.
+func (t *claimTable) expire(now time.Time) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for id, deadline := range t.ids {
+		if now.After(deadline) {
+			delete(t.ids, id)
+		}
+	}
+}
+
 // admitGroup checks whether this instance may act as the home for the request.
 func (i *Instance) admitGroup(now time.Time, req *model.GroupRequest) (*document.Document, result.Code) {
 	if code := i.gate(); code != result.OK {
--- a/pkg/instance/soak_test.go
+++ b/pkg/instance/soak_test.go
@@ -124,6 +124,14 @@
 	answers map[string]int
 }
 
+func newDriver(seed int) *driver {
+	return &driver{
+		world: newWorld(uint64(seed)), stop: make(chan struct{}), restarts: make(chan struct{}, 1),
+		docs: make(map[string]*document.Document), digests: make(map[string]bool), notRun: make(map[string]result.Code),
+		orders: make(map[string][]*submission), answers: make(map[string]int),
+	}
+}
+
 var services = []string{"catalogue", "desk"}
 
 func (d *driver) setup() {
@@ -793,7 +801,6 @@
 // finish ends all processes, also the killed ones, so that no goroutine stays.
 func (d *driver) finish() {
 	for _, n := range d.nodes {
-		n.current().inst.Stop()
 		n.kill()
 	}
 	close(d.end)
@@ -833,11 +840,7 @@
 	}
 	var d *driver
 	synctest.Test(t, func(*testing.T) {
-		d = &driver{
-			world: newWorld(uint64(seed)), stop: make(chan struct{}), restarts: make(chan struct{}, 1),
-			docs: make(map[string]*document.Document), digests: make(map[string]bool), notRun: make(map[string]result.Code),
-			orders: make(map[string][]*submission), answers: make(map[string]int),
-		}
+		d = newDriver(seed)
 		d.run(plan)
 	})
 	sum.runs++
@@ -896,3 +899,28 @@
 	}
 	runSeeds(t, *soakSeeds, kinds)
 }
+
+// Guards against a copy of a message that arrives after the first one was
+// refused and then runs although its requester was told "not run".
+func TestRefusedAttemptNeverRuns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d := newDriver(1)
+		d.setup()
+		d.nodes[0].start()
+		p := d.nodes[0].current()
+		content, _ := json.Marshal(payload{Tag: "late"})
+		req := model.GroupRequest{
+			ID: model.AttemptID{1}, Group: model.GroupKey{Service: "desk"}, Operation: "reserve", Priority: "top", Payload: content,
+			Snapshot: "desk-r1", Shards: []model.ShardID{"0"}, LeastShards: 1, Deadline: time.Now().Add(6 * time.Second),
+			NonIdempotent: true, OrderKey: "late", TargetBoot: p.inst.Boot(),
+		}
+		must.Eq(t, result.NotReady, p.inst.HandleRunGroup(context.Background(), req).Code)
+		time.Sleep(5 * time.Second)
+		must.Eq(t, result.DuplicateAttempt, p.inst.HandleRunGroup(context.Background(), req).Code)
+		must.SliceEmpty(t, d.executions)
+		req.ID = model.AttemptID{2}
+		must.Eq(t, result.OK, p.inst.HandleRunGroup(context.Background(), req).Code)
+		must.SliceLen(t, 1, d.executions)
+		d.finish()
+	})
+}
