Wait for upstream status before a new home dispatches

Cause: a new home knows nothing of upstreams that drain but still accept work, and its first requests were dispatched before the first status reads had ended. After a restart, kill or cut the upstream got new work more than 3 s after the first sign. Ruled out: upstreams that the platform lists as leaving, which are applied when the group is created. Change: the first requests of a new home wait for the first status reads, at most 50 ms.

--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -21,6 +21,9 @@
 	statusInterval = 500 * time.Millisecond
 	// statusTimeout bounds one such read.
 	statusTimeout = 400 * time.Millisecond
+	// firstStatusWait bounds the wait of a new home's first requests for the
+	// first reads, which take a few milliseconds.
+	firstStatusWait = 50 * time.Millisecond
 )
 
 // homeTable holds the groups that this instance schedules.
@@ -64,6 +67,9 @@
 	wakeAt   time.Time
 	lastUsed time.Time
 	stopped  bool
+	// known is closed when the first status reads have ended. A new home that
+	// did not wait would send work to upstreams that are leaving.
+	known chan struct{}
 }
 
 // group returns the state of a group, creating it if needed, at the revision
@@ -89,12 +95,17 @@
 			}, now),
 			revision: doc.Revision,
 			lastUsed: now,
+			known:    make(chan struct{}),
 		}
 		i.homes.groups[key] = g
 		g.mu.Lock()
 		g.applyLeaving(now, i.homes.leaving)
 		g.mu.Unlock()
-		g.pollStatus()
+		reads := g.pollStatus()
+		go func() {
+			reads.Wait()
+			close(g.known)
+		}()
 	}
 	i.homes.mu.Unlock()
 	g.adopt(now, doc)
@@ -216,6 +227,7 @@
 // run submits the request and waits for its answer.
 func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) model.GroupAnswer {
 	answer := make(chan model.GroupAnswer, 1)
+	now = g.awaitStatus(now)
 	g.mu.Lock()
 	g.lastUsed = now
 	if _, duplicate := g.waiters[req.ID]; duplicate {
@@ -240,6 +252,20 @@
 	}
 }
 
+// awaitStatus waits for the first status reads and returns the time.
+func (g *homeGroup) awaitStatus(now time.Time) time.Time {
+	select {
+	case <-g.known:
+		return now
+	default:
+	}
+	select {
+	case <-g.known:
+	case <-g.i.after(firstStatusWait):
+	}
+	return g.i.now()
+}
+
 // cancel drops a request whose requester went away.
 func (g *homeGroup) cancel(id model.AttemptID) {
 	now := g.i.now()
@@ -380,19 +406,21 @@
 }
 
 // pollStatus reads health and load of the group's upstreams and repeats until
-// the group is removed.
-func (g *homeGroup) pollStatus() {
+// the group is removed. It returns at once; the reads can be waited for.
+func (g *homeGroup) pollStatus() *sync.WaitGroup {
+	var reads sync.WaitGroup
 	doc := g.i.document(g.key.Service)
 	if doc == nil {
-		return
+		return &reads
 	}
 	groups := doc.Groups()
 	if g.key.Index < len(groups) {
 		for _, u := range groups[g.key.Index].Upstreams {
-			go g.readStatus(u.Name, u.Address)
+			reads.Go(func() { g.readStatus(u.Name, u.Address) })
 		}
 	}
-	g.i.schedule("status "+g.key.String(), statusInterval, g.pollStatus)
+	g.i.schedule("status "+g.key.String(), statusInterval, func() { g.pollStatus() })
+	return &reads
 }
 
 func (g *homeGroup) readStatus(name, address string) {
