--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -67,6 +67,7 @@
 	quarantine quarantineState
 	homes      homeTable
 	homeCache  homeCache
+	claims     claimTable
 	peers      peerCalls
 	orders     *orderTable
 	hints      hintTable
@@ -164,6 +165,7 @@
 	i.reads.forgetPeers()
 	i.homes.groups = make(map[model.GroupKey]*homeGroup)
 	i.homeCache.entries = make(map[model.GroupKey]homeEntry)
+	i.claims.ids = make(map[model.AttemptID]time.Time)
 	i.peers.calls = make(map[model.InstanceID]map[model.AttemptID]context.CancelCauseFunc)
 	i.hints.delays = make(map[hintKey]delayHint)
 	i.hints.missing = make(map[snapshotKey]time.Time)
