--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,18 @@
 soak:
 	$(GO) test -count=1 -timeout 30m -v -run '^TestSoakLong$$' ./pkg/instance -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.kinds=$(KINDS)
 
+# Runs load and faults against nine instances as separate processes, for the
+# product and the baseline in turn, and writes figures and pictures.
+SEED ?= 1
+experiments: build
+	$(BIN)/standin experiment --customer shevitsa --seed $(SEED) --out docs/measurements
+	$(BIN)/standin experiment --customer scalai --seed $(SEED) --out docs/measurements
+
+# Kills, pauses and restarts instances under load with orders; fails when an
+# answer or an order breaks a promise.
+faults: build
+	$(BIN)/standin experiment --only instance-killed,instance-paused,rolling-restart --no-baseline --seed $(SEED) --strict
+
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -17,6 +17,7 @@
 	Only        []string `help:"Scenarios to run; all when absent."`
 	Seed        uint64   `default:"1" help:"Seed of the load and the service times."`
 	NoBaseline  bool     `help:"Leave out the baseline."`
+	Strict      bool     `help:"Fail when an aim is not met."`
 	Out         string   `help:"Directory for figures in JSON and pictures."`
 	Dir         string   `help:"Directory for logs; a temporary one when absent."`
 }
@@ -53,5 +54,11 @@
 			return err
 		}
 	}
-	return result.WriteTable(os.Stdout)
+	if err := result.WriteTable(os.Stdout); err != nil {
+		return err
+	}
+	if missed := result.Missed(); c.Strict && missed > 0 {
+		return fmt.Errorf("%d aims are not met; logs are in %s", missed, o.Dir)
+	}
+	return nil
 }
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -199,6 +199,17 @@
 	return <-d.rolled
 }
 
+// Missed returns the number of aims that are not met.
+func (r Result) Missed() int {
+	missed := 0
+	for _, row := range r.Rows {
+		if !row.Met {
+			missed++
+		}
+	}
+	return missed
+}
+
 // WriteTable writes the rows as a table.
 func (r Result) WriteTable(w io.Writer) error {
 	t := tabwriter.NewWriter(w, 0, 4, 2, ' ', 0)
