Record decisions in a live process and replay them

A trace holds each call of the schedulers and order books with its time, arguments, drawn ids and result. sardineturn replay runs it through the same packages and compares; the outcome (attempts, orders started without proof, attempts on leaving upstreams) is derived from the recorded lines without the decision code.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test lint demo soak faults experiments capacity generate
+.PHONY: all build test lint demo soak faults experiments capacity generate traces
 
 all: build test
 
@@ -45,3 +45,17 @@
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
+
+# Records the traces that the replay test uses. Needed after a wanted change of
+# policy.
+TRACES := instance-paused upstream-leaving shard-lost straggler
+TRACE_DIR ?= out/traces
+traces: build
+	rm -rf $(TRACE_DIR)
+	mkdir -p $(TRACE_DIR)
+	$(BIN)/standin experiment --only $(shell echo $(TRACES) | tr ' ' ',') --load-factor 0.1 --seed $(SEED) --trace --dir $(TRACE_DIR) --no-baseline
+	for s in $(TRACES); do \
+		f=$$(ls -S $(TRACE_DIR)/shevitsa-$$s-sardineturn/*.trace.jsonl | head -1); \
+		gzip -9 -n -c $$f > pkg/replay/testdata/$$s.jsonl.gz; \
+		$(BIN)/sardineturn replay $$f > pkg/replay/testdata/$$s.json || exit 1; \
+	done
--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -17,6 +17,8 @@
 	Only        []string `help:"Scenarios to run; all when absent."`
 	Seed        uint64   `default:"1" help:"Seed of the load and the service times."`
 	NoBaseline  bool     `help:"Leave out the baseline."`
+	LoadFactor  float64  `default:"1" help:"Multiplies all loads."`
+	Trace       bool     `help:"Record the instances' decisions to files next to their logs."`
 	Strict      bool     `help:"Fail when an aim is not met."`
 	Out         string   `help:"Directory for figures in JSON and pictures."`
 	Dir         string   `help:"Directory for logs; a temporary one when absent."`
@@ -30,7 +32,7 @@
 	}
 	o := experiment.Options{
 		Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed,
-		Customer: c.Customer, Only: c.Only, NoBaseline: c.NoBaseline,
+		Customer: c.Customer, Only: c.Only, NoBaseline: c.NoBaseline, Trace: c.Trace, LoadFactor: c.LoadFactor,
 	}
 	if o.Sardineturn == "" {
 		o.Sardineturn = filepath.Join(filepath.Dir(self), "sardineturn")
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -28,6 +28,7 @@
 	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/replay"
 	"github.com/sardineturn/sardineturn/pkg/settings"
 )
 
@@ -87,6 +88,7 @@
 			newPeerClient,
 			newUpstreams,
 			newPlatform,
+			newTrace,
 			newInstance,
 			newPeerServer,
 			newCallerServer,
@@ -140,6 +142,21 @@
 	return retryDelay + rand.N(retryDelay/2)
 }
 
+// newTrace returns the trace that the settings ask for, or nil.
+func newTrace(lc fx.Lifecycle, s settings.Settings) (*replay.Trace, error) {
+	if s.TraceFile == "" {
+		return nil, nil
+	}
+	// A restarted process adds to the trace of the one before.
+	f, err := os.OpenFile(s.TraceFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o644)
+	if err != nil {
+		return nil, err
+	}
+	trace := replay.NewTrace(f)
+	lc.Append(fx.StopHook(func() error { return errors.Join(trace.Err(), f.Close()) }))
+	return trace, nil
+}
+
 type instanceParams struct {
 	fx.In
 	Settings  settings.Settings
@@ -150,6 +167,7 @@
 	Peers     *peergrpc.Client
 	Upstreams *upstreamhttp.Client
 	Platform  port.Platform
+	Trace     *replay.Trace
 }
 
 func newInstance(p instanceParams) *instance.Instance {
@@ -163,6 +181,7 @@
 		MaxInstances:     s.MaxInstances,
 		MaxTickets:       s.Limits.MaxTickets,
 		AssertInvariants: s.AssertInvariants,
+		Trace:            p.Trace,
 	}, instance.Ports{
 		Clock:     p.Clock,
 		Upstreams: p.Upstreams,
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -40,6 +40,7 @@
 	Status  statusCommand  `cmd:"" help:"Print the status of an instance."`
 	Query   queryCommand   `cmd:"" help:"Send a query and print the answer."`
 	Explain explainCommand `cmd:"" help:"Print how an instance would serve a request."`
+	Replay  replayCommand  `cmd:"" help:"Run a recorded trace through the decision code and compare."`
 	Version versionCommand `cmd:"" help:"Print the version of the program."`
 }
 
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -175,7 +175,7 @@
 // TestHelpShowsWorkingExamples guards against commands without an example, and
 // against examples that the parser refuses.
 func TestHelpShowsWorkingExamples(t *testing.T) {
-	for _, name := range []string{"serve", "check", "status", "query", "explain", "version"} {
+	for _, name := range []string{"serve", "check", "status", "query", "explain", "replay", "version"} {
 		code, out, _ := run(&Program{}, name, "--help")
 		must.Eq(t, ExitOK, code)
 		must.StrContains(t, out, "Example:")
--- /dev/null
+++ b/pkg/cli/replay.go
@@ -0,0 +1,44 @@
+package cli
+
+import (
+	"encoding/json"
+	"os"
+
+	"github.com/sardineturn/sardineturn/pkg/replay"
+)
+
+type replayCommand struct {
+	Trace string `arg:"" help:"Trace file, recorded by serve with --trace-file."`
+}
+
+// Help is printed by --help.
+func (*replayCommand) Help() string {
+	return `The exit code is not zero when a decision differs from the recorded one, or
+when the trace shows a broken invariant.
+
+Example:
+
+    sardineturn replay trace.jsonl`
+}
+
+// Run prints the replay's report in JSON.
+func (c *replayCommand) Run(p *Program) error {
+	f, err := os.Open(c.Trace)
+	if err != nil {
+		return err
+	}
+	defer f.Close()
+	report, err := replay.Play(f)
+	if err != nil {
+		return err
+	}
+	text, err := json.MarshalIndent(report, "", "  ")
+	if err != nil {
+		return err
+	}
+	p.printf("%s\n", text)
+	if !report.Holds() {
+		return errSilent
+	}
+	return nil
+}
--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -59,7 +59,7 @@
 	key model.GroupKey
 
 	mu       sync.Mutex
-	sched    *scheduler.Scheduler
+	sched    groupScheduler
 	revision uint64
 	waiters  map[model.AttemptID]chan model.GroupAnswer
 	running  map[model.AttemptID]context.CancelFunc
@@ -84,7 +84,7 @@
 			key:     key,
 			waiters: make(map[model.AttemptID]chan model.GroupAnswer),
 			running: make(map[model.AttemptID]context.CancelFunc),
-			sched: scheduler.New(scheduler.Config{
+			sched: i.newScheduler(scheduler.Config{
 				Document:        doc,
 				Group:           doc.Groups()[index],
 				LocalDataCentre: i.cfg.DataCentre,
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -22,6 +22,7 @@
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/replay"
 )
 
 // Config holds an instance's identity and limits.
@@ -37,6 +38,8 @@
 	MaxTickets   int
 	// AssertInvariants makes a broken invariant panic; test builds set it.
 	AssertInvariants bool
+	// Trace records the decisions about groups and orders, if it is not nil.
+	Trace *replay.Trace
 }
 
 // Ports connect an instance to everything outside it.
--- a/pkg/instance/orders.go
+++ b/pkg/instance/orders.go
@@ -29,7 +29,7 @@
 
 type orderShard struct {
 	mu      sync.Mutex
-	book    *order.Book
+	book    orderBook
 	waiters map[model.AttemptID][]chan port.OrderAnswer
 	running int
 }
@@ -39,7 +39,7 @@
 	for n := range t.shards {
 		shard := byte(n)
 		t.shards[n].waiters = make(map[model.AttemptID][]chan port.OrderAnswer)
-		t.shards[n].book = order.NewBook(order.Config{
+		t.shards[n].book = newOrderBook(cfg, order.Config{
 			Owner:    cfg.ID,
 			Boot:     boot,
 			Capacity: max(cfg.MaxTickets/orderShards, 1),
@@ -49,7 +49,7 @@
 				id[0] = id[0]/orderShards*orderShards + shard
 				return id
 			},
-		})
+		}, n)
 	}
 	return t
 }
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -39,6 +39,16 @@
 // String returns the id in hexadecimal.
 func (a AttemptID) String() string { return hex.EncodeToString(a[:]) }
 
+// MarshalText implements encoding.TextMarshaler.
+func (a AttemptID) MarshalText() ([]byte, error) { return []byte(a.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (a *AttemptID) UnmarshalText(b []byte) error {
+	id, err := ParseAttemptID(string(b))
+	*a = id
+	return err
+}
+
 // ParseAttemptID parses the hexadecimal form.
 func ParseAttemptID(s string) (AttemptID, error) {
 	var id AttemptID
--- /dev/null
+++ b/pkg/replay/orders.go
@@ -0,0 +1,97 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/order"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// Arguments and results of the order book's calls.
+type (
+	bookOpen struct {
+		Owner    model.InstanceID `json:"owner"`
+		Boot     model.BootID     `json:"boot"`
+		Capacity int              `json:"capacity"`
+	}
+	issueResult struct {
+		Ticket  string    `json:"ticket"`
+		Expires time.Time `json:"expires"`
+		Error   string    `json:"error,omitempty"`
+	}
+	orderSubmitArgs struct {
+		Ticket     string               `json:"ticket"`
+		Submission port.OrderSubmission `json:"submission"`
+	}
+	orderFinishArgs struct {
+		Ticket  model.AttemptID `json:"ticket"`
+		Attempt model.AttemptID `json:"attempt"`
+		Outcome order.Outcome   `json:"outcome"`
+	}
+	orderFinishResult struct {
+		Next   *order.Attempt    `json:"next,omitempty"`
+		Answer *port.OrderAnswer `json:"answer,omitempty"`
+	}
+)
+
+// Book is an order book whose calls are recorded.
+type Book struct {
+	*order.Book
+	object
+}
+
+// NewBook returns a recorded order book. The shard tells apart the books of
+// one process.
+func (t *Trace) NewBook(cfg order.Config, shard int) *Book {
+	b := &Book{object: object{
+		trace:     t,
+		component: componentOrders,
+		key:       fmt.Sprintf("%x/%d", uint64(cfg.Boot), shard),
+		newID:     cfg.NewID,
+	}}
+	cfg.NewID = b.drawID
+	b.Book = order.NewBook(cfg)
+	b.record("open", time.Time{}, bookOpen{Owner: cfg.Owner, Boot: cfg.Boot, Capacity: cfg.Capacity}, nil)
+	return b
+}
+
+// Issue records order.Book.Issue.
+func (b *Book) Issue(now time.Time, spec order.Spec) (order.Ticket, time.Time, error) {
+	now = wall(now)
+	ticket, expires, err := b.Book.Issue(now, spec)
+	b.record("issue", now, spec, newIssueResult(ticket, expires, err))
+	return ticket, expires, err
+}
+
+func newIssueResult(t order.Ticket, expires time.Time, err error) issueResult {
+	if err != nil {
+		return issueResult{Error: err.Error()}
+	}
+	return issueResult{Ticket: t.String(), Expires: expires}
+}
+
+// Submit records order.Book.Submit.
+func (b *Book) Submit(now time.Time, t order.Ticket, sub port.OrderSubmission) order.Decision {
+	now = wall(now)
+	sub.Deadline = wall(sub.Deadline)
+	d := b.Book.Submit(now, t, sub)
+	b.record("submit", now, orderSubmitArgs{Ticket: t.String(), Submission: sub}, d)
+	return d
+}
+
+// Finish records order.Book.Finish.
+func (b *Book) Finish(now time.Time, ticket, attempt model.AttemptID, o order.Outcome) (*order.Attempt, *port.OrderAnswer) {
+	now = wall(now)
+	next, answer := b.Book.Finish(now, ticket, attempt, o)
+	b.record("finish", now, orderFinishArgs{Ticket: ticket, Attempt: attempt, Outcome: o}, orderFinishResult{Next: next, Answer: answer})
+	return next, answer
+}
+
+// Expire records order.Book.Expire.
+func (b *Book) Expire(now time.Time) {
+	now = wall(now)
+	b.Book.Expire(now)
+	b.record("expire", now, nil, nil)
+}
--- /dev/null
+++ b/pkg/replay/tally.go
@@ -0,0 +1,160 @@
+package replay
+
+import (
+	"encoding/json"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// tally derives the outcome of a trace from its recorded lines. It does not use
+// the decision code, so that a fault there can't hide itself.
+type tally struct {
+	outcome Outcome
+	// starts counts attempts per ticket without proof that the one before did
+	// not run.
+	starts map[model.AttemptID]int
+	// leaving holds the upstreams listed as leaving, by scheduler.
+	leaving map[string]map[string]bool
+}
+
+func newTally() *tally {
+	return &tally{
+		starts:  make(map[model.AttemptID]int),
+		leaving: make(map[string]map[string]bool),
+	}
+}
+
+func (t *tally) into(o *Outcome) {
+	t.outcome.Lines = o.Lines
+	for _, n := range t.starts {
+		t.outcome.OrderStarts = max(t.outcome.OrderStarts, n)
+	}
+	*o = t.outcome
+}
+
+func (t *tally) count(l line) error {
+	if l.Call == "open" {
+		return nil
+	}
+	if l.Component == componentOrders {
+		return t.countOrder(l)
+	}
+	return t.countScheduler(l)
+}
+
+func (t *tally) countScheduler(l line) error {
+	if l.Call == "leaving" {
+		if err := t.setLeaving(l); err != nil {
+			return err
+		}
+	}
+	var recorded []struct {
+		Type   string          `json:"type"`
+		Action json.RawMessage `json:"action"`
+	}
+	if err := json.Unmarshal(l.Out, &recorded); err != nil {
+		return err
+	}
+	for _, r := range recorded {
+		if err := t.countAction(l.Key, actionName(r.Type), r.Action); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (t *tally) setLeaving(l line) error {
+	w, err := decode[withBlocked](l.Args)
+	if err != nil {
+		return err
+	}
+	a, err := decode[leavingArgs](w.Args)
+	if err != nil {
+		return err
+	}
+	if t.leaving[l.Key] == nil {
+		t.leaving[l.Key] = make(map[string]bool)
+	}
+	t.leaving[l.Key][a.Upstream] = a.Leaving
+	return nil
+}
+
+func (t *tally) countAction(key, name string, raw json.RawMessage) error {
+	switch name {
+	case "Start":
+		a, err := decode[scheduler.Start](raw)
+		if err != nil {
+			return err
+		}
+		t.countStart(key, a)
+	case "Done":
+		a, err := decode[scheduler.Done](raw)
+		if err != nil {
+			return err
+		}
+		if a.Answer.Code == result.OK {
+			t.outcome.Answered++
+		} else {
+			t.outcome.Refused++
+		}
+	case "QuarantineAdd":
+		t.outcome.Quarantined++
+	case "Broken":
+		t.outcome.Broken++
+	}
+	return nil
+}
+
+func (t *tally) countStart(key string, a scheduler.Start) {
+	t.outcome.Attempts++
+	if a.Call.OrderKey != "" {
+		t.outcome.Orders++
+	}
+	if a.Hedge {
+		t.outcome.Hedges++
+	}
+	if a.Retry {
+		t.outcome.Retries++
+	}
+	if t.leaving[key][a.Call.Upstream] {
+		t.outcome.LeavingStarts++
+	}
+}
+
+func (t *tally) countOrder(l line) error {
+	switch l.Call {
+	case "submit":
+		d, err := decode[struct {
+			Start *struct{ Ticket, ID model.AttemptID }
+		}](l.Out)
+		if err != nil || d.Start == nil {
+			return err
+		}
+		t.starts[d.Start.Ticket]++
+	case "finish":
+		return t.countFinish(l)
+	}
+	return nil
+}
+
+// countFinish takes back a start that is proved not to have run, and counts
+// the next one.
+func (t *tally) countFinish(l line) error {
+	a, err := decode[orderFinishArgs](l.Args)
+	if err != nil {
+		return err
+	}
+	if a.Outcome.Ran == model.NotRun {
+		t.starts[a.Ticket]--
+	}
+	out, err := decode[struct {
+		Next *struct{ Ticket, ID model.AttemptID } `json:"next"`
+	}](l.Out)
+	if err != nil || out.Next == nil {
+		return err
+	}
+	t.starts[out.Next.Ticket]++
+	return nil
+}
--- /dev/null
+++ b/pkg/replay/trace.go
@@ -0,0 +1,116 @@
+// Package replay records what a live process decides and runs the records
+// through the same decision code again. A trace is JSON lines: each line is one
+// call of a component with its time, arguments, the ids that it drew and what
+// it returned.
+package replay
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"sync"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// Components of a trace.
+const (
+	componentScheduler = "scheduler"
+	componentOrders    = "orders"
+)
+
+// line is one call.
+type line struct {
+	Component string `json:"component"`
+	// Key tells apart the component's objects: a group or a ticket shard.
+	Key  string            `json:"key"`
+	Call string            `json:"call"`
+	Time time.Time         `json:"time"`
+	Args json.RawMessage   `json:"args"`
+	IDs  []model.AttemptID `json:"ids,omitempty"`
+	Out  json.RawMessage   `json:"out"`
+}
+
+// Trace writes lines. It is safe for concurrent use. The lines of one object
+// are in the order of its calls, because its owner makes them under a lock.
+type Trace struct {
+	mu  sync.Mutex
+	enc *json.Encoder
+	err error
+}
+
+// NewTrace returns a trace that writes to w.
+func NewTrace(w io.Writer) *Trace { return &Trace{enc: json.NewEncoder(w)} }
+
+// Err returns the first error of writing.
+func (t *Trace) Err() error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.err
+}
+
+func (t *Trace) write(l line) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.err == nil {
+		t.err = t.enc.Encode(l)
+	}
+}
+
+// object is what the recorders of all components share.
+type object struct {
+	trace     *Trace
+	component string
+	key       string
+	newID     func() model.AttemptID
+	// drawn holds the ids drawn since the last line.
+	drawn []model.AttemptID
+}
+
+func (o *object) drawID() model.AttemptID {
+	id := o.newID()
+	o.drawn = append(o.drawn, id)
+	return id
+}
+
+func (o *object) record(call string, at time.Time, args, out any) {
+	o.trace.write(line{
+		Component: o.component,
+		Key:       o.key,
+		Call:      call,
+		Time:      at,
+		Args:      encode(args),
+		IDs:       o.drawn,
+		Out:       encode(out),
+	})
+	o.drawn = nil
+}
+
+// encode marshals a value of this package's types, which can't fail.
+func encode(v any) json.RawMessage {
+	b, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("encode %T: %v", v, err))
+	}
+	return b
+}
+
+// wall drops the monotonic clock reading, which a trace can't hold, so that
+// the recorded run and its replay compute with the same times.
+func wall(t time.Time) time.Time { return t.Round(0).UTC() }
+
+// typed names an action's type in a trace.
+type typed struct {
+	Type   string           `json:"type"`
+	Action scheduler.Action `json:"action"`
+}
+
+func typedActions(actions []scheduler.Action) []typed {
+	out := make([]typed, 0, len(actions))
+	for _, a := range actions {
+		out = append(out, typed{Type: fmt.Sprintf("%T", a), Action: a})
+	}
+	return out
+}
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -43,6 +43,9 @@
 	Limits          Limits   `json:"limits"`
 	// AssertInvariants makes a broken invariant end the process.
 	AssertInvariants bool `json:"assert_invariants"`
+	// TraceFile names a file that the decisions are recorded to; none when
+	// empty.
+	TraceFile string `json:"trace_file,omitempty"`
 }
 
 // Limits bound what one process holds in memory.
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -53,11 +53,12 @@
 		MaxInstances:  maxInstances,
 		LogLevel:      "info",
 		Seed:          o.Seed,
+		Trace:         o.Trace && program == o.Sardineturn,
 	})
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{fleet: fleet, service: s, capacity: capacityOf(s), rolled: make(chan error, 1)}
+	d := &deployment{fleet: fleet, service: s, capacity: capacityOf(s) * o.loadFactor(), rolled: make(chan error, 1)}
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
@@ -82,6 +83,13 @@
 	return nil
 }
 
+func (o Options) loadFactor() float64 {
+	if o.LoadFactor == 0 {
+		return 1
+	}
+	return o.LoadFactor
+}
+
 // capacityOf returns the queries per second that the service's slots can serve
 // if each query runs once on each shard.
 func capacityOf(s launch.Service) float64 {
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -40,6 +40,10 @@
 	Only []string
 	// NoBaseline leaves out the runs of the baseline.
 	NoBaseline bool
+	// LoadFactor multiplies all loads; 0 means 1.
+	LoadFactor float64
+	// Trace makes instances record their decisions next to their logs.
+	Trace bool
 }
 
 // Row is one line of the resulting table.
--- a/pkg/standin/launch/fleet.go
+++ b/pkg/standin/launch/fleet.go
@@ -42,6 +42,7 @@
 	MaxInstances    int    `json:"max_instances"`
 	BalancerLagMS   int    `json:"balancer_lag_ms"`
 	LogLevel        string `json:"log_level"`
+	TraceFile       string `json:"trace_file,omitempty"`
 }
 
 // Config configures a Fleet.
@@ -58,6 +59,8 @@
 	MaxInstances  int
 	LogLevel      string
 	Seed          uint64
+	// Trace makes each instance record its decisions to a file in Dir.
+	Trace bool
 	// Env is added to the environment of every process.
 	Env []string
 }
@@ -221,6 +224,9 @@
 	f.mu.Lock()
 	number := len(f.instances) + 1
 	f.mu.Unlock()
+	if f.config.Trace {
+		s.TraceFile = filepath.Join(f.config.Dir, fmt.Sprintf("instance-%d.trace.jsonl", number))
+	}
 	i := &Instance{fleet: f, Settings: s}
 	i.settingsFile = filepath.Join(f.config.Dir, fmt.Sprintf("instance-%d.json", number))
 	content, err := json.MarshalIndent(s, "", "  ")
