Hold an upstream that sheds, and check the operation at the home

An upstream whose slots are all taken by another instance sheds every attempt, and the parts that were tried there used up their attempts and the retry budget within milliseconds. After shedding an upstream now gets no new attempt for one latency, doubled up to 100 ms while it keeps shedding, and the limit grows by 0.05 instead of 0.1 per success.

A request for an unknown operation is refused, since it would add an estimate that is never removed; a non-idempotent operation that is not marked as an order is refused, since it would be retried like a query.

--- a/pkg/scheduler/admission.go
+++ b/pkg/scheduler/admission.go
@@ -54,6 +54,8 @@
 		return nil, result.DeadlineExceeded
 	case index < 0:
 		return nil, result.UnknownPriority
+	case s.operationCode(req) != result.OK:
+		return nil, s.operationCode(req)
 	case len(req.Shards) == 0:
 		return nil, result.BadRequest
 	case req.NonIdempotent && len(req.Shards) != 1:
@@ -69,6 +71,20 @@
 	return r, s.buildParts(r)
 }
 
+// operationCode refuses unknown operations, and non-idempotent ones that are
+// not marked as orders and would be repeated like queries.
+func (s *Scheduler) operationCode(req model.GroupRequest) result.Code {
+	o := s.cfg.Document.FindOperation(req.Operation)
+	switch {
+	case o == nil:
+		return result.UnknownOperation
+	case o.NonIdempotent && !req.NonIdempotent:
+		return result.NotIdempotent
+	default:
+		return result.OK
+	}
+}
+
 // buildParts creates one part per shard.
 func (s *Scheduler) buildParts(r *request) result.Code {
 	shards, ok := s.replicas[r.req.Snapshot]
--- a/pkg/scheduler/finish.go
+++ b/pkg/scheduler/finish.go
@@ -86,6 +86,8 @@
 		s.observeSuccess(a, elapsed)
 	case result.UpstreamShed, result.ConcurrencyLimit, result.ConnectionLimit:
 		u.shed(s.now, a.op.median)
+		u.hold(s.now, a.op.median)
+		s.wakeAt(u.heldUntil)
 		s.alive(u)
 	case result.SnapshotMissing:
 		u.missing[a.part.request.req.Snapshot] = s.now.Add(missingHold)
--- a/pkg/scheduler/isolation.go
+++ b/pkg/scheduler/isolation.go
@@ -269,7 +269,7 @@
 	if i.next == nil || !s.stillIsolable(i.next, i.reserved) {
 		s.reserveNext()
 	}
-	if i.next == nil || i.reserved.inFlight() > 0 {
+	if i.next == nil || i.reserved.inFlight() > 0 || i.reserved.held {
 		return
 	}
 	p, u := i.next, i.reserved
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -359,6 +359,8 @@
 		w.fault("attempt after the answer")
 	case !a.Call.Deadline.After(w.now):
 		w.fault("attempt after the deadline")
+	case a.Call.OrderKey == "" && a.Call.Operation == "put":
+		w.fault("order without a key")
 	case u.leaving:
 		w.fault("attempt on leaving %s", a.Call.Upstream)
 	case sub.req.NonIdempotent && (a.Hedge || sub.inFlight > 0 || sub.maybeRan):
--- a/pkg/scheduler/random_test.go
+++ b/pkg/scheduler/random_test.go
@@ -67,6 +67,7 @@
 	for range rapid.IntRange(1, 20).Draw(t, "count") {
 		req := w.request(rapid.IntRange(0, 2).Draw(t, "priority"), rapid.IntRange(1, total).Draw(t, "shards"))
 		req.Deadline = w.now.Add(time.Duration(rapid.IntRange(-1, 600).Draw(t, "deadline")) * time.Millisecond)
+		req.Operation = rapid.SampledFrom([]string{"get", "get", "get", "get", "put", "no such"}).Draw(t, "operation")
 		req.Fingerprint = model.Fingerprint(rapid.IntRange(1, 30).Draw(t, "fingerprint"))
 		w.submit(req).poisonous = req.Fingerprint == 13
 	}
--- a/pkg/scheduler/replica.go
+++ b/pkg/scheduler/replica.go
@@ -121,7 +121,7 @@
 		return choice{}, false
 	}
 	for _, u := range p.replicas {
-		if s.excluded(u) || u.reserved || u.inFlight() > 0 {
+		if s.excluded(u) || u.reserved || u.held || u.inFlight() > 0 {
 			continue
 		}
 		if u.breaker.open {
--- a/pkg/scheduler/scenario_test.go
+++ b/pkg/scheduler/scenario_test.go
@@ -290,6 +290,7 @@
 		w.after(time.Duration(i)*20*time.Millisecond, func() {
 			req := w.request(i%3, 1)
 			req.Operation = "put"
+			req.OrderKey = "k"
 			req.NonIdempotent = true
 			w.submit(req)
 		})
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -138,6 +138,9 @@
 	s.changed()
 	s.accrue(now)
 	s.sweep()
+	for _, u := range s.order {
+		u.held = u.held && now.Before(u.heldUntil)
+	}
 	for {
 		t, ok := s.timers.due(now)
 		if !ok {
--- a/pkg/scheduler/upstream.go
+++ b/pkg/scheduler/upstream.go
@@ -13,9 +13,11 @@
 	// coldStep and warmStep are added to the limit per success below and
 	// above the threshold of the last shedding.
 	coldStep = 0.5
-	warmStep = 0.1
+	warmStep = 0.05
 	// shedFactor multiplies the limit when the upstream sheds.
 	shedFactor = 0.7
+	// maxShedHold bounds the time without new attempts after shedding.
+	maxShedHold = 100 * time.Millisecond
 	// drainHold is how long a draining reply keeps an upstream out of use
 	// unless its health endpoint says otherwise.
 	drainHold = 30 * time.Second
@@ -48,6 +50,11 @@
 	samples int
 	// shedAt is the time of the last accepted lowering of the limit.
 	shedAt time.Time
+	// sheds counts shedding replies since the last success; until heldUntil
+	// the upstream gets no new attempts.
+	sheds     int
+	held      bool
+	heldUntil time.Time
 	// drainedAt is the time of the last draining reply, or zero.
 	drainedAt time.Time
 	// leaving is set by the platform's list.
@@ -97,7 +104,9 @@
 func (u *upstream) inFlight() int { return len(u.running) }
 
 // free reports whether a new attempt may start as far as slots are concerned.
-func (u *upstream) free() bool { return !u.reserved && u.inFlight() < int(u.limit) }
+func (u *upstream) free() bool {
+	return !u.reserved && !u.held && u.inFlight() < int(u.limit)
+}
 
 // condition is what the replica choice needs to know of an upstream. It is
 // computed once per step, because a step looks at it for every waiting shard.
@@ -149,6 +158,7 @@
 
 // succeeded records an attempt that the upstream completed.
 func (u *upstream) succeeded() {
+	u.sheds = 0
 	step := warmStep
 	if u.limit < u.threshold {
 		step = coldStep
@@ -167,6 +177,15 @@
 	u.threshold = u.limit
 }
 
+// hold keeps new attempts from an upstream that sheds, for one latency and
+// twice as long after each further shedding. Lowering the limit alone does not
+// help when other instances have taken all slots.
+func (u *upstream) hold(now time.Time, latency time.Duration) {
+	u.sheds++
+	u.held = true
+	u.heldUntil = now.Add(min(latency<<min(u.sheds-1, 10), maxShedHold))
+}
+
 // chill restarts the ramp after the upstream was out of use.
 func (u *upstream) chill() {
 	u.limit = coldLimit
