Fill the documented metrics, and keep the platform's sign over a change of document

Queues, connections, restarts and expected waits were documented but not set. An upstream that gets a new address in a document lost its leaving state until the next read of the list, at most 1 s.

--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -192,6 +192,8 @@
 		Metrics:   p.Metrics,
 		NewID:     instance.NewAttemptID,
 		NewRand:   instance.NewRand,
+
+		OpenConnections: p.Upstreams.TotalConnections,
 	})
 }
 
--- a/pkg/cli/replay.go
+++ b/pkg/cli/replay.go
@@ -1,14 +1,17 @@
 package cli
 
 import (
+	"compress/gzip"
 	"encoding/json"
+	"io"
 	"os"
+	"strings"
 
 	"github.com/sardineturn/sardineturn/pkg/replay"
 )
 
 type replayCommand struct {
-	Trace string `arg:"" help:"Trace file, recorded by serve with --trace-file."`
+	Trace string `arg:"" help:"Trace file, recorded by serve with --trace-file; compressed with gzip if it ends in .gz."`
 }
 
 // Help is printed by --help.
@@ -21,6 +24,14 @@
     sardineturn replay trace.jsonl`
 }
 
+// openTrace decompresses a trace whose name ends in ".gz".
+func openTrace(f *os.File) (io.Reader, error) {
+	if !strings.HasSuffix(f.Name(), ".gz") {
+		return f, nil
+	}
+	return gzip.NewReader(f)
+}
+
 // Run prints the replay's report in JSON.
 func (c *replayCommand) Run(p *Program) error {
 	f, err := os.Open(c.Trace)
@@ -28,7 +39,11 @@
 		return err
 	}
 	defer f.Close()
-	report, err := replay.Play(f)
+	trace, err := openTrace(f)
+	if err != nil {
+		return err
+	}
+	report, err := replay.Play(trace)
 	if err != nil {
 		return err
 	}
--- a/pkg/instance/control.go
+++ b/pkg/instance/control.go
@@ -160,6 +160,23 @@
 	members := len(i.control.membership.Members())
 	i.control.mu.Unlock()
 	m.SetMembers(metrics.MemberAlive, members)
+	if i.ports.OpenConnections != nil {
+		m.SetOpenConnections(i.ports.OpenConnections())
+	}
+	for _, g := range i.homes.all() {
+		g.setGauges()
+	}
+}
+
+func (g *homeGroup) setGauges() {
+	g.mu.Lock()
+	status := g.sched.Status(g.i.now())
+	inFlight := len(g.running)
+	g.mu.Unlock()
+	g.i.ports.Metrics.SetInFlight(g.key, inFlight)
+	for _, p := range status.Priorities {
+		g.i.ports.Metrics.SetQueued(g.key, p.Name, p.QueuedRequests)
+	}
 }
 
 var _ port.ControlHandler = (*Instance)(nil)
--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -138,6 +138,8 @@
 			a.reply <- t.Answer
 		case query.SnapshotMissing:
 			a.i.hints.markSnapshotMissing(now, a.query.Service(), t.Snapshot)
+		case query.Restarted:
+			a.i.ports.Metrics.QueryRestarted()
 		case query.Broken:
 			a.i.invariantBroken(t.Invariant, event.Fields{"service": a.query.Service()})
 		}
--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -44,6 +44,14 @@
 	return out
 }
 
+// leavingUpstreams returns the addresses that the platform lists as leaving. The
+// map is replaced as a whole and never changed.
+func (t *homeTable) leavingUpstreams() map[string]bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.leaving
+}
+
 func (t *homeTable) idle() bool {
 	for _, g := range t.all() {
 		if g.pending() > 0 {
@@ -115,6 +123,7 @@
 // adopt moves the group to a newer document.
 func (g *homeGroup) adopt(now time.Time, doc *document.Document) {
 	groups := doc.Groups()
+	leaving := g.i.homes.leavingUpstreams()
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if doc.Revision <= g.revision || g.key.Index >= len(groups) {
@@ -122,6 +131,8 @@
 	}
 	g.revision = doc.Revision
 	g.apply(now, g.sched.SetDocument(now, doc, groups[g.key.Index]))
+	// An upstream with a new address starts without the platform's sign.
+	g.applyLeaving(now, leaving)
 }
 
 // HandleRunGroup implements port.PeerHandler. It is also the way in for parts
@@ -141,6 +152,7 @@
 	// the two calls.
 	for range 2 {
 		if answer, ok := i.group(now, doc, req.Group.Index).run(ctx, now, req); ok {
+			i.ports.Metrics.QueueDelay(req.Priority, answer.QueueDelay)
 			return answer
 		}
 	}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -55,6 +55,9 @@
 	NewID func() model.AttemptID
 	// NewRand returns independent random sources for decisions.
 	NewRand func() *mathrand.Rand
+	// OpenConnections returns the number of connections to upstreams, for the
+	// metrics. It may be nil.
+	OpenConnections func() int
 }
 
 // Instance is one running instance.
--- a/pkg/query/answer.go
+++ b/pkg/query/answer.go
@@ -156,7 +156,7 @@
 // restart drops all parts and starts again whole on another snapshot, because
 // results of two snapshots must never be merged.
 func (s *Query) restart(now time.Time) []Action {
-	actions := s.abortOpen()
+	actions := append(s.abortOpen(), Restarted{})
 	for _, o := range s.outcomes {
 		s.ran = s.ran || o.Ran != model.NotRun
 	}
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -56,6 +56,9 @@
 // SnapshotMissing reports that upstreams lack a snapshot.
 type SnapshotMissing struct{ Snapshot model.SnapshotID }
 
+// Restarted reports that the query starts again on another snapshot.
+type Restarted struct{}
+
 // Broken reports an invariant that does not hold.
 type Broken struct{ Invariant string }
 
@@ -63,6 +66,7 @@
 func (Abort) isAction()           {}
 func (Reply) isAction()           {}
 func (SnapshotMissing) isAction() {}
+func (Restarted) isAction()       {}
 func (Broken) isAction()          {}
 
 // part is the share of the query that one scheduling group serves.
--- a/pkg/query/query_test.go
+++ b/pkg/query/query_test.go
@@ -183,8 +183,8 @@
 		ID: first.ID, Code: result.OK, Snapshot: "new",
 		Outcomes: []model.ShardOutcome{{Shard: "0", Code: result.SnapshotMissing, Ran: model.NotRun}},
 	})
-	must.Len(t, 2, actions)
-	must.Eq(t, "old", actions[1].(Send).Request.Snapshot)
+	must.Len(t, 3, actions)
+	must.Eq(t, "old", actions[2].(Send).Request.Snapshot)
 }
 
 // TestOverloadedGroupsRefuseEarly guards against starting a query whose homes
@@ -229,7 +229,7 @@
 			{Shard: "1", Code: result.OK, Ran: model.Ran, Result: []byte(`1`)},
 		},
 	})
-	second := actions[1].(Send).Request
+	second := actions[2].(Send).Request
 	actions = q.GroupAnswered(epoch, second.ID, model.GroupAnswer{ID: second.ID, Code: result.Overloaded})
 	must.Eq(t, model.RunUnknown, actions[0].(Reply).Answer.Ran)
 }
