--- a/pkg/instance/soak_test.go
+++ b/pkg/instance/soak_test.go
@@ -144,7 +144,7 @@
 	for i := range fleet {
 		d.nodes = append(d.nodes, &node{
 			w: d.world, index: i, id: model.InstanceID(fmt.Sprintf("127.0.0.1:%d", 7000+i)),
-			control: fmt.Sprintf("127.0.0.1:%d", 7100+i), dc: model.DataCentre(fmt.Sprintf("dc%d", i/2)),
+			control: fmt.Sprintf("127.0.0.1:%d", 7100+i), dc: model.DataCentre(fmt.Sprintf("dc%d", i/3)), // One of dc0 is no reader.
 		})
 	}
 	slots, limits := []int{2, 3, 3, 1}, []int{10, 5, 30, 5}
@@ -160,7 +160,7 @@
 		}
 		for u := range 4 {
 			o := document.Upstream{
-				Name: fmt.Sprintf("%s-%d", service, u), DataCentre: d.nodes[u%3*2].dc,
+				Name: fmt.Sprintf("%s-%d", service, u), DataCentre: d.nodes[u%2*3].dc,
 				Address: fmt.Sprintf("127.0.0.2:%d", 8000+10*s+u), Slots: slots[u], ConnectionLimit: limits[u],
 			}
 			doc.Upstreams = append(doc.Upstreams, o)
@@ -386,22 +386,21 @@
 	p.stopping.Store(true)
 	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
 	defer cancel()
-	for p.callers.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
 	err := p.inst.Drain(ctx)
-	p.closed.Store(true)
-	for p.inside.Load() > 0 && ctx.Err() == nil {
-		time.Sleep(10 * time.Millisecond)
-	}
+	time.Sleep(time.Millisecond) // Answers on the way to callers.
 	busy := 0
 	for _, u := range d.ups {
 		p.mu.Lock()
 		busy += p.calls[u.document.Name]
 		p.mu.Unlock()
 	}
-	d.check("graceful stop", p.paused != pauses || err == nil && p.callers.Load() == 0 && p.inside.Load() == 0 && busy == 0,
-		"%s stopped with %d requests of callers, %d of peers, %d at upstreams: %v", n.id, p.callers.Load(), p.inside.Load(), busy, err)
+	callers := p.callers.Load()
+	p.closed.Store(true)
+	for p.inside.Load() > 0 && ctx.Err() == nil { // The peer server stops gracefully.
+		time.Sleep(10 * time.Millisecond)
+	}
+	d.check("graceful stop", p.paused != pauses || err == nil && callers == 0 && p.inside.Load() == 0 && busy == 0,
+		"%s stopped with %d requests of callers, %d of peers, %d at upstreams: %v", n.id, callers, p.inside.Load(), busy, err)
 	p.inst.Stop()
 	n.kill()
 	for _, u := range d.ups {
