Tell a copy of an order's message from its caller's sending again

Cause: after not run, the owner of a ticket starts the order again when a submission arrives. A copy of an earlier message, delivered late, looked like the caller's sending again, so an order could run after its caller was told not run. The peer protocol makes no copies, but the promise must not rest on that. Change: each sending has an id, and the owner answers a known one with the recorded outcome. TestCopyAfterNotRun fails without the comparison.

--- a/pkg/adapter/peergrpc/convert.go
+++ b/pkg/adapter/peergrpc/convert.go
@@ -120,6 +120,7 @@
 
 func toWireOrder(now time.Time, boot model.BootID, o port.OrderSubmission) *wire.SubmitOrderRequest {
 	return &wire.SubmitOrderRequest{
+		Id:         o.ID[:],
 		TargetBoot: uint64(boot),
 		Ticket:     o.Ticket,
 		Service:    o.Service,
@@ -133,7 +134,10 @@
 }
 
 func fromWireOrder(now time.Time, w *wire.SubmitOrderRequest) port.OrderSubmission {
+	var id model.AttemptID
+	copy(id[:], w.GetId())
 	return port.OrderSubmission{
+		ID:        id,
 		Ticket:    w.GetTicket(),
 		Service:   w.GetService(),
 		Operation: w.GetOperation(),
--- a/pkg/adapter/peergrpc/peergrpc_test.go
+++ b/pkg/adapter/peergrpc/peergrpc_test.go
@@ -85,7 +85,7 @@
 	must.Eq(t, req, h.group)
 
 	sub := port.OrderSubmission{
-		Ticket: "t", Service: "s", Operation: "o", Priority: "p", Caller: "c",
+		ID: model.AttemptID{9}, Ticket: "t", Service: "s", Operation: "o", Priority: "p", Caller: "c",
 		Payload: json.RawMessage(`[]`), Shard: "a", Deadline: epoch.Add(time.Second),
 	}
 	outcome, err := client.SubmitOrder(t.Context(), id, 11, sub)
--- a/pkg/instance/orders.go
+++ b/pkg/instance/orders.go
@@ -153,6 +153,7 @@
 	if err != nil {
 		return port.OrderAnswer{Code: result.BadRequest, Ran: model.NotRun, Detail: err.Error()}
 	}
+	sub.ID = i.ports.NewID()
 	sub.Deadline = i.orderDeadline(sub)
 	if ticket.Owner == i.cfg.ID {
 		return i.HandleSubmitOrder(ctx, ticket.Boot, sub)
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -9,6 +9,7 @@
 	"encoding/binary"
 	"encoding/json"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 
@@ -27,6 +28,10 @@
 	// maxAttempts bounds upstream attempts per submission; each but the first
 	// follows proof that the one before did not run.
 	maxAttempts = 3
+	// maxSubmissions bounds the submissions of one ticket that are remembered.
+	// Another one is refused, because a copy of a forgotten one could run after
+	// its caller was told "not run".
+	maxSubmissions = 64
 	// limitRetryDelay is suggested to callers when no ticket is free.
 	limitRetryDelay = 2 * time.Second
 )
@@ -71,6 +76,8 @@
 	bound    bool
 	attempt  model.AttemptID
 	attempts int
+	// submissions are the ids of all submissions that could start the order.
+	submissions []model.AttemptID
 	sub      port.OrderSubmission
 	answer   port.OrderAnswer
 }
@@ -210,6 +217,13 @@
 	if !sub.Deadline.After(now) {
 		return answered(port.OrderAnswer{Code: result.DeadlineExceeded, Ran: model.NotRun})
 	}
+	if slices.Contains(r.submissions, sub.ID) {
+		// A copy of a message whose caller was told that the order did not run.
+		return answered(r.answer)
+	}
+	if len(r.submissions) >= maxSubmissions {
+		return answered(port.OrderAnswer{Code: result.TicketLimit, Ran: model.NotRun})
+	}
 	r.bind(sub)
 	return Decision{Start: b.start(t.ID, r)}
 }
@@ -233,6 +247,7 @@
 	r.content = contentHash(sub)
 	r.bound = true
 	r.sub = sub
+	r.submissions = append(r.submissions, sub.ID)
 	r.attempts = 0
 }
 
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -33,9 +33,19 @@
 	})
 }
 
+var submissions uint64
+
+// submissionID returns a new id for each sending by a caller.
+func submissionID() model.AttemptID {
+	submissions++
+	var id model.AttemptID
+	binary.BigEndian.PutUint64(id[:], submissions)
+	return id
+}
+
 func submission(ticket Ticket, now time.Time, payload string) port.OrderSubmission {
 	return port.OrderSubmission{
-		Ticket: ticket.String(), Service: "s", Operation: "reserve", Shard: "0",
+		ID: submissionID(), Ticket: ticket.String(), Service: "s", Operation: "reserve", Shard: "0",
 		Payload: json.RawMessage(payload), Deadline: now.Add(time.Second),
 	}
 }
@@ -154,6 +164,22 @@
 	})
 }
 
+// TestCopyAfterNotRun guards against a copy of a submission that starts the
+// order after its caller was told that it did not run.
+func TestCopyAfterNotRun(t *testing.T) {
+	b := newTestBook(1, 4)
+	ticket, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve"})
+	must.NoError(t, err)
+	sub := submission(ticket, epoch, `1`)
+	d := b.Submit(epoch, ticket, sub)
+	_, answer := b.Finish(epoch, ticket.ID, d.Start.ID, Outcome{Code: result.Overloaded, Ran: model.NotRun})
+	must.Eq(t, model.NotRun, answer.Ran)
+	again := b.Submit(epoch, ticket, sub)
+	must.Nil(t, again.Start)
+	must.Eq(t, result.Overloaded, again.Answer.Code)
+	must.NotNil(t, b.Submit(epoch, ticket, submission(ticket, epoch, `1`)).Start)
+}
+
 // TestUnknownIsFinal guards against a retry after an attempt whose outcome is
 // in doubt.
 func TestUnknownIsFinal(t *testing.T) {
--- a/pkg/port/port.go
+++ b/pkg/port/port.go
@@ -144,6 +144,9 @@
 
 // OrderSubmission is an order with its ticket.
 type OrderSubmission struct {
+	// ID is unique per sending by a caller, so that a copy of the message to
+	// the ticket's owner is told apart from the caller's sending again.
+	ID        model.AttemptID
 	Ticket    string
 	Service   string
 	Operation string
