Use one definition of settings, loads and program paths in the stand-ins

The launcher repeated the settings of an instance, experiments repeated the load tool's streams and capacity, and two commands repeated how they find the binaries.

--- a/cmd/standin/demo_test.go
+++ b/cmd/standin/demo_test.go
@@ -23,6 +23,7 @@
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/settings"
 	"github.com/sardineturn/sardineturn/pkg/standin/demo"
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
 	"github.com/sardineturn/sardineturn/pkg/standin/load"
@@ -45,7 +46,7 @@
 
 // minimalInstance has no queue, retry or peer, but serves the caller interface.
 type minimalInstance struct {
-	settings  launch.Settings
+	settings  settings.Settings
 	platform  *platformhttp.Client
 	upstreams *upstreamhttp.Client
 	mu        sync.Mutex
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -78,8 +78,8 @@
 	attempts int
 	// submissions are the ids of all submissions that could start the order.
 	submissions []model.AttemptID
-	sub      port.OrderSubmission
-	answer   port.OrderAnswer
+	sub         port.OrderSubmission
+	answer      port.OrderAnswer
 }
 
 // Book holds the tickets of one process run. It is not safe for concurrent
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -4,12 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
-	"math"
 	"path/filepath"
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
-	"github.com/sardineturn/sardineturn/pkg/standin/load"
 	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
 )
 
@@ -58,7 +57,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{fleet: fleet, service: s, capacity: capacityOf(s) * o.loadFactor(), rolled: make(chan error, 1)}
+	d := &deployment{fleet: fleet, service: s, capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1)}
 	if err := d.start(ctx); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
@@ -90,15 +89,6 @@
 	return o.LoadFactor
 }
 
-// capacityOf returns the queries per second that the service's slots can serve
-// if each query runs once on each shard.
-func capacityOf(s launch.Service) float64 {
-	t := s.Service[""]
-	meanMS := t.MedianMS * math.Exp(t.Sigma*t.Sigma/2)
-	slots := float64(s.Upstreams * s.Slots)
-	return slots * 1000 / (meanMS * float64(s.Shards))
-}
-
 func (d *deployment) upstreamName(n int) string { return d.host.Upstreams[n].Name }
 
 // crash breaks an upstream's connections and refuses new ones for a time.
@@ -113,7 +103,7 @@
 	instances := d.fleet.Instances()
 	var explanation struct {
 		Shards []struct {
-			Homes []string `json:"homes"`
+			Homes []model.InstanceID `json:"homes"`
 		} `json:"shards"`
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), readyTimeout)
@@ -152,15 +142,6 @@
 	d.rolled <- failed
 }
 
-// targets lists the instances for the load generator.
-func (d *deployment) targets() []load.Target {
-	var out []load.Target
-	for _, i := range d.fleet.Instances() {
-		out = append(out, load.Target{Caller: i.Settings.CallerAddress, Operator: i.Settings.OperatorAddress})
-	}
-	return out
-}
-
 // executionsAfter counts executions on the named upstream that started later
 // than the given time.
 func (d *deployment) executionsAfter(ctx context.Context, name string, after time.Time) (int, error) {
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -148,10 +148,10 @@
 func (d *deployment) measure(ctx context.Context, o Options, s scenario, label string) (*outcome, error) {
 	config := load.Config{
 		Seed:           o.Seed,
-		Instances:      d.targets(),
+		Instances:      load.Targets(d.fleet),
 		UpstreamAdmins: []string{d.host.Admin},
 		Balancer:       load.Balancer{PollMS: balancerPollMS, LagMS: balancerLagMS},
-		Streams:        streams(d.service, d.capacity, steadyLoad),
+		Streams:        steadyStreams(d.service, o.loadFactor()),
 		Phases:         s.phases(d.service, d.capacity),
 		WindowMS:       windowMS,
 	}
--- a/pkg/standin/experiment/scenario.go
+++ b/pkg/standin/experiment/scenario.go
@@ -260,20 +260,15 @@
 	return out
 }
 
-// streams returns the load of the service at the given fractions of capacity.
-func streams(s launch.Service, capacity float64, fractions [3]float64) []load.Stream {
-	out := make([]load.Stream, 0, len(s.Priorities))
-	for n, p := range s.Priorities {
-		out = append(out, load.Stream{
-			Name:       p.Name,
-			Service:    s.Name,
-			Operation:  launch.OperationSearch,
-			Priority:   p.Name,
-			Callers:    5,
-			Rate:       capacity * fractions[n],
-			DeadlineMS: p.DeadlineMS,
-			TargetMS:   p.TargetMS,
-		})
+// steadyStreams returns the steady load of the service, named by priority.
+func steadyStreams(s launch.Service, factor float64) []load.Stream {
+	shares := make([]float64, 0, len(steadyLoad))
+	for _, share := range steadyLoad {
+		shares = append(shares, share*factor)
+	}
+	out := load.Queries(s, shares...)
+	for n := range out {
+		out[n].Name = out[n].Priority
 	}
 	return out
 }
--- a/pkg/standin/launch/fleet.go
+++ b/pkg/standin/launch/fleet.go
@@ -17,6 +17,7 @@
 
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/settings"
 	"github.com/sardineturn/sardineturn/pkg/standin/platform"
 	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
 )
@@ -29,22 +30,6 @@
 	adminTimeout = 10 * time.Second
 )
 
-// Settings are the settings of an instance, in the form of its settings file.
-type Settings struct {
-	InstanceID      string `json:"instance_id"`
-	DataCentre      string `json:"data_centre"`
-	Cluster         string `json:"cluster"`
-	GRPCAddress     string `json:"grpc_address"`
-	ControlAddress  string `json:"control_address"`
-	CallerAddress   string `json:"caller_address"`
-	OperatorAddress string `json:"operator_address"`
-	PlatformURL     string `json:"platform_url"`
-	MaxInstances    int    `json:"max_instances"`
-	BalancerLagMS   int    `json:"balancer_lag_ms"`
-	LogLevel        string `json:"log_level"`
-	TraceFile       string `json:"trace_file,omitempty"`
-}
-
 // Config configures a Fleet.
 type Config struct {
 	// Sardineturn and Standin are the paths of the two binaries.
@@ -92,7 +77,7 @@
 // Instance is a process of sardineturn.
 type Instance struct {
 	*Process
-	Settings Settings
+	Settings settings.Settings
 
 	fleet        *Fleet
 	settingsFile string
@@ -217,7 +202,7 @@
 // StartInstance lists a new instance at the platform and starts it. It does
 // not wait until the instance is ready.
 func (f *Fleet) StartInstance(ctx context.Context, dataCentre model.DataCentre) (*Instance, error) {
-	s, err := f.newSettings(string(dataCentre))
+	s, err := f.newSettings(dataCentre)
 	if err != nil {
 		return nil, err
 	}
@@ -250,38 +235,38 @@
 	return i, nil
 }
 
-func (f *Fleet) newSettings(dataCentre string) (Settings, error) {
+func (f *Fleet) newSettings(dataCentre model.DataCentre) (settings.Settings, error) {
 	var addresses [4]string
 	for n := range addresses {
 		address, err := FreeAddress(loopback)
 		if err != nil {
-			return Settings{}, err
+			return settings.Settings{}, err
 		}
 		addresses[n] = address
 	}
-	return Settings{
-		InstanceID:      addresses[0],
-		DataCentre:      dataCentre,
-		Cluster:         f.config.Cluster,
-		GRPCAddress:     addresses[0],
-		ControlAddress:  addresses[1],
-		CallerAddress:   addresses[2],
-		OperatorAddress: addresses[3],
-		PlatformURL:     "http://" + f.PlatformAddress,
-		MaxInstances:    f.config.MaxInstances,
-		BalancerLagMS:   f.config.BalancerLagMS,
-		LogLevel:        f.config.LogLevel,
-	}, nil
+	s := settings.Default()
+	s.InstanceID = model.InstanceID(addresses[0])
+	s.DataCentre = dataCentre
+	s.Cluster = f.config.Cluster
+	s.GRPCAddress = addresses[0]
+	s.ControlAddress = addresses[1]
+	s.CallerAddress = addresses[2]
+	s.OperatorAddress = addresses[3]
+	s.PlatformURL = "http://" + f.PlatformAddress
+	s.MaxInstances = f.config.MaxInstances
+	s.BalancerLagMS = f.config.BalancerLagMS
+	s.LogLevel = f.config.LogLevel
+	return s, nil
 }
 
 // list writes the instance's entry in the platform's list.
-func (f *Fleet) list(ctx context.Context, s Settings, leaving bool) error {
-	entry := platform.Instance{ID: s.InstanceID, ControlAddress: s.ControlAddress, DataCentre: s.DataCentre, Leaving: leaving}
+func (f *Fleet) list(ctx context.Context, s settings.Settings, leaving bool) error {
+	entry := platform.Instance{ID: string(s.InstanceID), ControlAddress: s.ControlAddress, DataCentre: string(s.DataCentre), Leaving: leaving}
 	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances", entry, nil)
 }
 
-func (f *Fleet) unlist(ctx context.Context, s Settings) error {
-	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances/remove", platform.Instance{ID: s.InstanceID}, nil)
+func (f *Fleet) unlist(ctx context.Context, s settings.Settings) error {
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances/remove", platform.Instance{ID: string(s.InstanceID)}, nil)
 }
 
 // WaitReady waits until the instance's readiness endpoint answers 200.
