Add capacity measurements and the page worked out from them

The design page gives a target size, but nothing said whether the parts reach it. `standin capacity` measures the parts at growing sizes, fits a line to each, and fills docs/CAPACITY.md; `make capacity` runs it.

--- a/Makefile
+++ b/Makefile
@@ -22,6 +22,13 @@
 demo: build
 	$(BIN)/standin demo
 
+# Measures what the parts cost at growing sizes and fills docs/CAPACITY.md.
+capacity: build
+	$(GO) test -run '^$$' -bench 'Second|Receive' -benchtime 300x -count 5 ./pkg/membership > $(BIN)/membership-bench.txt
+	$(GO) test -run '^$$' -bench Tick -benchtime 1000x -count 5 ./pkg/membership >> $(BIN)/membership-bench.txt
+	$(GO) test -run '^$$' -bench Memory -benchtime 2x ./pkg/membership >> $(BIN)/membership-bench.txt
+	$(BIN)/standin capacity
+
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -26,6 +26,7 @@
 	Load       loadCommand       `cmd:"" help:"Generate load over the caller interface and check the answers."`
 	Serve      serveCommand      `cmd:"" help:"Run an instance of the baseline that experiments compare with."`
 	Experiment experimentCommand `cmd:"" help:"Run load and faults against the product and the baseline, and compare with the aims."`
+	Capacity   capacityCommand   `cmd:"" help:"Measure what the parts cost at growing sizes and fill the tables of docs/CAPACITY.md."`
 	Demo       demoCommand       `cmd:"" help:"Start a small deployment, send some requests and stop it."`
 }
 
--- /dev/null
+++ b/pkg/standin/capacity/core.go
@@ -0,0 +1,427 @@
+package capacity
+
+import (
+	"bytes"
+	"compress/gzip"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/catalog"
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/order"
+	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/query"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// layout says in which data centre replica r of shard s lies.
+type layout func(s, r int) model.DataCentre
+
+// inRegion spreads the replicas of a shard over the two data centres of the
+// region of the service. With lean the first data centre holds two of three.
+func inRegion(service int, lean bool) layout {
+	return func(s, r int) model.DataCentre {
+		if !lean {
+			r += s
+		}
+		return dataCentre(service%regions*2 + r%2)
+	}
+}
+
+// documentContent returns a document in which each upstream holds one shard.
+func documentContent(service, revision, shards, copies int, place layout) []byte {
+	var b bytes.Buffer
+	name := serviceName(service)
+	fmt.Fprintf(&b, `{"service":%q,"revision":%d,"priorities":[`, name, revision)
+	b.WriteString(`{"name":"high","target_ms":150,"deadline_ms":10000,"least_coverage":0.8,"guaranteed_share":0.5,"worth":10},`)
+	b.WriteString(`{"name":"low","target_ms":2000,"deadline_ms":10000,"least_coverage":0.5,"guaranteed_share":0.1,"worth":1}],`)
+	b.WriteString(`"operations":[{"name":"lookup"},{"name":"reserve","non_idempotent":true}],"upstreams":[`)
+	for s := range shards {
+		for r := range copies {
+			comma(&b, s+r)
+			fmt.Fprintf(&b, `{"name":"%s-s%03d-%02d","data_centre":%q,"address":"10.%d.%d.%d:8080","slots":%d,"connection_limit":%d,"connect_ms":1}`,
+				name, s, r, place(s, r), 100+service, s%250, r+40*(s/250), slotsPerUpstream, connectionLimit)
+		}
+	}
+	b.WriteString(`],"snapshots":[`)
+	for v := range snapshots {
+		comma(&b, v)
+		fmt.Fprintf(&b, `{"id":"2026-12-%02d","shards":[`, v+1)
+		for s := range shards {
+			comma(&b, s)
+			fmt.Fprintf(&b, `{"id":"s%03d","replicas":[`, s)
+			for r := range copies {
+				comma(&b, r)
+				fmt.Fprintf(&b, `"%s-s%03d-%02d"`, name, s, r)
+			}
+			b.WriteString("]}")
+		}
+		b.WriteString("]}")
+	}
+	b.WriteString("]}")
+	return b.Bytes()
+}
+
+func comma(b *bytes.Buffer, i int) {
+	if i > 0 {
+		b.WriteByte(',')
+	}
+}
+
+func mustParse(content []byte) *document.Document {
+	d, err := document.Parse(content)
+	if err != nil {
+		panic(err)
+	}
+	return d
+}
+
+func parsed(shards, copies int) *document.Document {
+	return mustParse(documentContent(0, 1, shards, copies, inRegion(0, true)))
+}
+
+func measureCatalog(o Options) []Series {
+	bySize := Series{
+		Name: "document", Title: "Catalog: one document of growing size (3 replicas per shard, 2 snapshots)",
+		Size: "upstreams", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("bytes", "B", Linear), column("gzip", "B", Linear), column("offer", "us", Linear), column("memory", "KB", Linear)},
+	}
+	for _, upstreams := range o.sizes(30, 150, 600, 1500, 3000) {
+		content := documentContent(0, 1, upstreams/replicas, replicas, inRegion(0, true))
+		values := medianOf(bySize.Repeats, func() []float64 {
+			before := heapBytes()
+			started := time.Now()
+			c := catalog.New(document.Parse)
+			out := c.Offer(port.RawDocument{Service: serviceName(0), Content: bytes.Clone(content)})
+			spent := microseconds(time.Since(started), 1)
+			if out.Verdict != catalog.Adopted {
+				panic(out.Err)
+			}
+			after := heapBytes()
+			runtime.KeepAlive(c)
+			return []float64{spent, (after - before) / 1024}
+		})
+		bySize.add(float64(upstreams), float64(len(content)), float64(gzipped(content)), values[0], values[1])
+	}
+	byCount := Series{
+		Name: "catalog", Title: "Catalog: growing number of documents of 600 upstreams",
+		Size: "documents", Seed: o.Seed, Repeats: 1,
+		Columns: []Column{column("memory", "KB", Linear), column("offer of a change", "us", Linear), column("versions for a fetch", "us", Linear)},
+	}
+	for _, n := range o.sizes(5, 10, 20, services, 60) {
+		byCount.add(float64(n), catalogOf(n)...)
+	}
+	return []Series{bySize, byCount}
+}
+
+func gzipped(content []byte) int {
+	var b bytes.Buffer
+	w := gzip.NewWriter(&b)
+	_, _ = w.Write(content)
+	_ = w.Close()
+	return b.Len()
+}
+
+func catalogOf(n int) []float64 {
+	before := heapBytes()
+	c := catalog.New(document.Parse)
+	offer := func(i, revision int) {
+		out := c.Offer(port.RawDocument{
+			Service: serviceName(i),
+			Content: documentContent(i, revision, upstreamsPerQuery, replicas, inRegion(i, true)),
+		})
+		if out.Verdict != catalog.Adopted {
+			panic(out.Err)
+		}
+	}
+	for i := range n {
+		offer(i, 1)
+	}
+	memory := heapBytes() - before
+	change := medianOf(5, func() []float64 {
+		raw := documentContent(0, int(c.Get(serviceName(0)).Revision)+1, upstreamsPerQuery, replicas, inRegion(0, true))
+		started := time.Now()
+		c.Offer(port.RawDocument{Service: serviceName(0), Content: raw})
+		return []float64{microseconds(time.Since(started), 1)}
+	})
+	started := time.Now()
+	const lookups = 1000
+	for range lookups {
+		c.Newer(c.Versions())
+	}
+	return []float64{memory / 1024, change[0], microseconds(time.Since(started), lookups)}
+}
+
+// fleetMembers returns a fleet's members, spread over all data centres.
+func fleetMembers(n int) []membership.Member {
+	out := make([]membership.Member, n)
+	for i := range out {
+		out[i] = member(i, dataCentres)
+	}
+	return out
+}
+
+// targetGroups returns the groups of all documents of the target size.
+func targetGroups(lean bool) []document.Group {
+	var out []document.Group
+	for i := range services {
+		d := mustParse(documentContent(i, 1, upstreamsPerQuery, replicas, inRegion(i, lean)))
+		out = append(out, d.Groups()...)
+	}
+	return out
+}
+
+// measurePlacement measures what a change of members costs: pkg/instance
+// computes the order of every group anew and looks up the members by id.
+func measurePlacement(o Options) Series {
+	s := Series{
+		Name: "placement", Title: "Placement: after a change of members",
+		Size: "members", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{
+			column("homes", "us per group", Linear), column("homes with members by id", "us per group", Linear),
+			column("readers", "us", Linear),
+		},
+	}
+	groups := targetGroups(true)[:o.count(100)]
+	for _, n := range o.sizes(9, 100, 400, 1600, 3100, 6200) {
+		members := fleetMembers(n)
+		s.add(float64(n), medianOf(s.Repeats, func() []float64 {
+			started := time.Now()
+			for _, g := range groups {
+				placement.Homes(g, members, maxInstances)
+			}
+			alone := time.Since(started)
+			started = time.Now()
+			for _, g := range groups {
+				homeOrder(g, members)
+			}
+			whole := time.Since(started)
+			started = time.Now()
+			for range groups {
+				placement.Readers(members[0].DataCentre, members, readersPerDataCentre)
+			}
+			return []float64{microseconds(alone, len(groups)), microseconds(whole, len(groups)), microseconds(time.Since(started), len(groups))}
+		})...)
+	}
+	return s
+}
+
+// countHomes counts, for growing fleets, how the homes of the target size's
+// groups are spread. Nothing is timed, and rendezvous hashing needs no seed.
+func countHomes(o Options) Series {
+	s := Series{
+		Name: "homes", Title: "Homes of the target size's groups (counted with the product's placement)",
+		Size: "members", Seed: o.Seed, Repeats: 1,
+		Columns: []Column{
+			column("groups", "groups", Linear), column("instances with a group", "instances", Linear), column("most groups of an instance", "groups", Linear),
+			column("homes in region, 2:1", "fraction", Linear), column("homes in region, even", "fraction", Linear),
+			column("homes in region, 2:1, data centre lost", "fraction", Linear), column("homes that an instance of a region uses", "instances", Linear),
+		},
+	}
+	lean, even := targetGroups(true), targetGroups(false)
+	for _, n := range o.sizes(100, 400, 1600, 3100) {
+		members := fleetMembers(n)
+		held := make(map[model.InstanceID]int)
+		local := make(map[model.InstanceID]bool)
+		for _, g := range lean {
+			home := placement.Homes(g, members, 1)[0]
+			held[home]++
+			if regionOf(g) == 0 {
+				local[home] = true
+			}
+		}
+		most := 0
+		for _, count := range held {
+			most = max(most, count)
+		}
+		without := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.DataCentre == dataCentre(0) })
+		affected := slices.DeleteFunc(slices.Clone(lean), func(g document.Group) bool { return regionOf(g) != 0 })
+		s.add(float64(n), float64(len(lean)), float64(len(held)), float64(most),
+			homesInRegion(lean, members), homesInRegion(even, members), homesInRegion(affected, without), float64(len(local)))
+	}
+	return s
+}
+
+// regionOf returns the region that holds all upstreams of the group.
+func regionOf(g document.Group) int { return regionIndex(g.Upstreams[0].DataCentre) }
+
+func regionIndex(dc model.DataCentre) int {
+	var region, number int
+	_, _ = fmt.Sscanf(string(dc), "region%d-dc%d", &region, &number)
+	return region - 1
+}
+
+// homesInRegion returns the fraction of the groups whose home is in the region
+// of their upstreams.
+func homesInRegion(groups []document.Group, members []membership.Member) float64 {
+	dcs := make(map[model.InstanceID]model.DataCentre, len(members))
+	for _, m := range members {
+		dcs[m.ID] = m.DataCentre
+	}
+	n := 0
+	for _, g := range groups {
+		if regionIndex(dcs[placement.Homes(g, members, 1)[0]]) == regionOf(g) {
+			n++
+		}
+	}
+	return float64(n) / float64(len(groups))
+}
+
+// homeOrder does what the function of the same name in pkg/instance does.
+func homeOrder(g document.Group, members []membership.Member) []membership.Member {
+	byID := make(map[model.InstanceID]membership.Member, len(members))
+	for _, m := range members {
+		byID[m.ID] = m
+	}
+	var out []membership.Member
+	for _, id := range placement.Homes(g, members, maxInstances) {
+		out = append(out, byID[id])
+	}
+	return out
+}
+
+// ids returns a source of distinct attempt ids.
+func ids() func() model.AttemptID {
+	var n uint64
+	return func() model.AttemptID {
+		n++
+		var id model.AttemptID
+		binary.BigEndian.PutUint64(id[:], n)
+		return id
+	}
+}
+
+func payload(n int) json.RawMessage {
+	return json.RawMessage(`"` + string(bytes.Repeat([]byte("x"), n-2)) + `"`)
+}
+
+func measureQuery(o Options) []Series {
+	byMessages := Series{
+		Name: "query messages", Title: "Query at its entry: 200 shards in a growing number of group messages",
+		Size: "messages", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("time", "us per query", Linear), column("allocated", "KB per query", Linear), column("held", "KB per query", Linear)},
+	}
+	for _, copies := range o.sizes(1, 2, replicas, 8, 16) {
+		d := parsed(upstreamsPerQuery, copies)
+		byMessages.add(float64(len(d.Groups())), queryCost(o, d)...)
+	}
+	byShards := Series{
+		Name: "query shards", Title: "Query at its entry: growing number of shards, 10 shards per group message",
+		Size: "shards", Seed: o.Seed, Repeats: 5,
+		Columns: byMessages.Columns,
+	}
+	byShards.Columns = append([]Column(nil), byMessages.Columns...)
+	for _, shards := range o.sizes(50, 100, 200, 400, 800) {
+		byShards.add(float64(shards), queryCost(o, parsed(shards, replicas))...)
+	}
+	return []Series{byMessages, byShards}
+}
+
+// queryCost runs whole queries and returns time, bytes allocated, and the heap
+// of a query that waits for its answers.
+func queryCost(o Options, d *document.Document) []float64 {
+	cfg := query.Config{
+		NewID:           ids(),
+		Document:        func() *document.Document { return d },
+		SnapshotAvoided: func(model.SnapshotID) bool { return false },
+		QueueDelay:      func(model.GroupKey, string) time.Duration { return 0 },
+	}
+	q := model.Query{Service: d.Service, Operation: "lookup", Priority: "high", Caller: "caller", Payload: payload(payloadBytes)}
+	value := payload(resultBytes)
+	start := func() (*query.Query, []query.Action) {
+		s, actions, err := query.New(epoch, q, d, cfg)
+		if err != nil {
+			panic(err)
+		}
+		return s, actions
+	}
+	n := o.count(300)
+	return medianOf(5, func() []float64 {
+		var before, after runtime.MemStats
+		var spent time.Duration
+		runtime.ReadMemStats(&before)
+		for range n {
+			started := time.Now()
+			s, actions := start()
+			spent += time.Since(started)
+			var answers []model.GroupAnswer
+			for _, a := range actions {
+				answers = append(answers, groupAnswer(a.(query.Send).Request, value))
+			}
+			started = time.Now()
+			for _, a := range answers {
+				s.GroupAnswered(epoch, a.ID, a)
+			}
+			spent += time.Since(started)
+			if !s.Done() {
+				panic("the query has no answer")
+			}
+		}
+		runtime.ReadMemStats(&after)
+		heap := heapBytes()
+		waiting := make([]*query.Query, o.count(200))
+		for i := range waiting {
+			waiting[i], _ = start()
+		}
+		held := (heapBytes() - heap) / float64(len(waiting))
+		runtime.KeepAlive(waiting)
+		return []float64{microseconds(spent, n), float64(after.TotalAlloc-before.TotalAlloc) / 1024 / float64(n), held / 1024}
+	})
+}
+
+func groupAnswer(req model.GroupRequest, value json.RawMessage) model.GroupAnswer {
+	a := model.GroupAnswer{ID: req.ID, Code: result.OK, Snapshot: req.Snapshot}
+	for _, s := range req.Shards {
+		a.Outcomes = append(a.Outcomes, model.ShardOutcome{Shard: s, Code: result.OK, Ran: model.Ran, Result: value})
+	}
+	return a
+}
+
+func measureOrders(o Options) Series {
+	s := Series{
+		Name: "orders", Title: "Order book: tickets held, each run to its end",
+		Size: "tickets", Seed: o.Seed, Repeats: 3,
+		Columns: []Column{column("memory", "KB", Linear), column("order", "us per order", Linear), column("expiry scan", "us", Linear)},
+	}
+	for _, n := range o.sizes(1000, 10000, 30000, 100000) {
+		s.add(float64(n), medianOf(s.Repeats, func() []float64 { return orderCost(n, o.Seed) })...)
+	}
+	return s
+}
+
+func orderCost(n int, seed uint64) []float64 {
+	before := heapBytes()
+	b := order.NewBook(order.Config{Owner: "10.0.0.1:7000", Boot: 1, Capacity: n, NewID: ids(), Rand: rand.New(rand.NewPCG(seed, 1))})
+	spec := order.Spec{Service: serviceName(0), Operation: "reserve", Caller: "caller", Validity: order.MaxValidity}
+	var spent time.Duration
+	for range n {
+		body, value := payload(payloadBytes), payload(resultBytes)
+		started := time.Now()
+		t, _, err := b.Issue(epoch, spec)
+		if err != nil {
+			panic(err)
+		}
+		d := b.Submit(epoch, t, port.OrderSubmission{
+			Ticket: t.String(), Service: spec.Service, Operation: spec.Operation, Priority: "high",
+			Caller: spec.Caller, Payload: body, Shard: "s001", Deadline: epoch.Add(time.Second),
+		})
+		b.Finish(epoch, t.ID, d.Start.ID, order.Outcome{Code: result.OK, Ran: model.Ran, Result: value, Snapshot: "2026-12-01"})
+		spent += time.Since(started)
+	}
+	memory := heapBytes() - before
+	started := time.Now()
+	b.Expire(epoch.Add(time.Second))
+	scan := microseconds(time.Since(started), 1)
+	if b.Len() != n {
+		panic("a ticket is missing")
+	}
+	return []float64{memory / 1024, microseconds(spent, n), scan}
+}
--- /dev/null
+++ b/pkg/standin/capacity/network.go
@@ -0,0 +1,476 @@
+package capacity
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/adapter/peergrpc"
+	"github.com/sardineturn/sardineturn/pkg/adapter/peerudp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/upstreamhttp"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// senders is the number of messages in flight in the loopback measurements.
+const senders = 8
+
+// countingListener counts the bytes of all its connections.
+type countingListener struct {
+	net.Listener
+	bytes atomic.Int64
+}
+
+type countingConn struct {
+	net.Conn
+	l *countingListener
+}
+
+func listenLoopback() (*countingListener, error) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &countingListener{Listener: l}, nil
+}
+
+// Accept implements net.Listener.
+func (l *countingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return &countingConn{Conn: c, l: l}, nil
+}
+
+// Read implements net.Conn.
+func (c *countingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.l.bytes.Add(int64(n))
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.l.bytes.Add(int64(n))
+	return n, err
+}
+
+// inParallel runs n operations on several goroutines and returns the processor
+// time per operation in microseconds.
+func inParallel(n int, operation func() error) (float64, error) {
+	var wait sync.WaitGroup
+	var failed atomic.Value
+	var left atomic.Int64
+	left.Store(int64(n))
+	before := processorTime()
+	for range senders {
+		wait.Go(func() {
+			for left.Add(-1) >= 0 {
+				if err := operation(); err != nil {
+					failed.Store(err)
+					return
+				}
+			}
+		})
+	}
+	wait.Wait()
+	spent := processorTime() - before
+	if err, ok := failed.Load().(error); ok {
+		return 0, err
+	}
+	return microseconds(spent, n), nil
+}
+
+// peerHandler answers group messages at once.
+type peerHandler struct{ value []byte }
+
+// HandleRunGroup implements port.PeerHandler.
+func (h peerHandler) HandleRunGroup(_ context.Context, req model.GroupRequest) model.GroupAnswer {
+	return groupAnswer(req, h.value)
+}
+
+// HandleSubmitOrder implements port.PeerHandler.
+func (peerHandler) HandleSubmitOrder(context.Context, model.BootID, port.OrderSubmission) port.OrderAnswer {
+	return port.OrderAnswer{}
+}
+
+// HandleFetchDocuments implements port.PeerHandler.
+func (peerHandler) HandleFetchDocuments(context.Context, []port.DocumentVersion) []port.RawDocument {
+	return nil
+}
+
+type peerServer struct {
+	server   *peergrpc.Server
+	listener *countingListener
+	id       model.InstanceID
+}
+
+func startPeer() (*peerServer, error) {
+	l, err := listenLoopback()
+	if err != nil {
+		return nil, err
+	}
+	p := &peerServer{
+		server:   peergrpc.NewServer(peerHandler{value: payload(resultBytes)}, port.SystemClock{}),
+		listener: l, id: model.InstanceID(l.Addr().String()),
+	}
+	go func() { _ = p.server.Serve(l) }()
+	return p, nil
+}
+
+func groupRequest(shards int) model.GroupRequest {
+	req := model.GroupRequest{
+		ID: model.AttemptID{1}, Group: model.GroupKey{Service: serviceName(0)}, Revision: 1, Operation: "lookup", Priority: "high",
+		Caller: "caller", Payload: payload(payloadBytes), Snapshot: "2026-12-01", LeastShards: 1, Deadline: time.Now().Add(time.Hour),
+	}
+	for i := range shards {
+		req.Shards = append(req.Shards, model.ShardID(fmt.Sprintf("s%03d", i)))
+	}
+	return req
+}
+
+func measurePeers(o Options) ([]Series, error) {
+	messages, err := measureMessages(o)
+	if err != nil {
+		return nil, err
+	}
+	connections, err := measureConnections(o)
+	return []Series{messages, connections}, err
+}
+
+func measureMessages(o Options) (Series, error) {
+	s := Series{
+		Name: "peer messages", Title: "Peer data messages over gRPC on loopback, one connection, both ends in one process",
+		Size: "shards per message", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("cpu", "us per message, both ends", Linear), column("bytes", "B per message, both directions", Linear)},
+	}
+	p, err := startPeer()
+	if err != nil {
+		return s, err
+	}
+	defer p.server.Stop()
+	client := peergrpc.NewClient(port.SystemClock{})
+	defer client.Close()
+	ctx := context.Background()
+	for _, shards := range o.sizes(1, 5, 10, 20, 50, 200) {
+		req := groupRequest(shards)
+		run := func() error {
+			_, err := client.RunGroup(ctx, p.id, req)
+			return err
+		}
+		n := o.count(4000)
+		if _, err := inParallel(n/4+1, run); err != nil {
+			return s, err
+		}
+		var values []float64
+		before := p.listener.bytes.Load()
+		for range s.Repeats {
+			us, err := inParallel(n, run)
+			if err != nil {
+				return s, err
+			}
+			values = append(values, us)
+		}
+		bytes := float64(p.listener.bytes.Load()-before) / float64(n*s.Repeats)
+		s.add(float64(shards), median(values), bytes)
+	}
+	return s, nil
+}
+
+// measureConnections measures the memory of connections that were used once.
+// The bare client of the second column holds next to nothing, so that its memory
+// is that of the server's end.
+func measureConnections(o Options) (Series, error) {
+	s := Series{
+		Name: "peer connections", Title: "Idle gRPC connections between instances, used once (heap and stacks)",
+		Size: "connections", Seed: o.Seed, Repeats: 1,
+		Columns: []Column{column("both ends", "KB", Linear), column("server end", "KB", Linear)},
+	}
+	for _, n := range o.sizes(50, 100, 200, 400, 800) {
+		both, err := connectionMemory(n, dialPeer)
+		if err != nil {
+			return s, err
+		}
+		server, err := connectionMemory(n, dialBare)
+		if err != nil {
+			return s, err
+		}
+		s.add(float64(n), both, server)
+	}
+	return s, nil
+}
+
+func connectionMemory(n int, dial func(*peerServer) (io.Closer, error)) (float64, error) {
+	p, err := startPeer()
+	if err != nil {
+		return 0, err
+	}
+	defer p.server.Stop()
+	before := residentBytes()
+	open := make([]io.Closer, 0, n)
+	for range n {
+		c, err := dial(p)
+		if err != nil {
+			return 0, err
+		}
+		open = append(open, c)
+	}
+	memory := residentBytes() - before
+	for _, c := range open {
+		_ = c.Close()
+	}
+	return memory / 1024, nil
+}
+
+type peerCloser struct{ *peergrpc.Client }
+
+// Close implements io.Closer.
+func (c peerCloser) Close() error {
+	c.Client.Close()
+	return nil
+}
+
+func dialPeer(p *peerServer) (io.Closer, error) {
+	client := peergrpc.NewClient(port.SystemClock{})
+	_, err := client.RunGroup(context.Background(), p.id, groupRequest(10))
+	return peerCloser{client}, err
+}
+
+// dialBare opens an HTTP/2 connection by its preface and an empty SETTINGS
+// frame, and waits for the server's SETTINGS.
+func dialBare(p *peerServer) (io.Closer, error) {
+	c, err := net.Dial("tcp", string(p.id))
+	if err != nil {
+		return nil, err
+	}
+	preface := append([]byte("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"), 0, 0, 0, 4, 0, 0, 0, 0, 0)
+	if _, err := c.Write(preface); err != nil {
+		return nil, err
+	}
+	_, err = io.ReadFull(c, make([]byte, 9))
+	return c, err
+}
+
+// fakeUpstream answers the upstream interface at little cost of its own, so
+// that the figures are close to those of the client alone.
+type fakeUpstream struct{ listener *countingListener }
+
+func startFakeUpstream() (*fakeUpstream, error) {
+	l, err := listenLoopback()
+	if err != nil {
+		return nil, err
+	}
+	u := &fakeUpstream{listener: l}
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go u.serve(c)
+		}
+	}()
+	return u, nil
+}
+
+const (
+	healthBody = `{"draining":false,"healthy":true}` + "\n"
+	loadBody   = `{"in_flight":2,"slots":6,"snapshots":["2026-12-01","2026-12-02"]}` + "\n"
+	dateHeader = "Date: Fri, 04 Dec 2026 07:00:00 GMT\r\n"
+)
+
+func (u *fakeUpstream) serve(c net.Conn) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	value := payload(resultBytes)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		answer := healthBody
+		switch req.URL.Path {
+		case "/v1/load":
+			answer = loadBody
+		case "/v1/execute":
+			attempt := body[len(`{"attempt":"`):][:32]
+			answer = fmt.Sprintf(`{"attempt":%q,"snapshot":"2026-12-01","shard":"s001","state":"ok","ran":"ran","result":%s}`, attempt, value)
+		}
+		var out bytes.Buffer
+		fmt.Fprintf(&out, "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n%sContent-Length: %d\r\n\r\n%s", dateHeader, len(answer), answer)
+		if _, err := c.Write(out.Bytes()); err != nil {
+			return
+		}
+	}
+}
+
+func measureUpstreams(o Options) ([]Series, error) {
+	calls, err := measureCalls(o)
+	if err != nil {
+		return nil, err
+	}
+	connections, err := measureUpstreamConnections(o)
+	return []Series{calls, connections}, err
+}
+
+// measureCalls measures calls and status reads over growing numbers of
+// upstreams, each with its own connection.
+func measureCalls(o Options) (Series, error) {
+	s := Series{
+		Name: "upstream calls", Title: "Upstream calls and status reads over HTTP/1.1 on loopback, with a minimal answering end in the same process",
+		Size: "upstreams", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{
+			column("call cpu", "us per call", Linear), column("call bytes", "B per call", Linear),
+			column("status cpu", "us per read", Linear), column("status bytes", "B per read", Linear),
+		},
+	}
+	for _, n := range o.sizes(1, 6, 32, 100) {
+		values, err := callCost(n, o.count(3000), s.Repeats)
+		if err != nil {
+			return s, err
+		}
+		s.add(float64(n), values...)
+	}
+	return s, nil
+}
+
+func callCost(upstreams, n, repeats int) ([]float64, error) {
+	ends := make([]*fakeUpstream, upstreams)
+	for i := range ends {
+		u, err := startFakeUpstream()
+		if err != nil {
+			return nil, err
+		}
+		defer u.listener.Close()
+		ends[i] = u
+	}
+	client := upstreamhttp.New(port.SystemClock{})
+	defer client.Close()
+	var next atomic.Int64
+	address := func() string { return ends[int(next.Add(1))%upstreams].listener.Addr().String() }
+	ctx := context.Background()
+	execute := func() error {
+		call := port.UpstreamCall{
+			Attempt: model.AttemptID{2}, Address: address(), Service: serviceName(0), Operation: "lookup", Snapshot: "2026-12-01",
+			Shard: "s001", Payload: payload(payloadBytes), Deadline: time.Now().Add(time.Minute), MaxConnections: senders,
+		}
+		if r := client.Execute(ctx, call); r.Code != result.OK {
+			return fmt.Errorf("call: %v", r.Code)
+		}
+		return nil
+	}
+	status := func() error {
+		_, err := client.Status(ctx, address())
+		return err
+	}
+	bytes := func() (sum int64) {
+		for _, u := range ends {
+			sum += u.listener.bytes.Load()
+		}
+		return sum
+	}
+	var out []float64
+	for _, run := range []func() error{execute, status} {
+		if _, err := inParallel(n/4+senders*upstreams, run); err != nil {
+			return nil, err
+		}
+		before := bytes()
+		var times []float64
+		for range repeats {
+			us, err := inParallel(n, run)
+			if err != nil {
+				return nil, err
+			}
+			times = append(times, us)
+		}
+		out = append(out, median(times), float64(bytes()-before)/float64(n*repeats))
+	}
+	return out, nil
+}
+
+// measureUpstreamConnections measures the memory of idle upstream connections.
+func measureUpstreamConnections(o Options) (Series, error) {
+	s := Series{
+		Name: "upstream connections", Title: "Idle upstream connections, one per upstream, with the minimal answering end (heap and stacks)",
+		Size: "connections", Seed: o.Seed, Repeats: 1,
+		Columns: []Column{column("memory", "KB", Linear)},
+	}
+	for _, n := range o.sizes(30, 60, 120, 240) {
+		before := residentBytes()
+		client := upstreamhttp.New(port.SystemClock{})
+		var ends []*fakeUpstream
+		for range n {
+			u, err := startFakeUpstream()
+			if err != nil {
+				return s, err
+			}
+			ends = append(ends, u)
+			if _, err := client.Status(context.Background(), u.listener.Addr().String()); err != nil {
+				return s, err
+			}
+		}
+		s.add(float64(n), (residentBytes()-before)/1024)
+		runtime.KeepAlive(client)
+		client.Close()
+		for _, u := range ends {
+			_ = u.listener.Close()
+		}
+	}
+	return s, nil
+}
+
+// counter counts received datagrams.
+type counter struct{ received chan struct{} }
+
+// HandleDatagram implements port.ControlHandler.
+func (c counter) HandleDatagram(string, []byte) { c.received <- struct{}{} }
+
+// measureDatagrams measures sending and receiving a control datagram, without
+// the work of membership itself.
+func measureDatagrams(o Options) ([]Series, error) {
+	s := Series{
+		Name: "datagrams", Title: "Control datagrams over UDP on loopback, one sent and received",
+		Size: "bytes", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("cpu", "us per datagram", Linear)},
+	}
+	a, err := peerudp.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer a.Close()
+	b, err := peerudp.Listen("127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	defer b.Close()
+	c := counter{received: make(chan struct{}, 1)}
+	b.Start(c)
+	for _, size := range o.sizes(64, 128, 512, 1200) {
+		datagram := make([]byte, size)
+		n := o.count(5000)
+		s.add(float64(size), medianOf(s.Repeats, func() []float64 {
+			before := processorTime()
+			for range n {
+				a.Send(b.Address(), datagram)
+				<-c.received
+			}
+			return []float64{microseconds(processorTime()-before, n)}
+		})...)
+	}
+	return []Series{s}, nil
+}
--- /dev/null
+++ b/pkg/standin/capacity/report.go
@@ -0,0 +1,243 @@
+// Package capacity measures what the parts of an instance cost at growing sizes
+// and works out from the slopes what each role costs at the target size of the
+// design page. It writes the measurements in JSON and fills the tables of
+// docs/CAPACITY.md from them.
+package capacity
+
+import (
+	"fmt"
+	"math"
+	"runtime"
+	"slices"
+	"syscall"
+	"time"
+)
+
+// Shape is the form of the function that is fitted to a column.
+type Shape string
+
+// Shapes of a fit.
+const (
+	Linear Shape = "linear"
+	// Logarithmic is linear in the binary logarithm of the size.
+	Logarithmic Shape = "log2"
+)
+
+// Fit is a least-squares fit y = Intercept + Slope*x, or with log2(x) for x.
+type Fit struct {
+	Shape     Shape   `json:"shape"`
+	Intercept float64 `json:"intercept"`
+	Slope     float64 `json:"slope"`
+	// R2 is the coefficient of determination.
+	R2 float64 `json:"r2"`
+}
+
+// Column is one measured quantity of a series.
+type Column struct {
+	Name string `json:"name"`
+	Unit string `json:"unit"`
+	Fit  Fit    `json:"fit"`
+}
+
+// Point holds the medians measured at one size, in the order of the columns.
+type Point struct {
+	Size   float64   `json:"size"`
+	Values []float64 `json:"values"`
+}
+
+// Series is a quantity measured at several sizes.
+type Series struct {
+	Name    string   `json:"name"`
+	Title   string   `json:"title"`
+	Size    string   `json:"size"`
+	Seed    uint64   `json:"seed"`
+	Repeats int      `json:"repeats"`
+	Columns []Column `json:"columns"`
+	Points  []Point  `json:"points"`
+}
+
+// Report is the content of capacity.json.
+type Report struct {
+	Command    string   `json:"command"`
+	Go         string   `json:"go"`
+	Processors int      `json:"processors"`
+	Seconds    float64  `json:"seconds"`
+	Series     []Series `json:"series"`
+}
+
+func column(name, unit string, shape Shape) Column {
+	return Column{Name: name, Unit: unit, Fit: Fit{Shape: shape}}
+}
+
+// add appends a point with values rounded to four digits, so that a fit made
+// from the file equals the fit made from the measurement.
+func (s *Series) add(size float64, values ...float64) {
+	if len(values) != len(s.Columns) {
+		panic(fmt.Sprintf("series %s: %d values for %d columns", s.Name, len(values), len(s.Columns)))
+	}
+	p := Point{Size: size}
+	for _, v := range values {
+		p.Values = append(p.Values, roundTo(v, 4))
+	}
+	s.Points = append(s.Points, p)
+}
+
+// Refit computes the fits of all columns from the points.
+func (s *Series) Refit() {
+	for c := range s.Columns {
+		xs := make([]float64, len(s.Points))
+		ys := make([]float64, len(s.Points))
+		for i, p := range s.Points {
+			xs[i], ys[i] = p.Size, p.Values[c]
+		}
+		s.Columns[c].Fit = fit(s.Columns[c].Fit.Shape, xs, ys)
+	}
+}
+
+func fit(shape Shape, xs, ys []float64) Fit {
+	n := float64(len(xs))
+	var sx, sy, sxx, sxy, syy float64
+	for i := range xs {
+		x := shape.scale(xs[i])
+		sx += x
+		sy += ys[i]
+		sxx += x * x
+		sxy += x * ys[i]
+		syy += ys[i] * ys[i]
+	}
+	f := Fit{Shape: shape, Intercept: sy / n, R2: 1}
+	if d := n*sxx - sx*sx; d > 0 {
+		f.Slope = (n*sxy - sx*sy) / d
+		f.Intercept = (sy - f.Slope*sx) / n
+	}
+	if total := syy - sy*sy/n; total > 1e-12*syy {
+		var rest float64
+		for i := range xs {
+			e := ys[i] - f.At(xs[i])
+			rest += e * e
+		}
+		f.R2 = roundTo(1-rest/total, 4)
+	}
+	f.Intercept = roundTo(f.Intercept, 5)
+	f.Slope = roundTo(f.Slope, 5)
+	return f
+}
+
+func (s Shape) scale(x float64) float64 {
+	if s == Logarithmic {
+		return math.Log2(x)
+	}
+	return x
+}
+
+// At returns the fitted value at a size.
+func (f Fit) At(size float64) float64 { return f.Intercept + f.Slope*f.Shape.scale(size) }
+
+// series returns a series by name. A missing one is a fault of the program or
+// of an edited file.
+func (r *Report) series(name string) *Series {
+	for i := range r.Series {
+		if r.Series[i].Name == name {
+			return &r.Series[i]
+		}
+	}
+	panic("no series " + name)
+}
+
+func (s *Series) columnIndex(name string) int {
+	for i := range s.Columns {
+		if s.Columns[i].Name == name {
+			return i
+		}
+	}
+	panic("no column " + name + " in " + s.Name)
+}
+
+// fitted returns the fitted value of a column at a size.
+func (r *Report) fitted(series, column string, size float64) float64 {
+	s := r.series(series)
+	return s.Columns[s.columnIndex(column)].Fit.At(size)
+}
+
+// slope returns the fitted slope of a column.
+func (r *Report) slope(series, column string) float64 {
+	s := r.series(series)
+	return s.Columns[s.columnIndex(column)].Fit.Slope
+}
+
+// measured returns the measured value of a column at exactly this size.
+func (r *Report) measured(series, column string, size float64) float64 {
+	s := r.series(series)
+	c := s.columnIndex(column)
+	for _, p := range s.Points {
+		if p.Size == size {
+			return p.Values[c]
+		}
+	}
+	panic(fmt.Sprintf("series %s has no size %v", series, size))
+}
+
+func roundTo(v float64, digits int) float64 {
+	if v == 0 || math.IsInf(v, 0) || math.IsNaN(v) {
+		return 0
+	}
+	scale := math.Pow(10, float64(digits)-math.Ceil(math.Log10(math.Abs(v))))
+	return math.Round(v*scale) / scale
+}
+
+// median returns the middle of the values.
+func median(values []float64) float64 {
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[len(sorted)/2]
+}
+
+// medianOf runs a measurement several times and returns the median of each of
+// its values.
+func medianOf(repeats int, run func() []float64) []float64 {
+	var runs [][]float64
+	for range repeats {
+		runs = append(runs, run())
+	}
+	out := make([]float64, len(runs[0]))
+	for c := range out {
+		values := make([]float64, repeats)
+		for i := range runs {
+			values[i] = runs[i][c]
+		}
+		out[c] = median(values)
+	}
+	return out
+}
+
+// heapBytes returns the live heap. It collects twice, because the first
+// collection only moves pooled objects to the victim cache.
+func heapBytes() float64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// residentBytes returns the live heap and the stacks in use.
+func residentBytes() float64 {
+	h := heapBytes()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return h + float64(m.StackInuse)
+}
+
+// processorTime returns the processor time of this process so far. It is used
+// where the cost lies in several goroutines and in system calls.
+func processorTime() time.Duration {
+	var u syscall.Rusage
+	if err := syscall.Getrusage(syscall.RUSAGE_SELF, &u); err != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// microseconds returns the time per operation in microseconds.
+func microseconds(d time.Duration, operations int) float64 {
+	return float64(d.Nanoseconds()) / 1000 / float64(operations)
+}
--- /dev/null
+++ b/pkg/standin/capacity/scheduling.go
@@ -0,0 +1,220 @@
+package capacity
+
+import (
+	"encoding/json"
+	"math/rand/v2"
+	"runtime"
+	"slices"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// groupLoad keeps a fixed number of requests open at one group's home and
+// answers the attempts in the order of their start, in virtual time.
+type groupLoad struct {
+	sched    *scheduler.Scheduler
+	group    document.Group
+	doc      *document.Document
+	shards   []model.ShardID
+	now      time.Time
+	newID    func() model.AttemptID
+	started  []port.UpstreamCall
+	open     int
+	refused  int
+	attempts int
+	value    json.RawMessage
+	payload  json.RawMessage
+}
+
+type noQuarantine struct{}
+
+func (noQuarantine) Blocked(time.Time, model.Fingerprint) bool { return false }
+
+// chainedDocument returns a parsed document whose upstreams form one component,
+// since each shard shares an upstream with the next one.
+func chainedDocument(upstreams int) *document.Document {
+	var raw map[string]any
+	if err := json.Unmarshal(documentContent(0, 1, upstreams, 1, inRegion(0, true)), &raw); err != nil {
+		panic(err)
+	}
+	for _, v := range raw["snapshots"].([]any) {
+		shards := v.(map[string]any)["shards"].([]any)
+		names := make([]any, len(shards))
+		for i, s := range shards {
+			names[i] = s.(map[string]any)["replicas"].([]any)[0]
+		}
+		for i, s := range shards {
+			var holders []any
+			for r := range min(replicas, len(names)) {
+				holders = append(holders, names[(i+r)%len(names)])
+			}
+			s.(map[string]any)["replicas"] = holders
+		}
+	}
+	content, err := json.Marshal(raw)
+	if err != nil {
+		panic(err)
+	}
+	return mustParse(content)
+}
+
+func newGroupLoad(d *document.Document, shards int, seed uint64) *groupLoad {
+	l := &groupLoad{
+		doc: d, group: d.Groups()[0], now: epoch, newID: ids(),
+		value: payload(resultBytes), payload: payload(payloadBytes),
+	}
+	groupOf := d.ShardGroups(d.Newest())
+	for _, s := range d.Newest().Shards {
+		if groupOf[s.ID] == 0 && len(l.shards) < shards {
+			l.shards = append(l.shards, s.ID)
+		}
+	}
+	l.sched = scheduler.New(scheduler.Config{
+		Document: d, Group: l.group, LocalDataCentre: l.group.Upstreams[0].DataCentre, MaxInstances: maxInstances,
+		NewID: l.newID, Rand: rand.New(rand.NewPCG(seed, 1)), Quarantine: noQuarantine{},
+	}, l.now)
+	return l
+}
+
+func (l *groupLoad) submit() {
+	l.open++
+	l.apply(l.sched.Submit(l.now, model.GroupRequest{
+		ID: l.newID(), Group: l.group.Key, Revision: l.doc.Revision, Operation: "lookup", Priority: "high", Caller: "caller",
+		Payload: l.payload, Snapshot: l.doc.Newest().ID, Shards: l.shards, LeastShards: 1, Deadline: l.now.Add(10 * time.Second),
+	}))
+}
+
+func (l *groupLoad) apply(actions []scheduler.Action) {
+	for _, a := range actions {
+		switch a := a.(type) {
+		case scheduler.Start:
+			l.started = append(l.started, a.Call)
+		case scheduler.Done:
+			l.open--
+			if a.Answer.Code != result.OK {
+				l.refused++
+			}
+		}
+	}
+}
+
+// finish answers the attempt that was started first.
+func (l *groupLoad) finish() {
+	c := l.started[0]
+	l.started = l.started[1:]
+	l.attempts++
+	l.now = l.now.Add(5 * time.Microsecond)
+	l.apply(l.sched.Finish(l.now, c.Attempt, port.UpstreamReply{
+		Code: result.OK, Ran: model.Ran, Attempt: c.Attempt, Snapshot: c.Snapshot, Shard: c.Shard, Result: l.value,
+	}))
+}
+
+// cost runs attempts with the given number of open requests and returns time
+// and bytes allocated per attempt.
+func (l *groupLoad) cost(attempts, open int) []float64 {
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	first := l.attempts
+	started := time.Now()
+	for l.attempts < first+attempts {
+		for l.open < open {
+			l.submit()
+		}
+		l.finish()
+	}
+	spent := time.Since(started)
+	runtime.ReadMemStats(&after)
+	if l.refused > 0 {
+		panic("the group refuses the load")
+	}
+	n := l.attempts - first
+	return []float64{microseconds(spent, n), float64(after.TotalAlloc-before.TotalAlloc) / float64(n)}
+}
+
+func measureScheduler(o Options) []Series {
+	bySize := Series{
+		Name: "scheduler size", Title: "Scheduler: group of growing size, 10 shards per request, 10 open requests",
+		Size: "upstreams", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{
+			column("time", "us per attempt", Linear), column("allocated", "B per attempt", Linear),
+			column("memory", "KB", Linear), column("status", "us per read", Linear),
+		},
+	}
+	for _, n := range o.sizes(6, 15, 30, 60, 150, 600) {
+		d := chainedDocument(n)
+		l := newGroupLoad(d, 10, o.Seed)
+		l.cost(o.count(5000), 10)
+		values := medianOf(bySize.Repeats, func() []float64 { return l.cost(o.count(5000), 10) })
+		bySize.add(float64(n), append(values, schedulerMemory(d, o.Seed)/1024, statusCost(o, l))...)
+	}
+	byLoad := Series{
+		Name: "scheduler load", Title: "Scheduler: group of 30 upstreams, 10 shards per request, growing number of open requests",
+		Size: "open requests", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("time", "us per attempt", Linear), column("allocated", "B per attempt", Linear), column("memory", "KB", Linear)},
+	}
+	d := parsed(10, replicas)
+	for _, open := range o.sizes(1, 10, 30, 100, 300, 1000) {
+		before := heapBytes()
+		l := newGroupLoad(d, 10, o.Seed)
+		l.cost(o.count(5000), 10)
+		values := medianOf(byLoad.Repeats, func() []float64 { return l.cost(o.count(5000), open) })
+		memory := heapBytes() - before
+		runtime.KeepAlive(l)
+		byLoad.add(float64(open), append(values, memory/1024)...)
+	}
+	byShards := Series{
+		Name: "scheduler shards", Title: "Scheduler: group of 32 upstreams, growing number of shards per request, 10 open requests",
+		Size: "shards per request", Seed: o.Seed, Repeats: 5,
+		Columns: []Column{column("time", "us per attempt", Linear), column("allocated", "B per attempt", Linear)},
+	}
+	chained := chainedDocument(document.MaxMergedGroup)
+	for _, shards := range o.sizes(1, 4, 10, 20, 32) {
+		l := newGroupLoad(chained, shards, o.Seed)
+		l.cost(o.count(5000), 10)
+		byShards.add(float64(shards), medianOf(byShards.Repeats, func() []float64 { return l.cost(o.count(5000), 10) })...)
+	}
+	return []Series{bySize, byLoad, byShards, measureRetained(o, d)}
+}
+
+// measureRetained measures the heap of a group after growing numbers of requests
+// have been answered and before their deadline has passed.
+func measureRetained(o Options, d *document.Document) Series {
+	s := Series{
+		Name: "scheduler answered", Title: "Scheduler: heap kept for answered requests of 10 shards until their deadline",
+		Size: "answered requests", Seed: o.Seed, Repeats: 1,
+		Columns: []Column{column("memory", "KB", Linear)},
+	}
+	for _, n := range o.sizes(1000, 2000, 4000, 8000) {
+		l := newGroupLoad(d, 10, o.Seed)
+		before := heapBytes()
+		l.cost(10*n, 10)
+		l.started = slices.Clone(l.started)
+		s.add(float64(n), (heapBytes()-before)/1024)
+		runtime.KeepAlive(l)
+	}
+	return s
+}
+
+func schedulerMemory(d *document.Document, seed uint64) float64 {
+	before := heapBytes()
+	l := newGroupLoad(d, 10, seed)
+	memory := heapBytes() - before
+	runtime.KeepAlive(l)
+	return memory
+}
+
+// statusCost measures what one read of health and load costs the scheduler.
+func statusCost(o Options, l *groupLoad) float64 {
+	status := port.UpstreamStatus{Healthy: true, InFlight: 1, Slots: slotsPerUpstream, Snapshots: []model.SnapshotID{l.doc.Newest().ID}}
+	n := o.count(2000)
+	started := time.Now()
+	for i := range n {
+		l.apply(l.sched.Hint(l.now, l.group.Upstreams[i%len(l.group.Upstreams)].Name, status))
+	}
+	return microseconds(time.Since(started), n)
+}
