--- a/pkg/standin/capacity/report.go
+++ b/pkg/standin/capacity/report.go
@@ -177,6 +177,12 @@
 	panic(fmt.Sprintf("series %s has no size %v", series, size))
 }
 
+// largest returns the measured value of a column at its largest size.
+func (r *Report) largest(series, column string) float64 {
+	s := r.series(series)
+	return s.Points[len(s.Points)-1].Values[s.columnIndex(column)]
+}
+
 func roundTo(v float64, digits int) float64 {
 	if v == 0 || math.IsInf(v, 0) || math.IsNaN(v) {
 		return 0
