Release answered requests before their deadlines

Cause: a timer per request held it until its deadline, 2.2 KB each and 38 MB in a busy group at the target size (docs/CAPACITY.md). Change: stale timers are removed when the queue has doubled. Documents between instances are now compressed as well, which the same page asks for.

--- a/pkg/adapter/peergrpc/client.go
+++ b/pkg/adapter/peergrpc/client.go
@@ -9,6 +9,7 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/encoding/gzip"
 	"google.golang.org/grpc/keepalive"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -158,7 +159,10 @@
 	if err != nil {
 		return nil, err
 	}
-	reply, err := peer.FetchDocuments(ctx, &wire.FetchDocumentsRequest{Have: toWireVersions(have)})
+	// Documents compress about 18 times; uncompressed, one fetch per change of
+	// the target size exceeds the budget for control.
+	request := &wire.FetchDocumentsRequest{Have: toWireVersions(have)}
+	reply, err := peer.FetchDocuments(ctx, request, grpc.UseCompressor(gzip.Name))
 	if err != nil {
 		return nil, result.Wrap(result.PeerLost, err)
 	}
--- a/pkg/scheduler/timers.go
+++ b/pkg/scheduler/timers.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"slices"
 	"time"
 )
 
@@ -25,37 +26,60 @@
 	}
 }
 
-// timerQueue orders timers by time; stale ones are dropped when they surface.
-type timerQueue []timer
+// timerHeap implements heap.Interface.
+type timerHeap []timer
 
-func (q timerQueue) Len() int           { return len(q) }
-func (q timerQueue) Less(i, j int) bool { return q[i].at.Before(q[j].at) }
-func (q timerQueue) Swap(i, j int)      { q[i], q[j] = q[j], q[i] }
+func (h timerHeap) Len() int           { return len(h) }
+func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
+func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
 
 // Push implements heap.Interface.
-func (q *timerQueue) Push(x any) { *q = append(*q, x.(timer)) }
+func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
 
 // Pop implements heap.Interface.
-func (q *timerQueue) Pop() any {
-	old := *q
+func (h *timerHeap) Pop() any {
+	old := *h
 	last := len(old) - 1
 	t := old[last]
 	old[last] = timer{}
-	*q = old[:last]
+	*h = old[:last]
 	return t
 }
 
-func (q *timerQueue) add(t timer) { heap.Push(q, t) }
+// minCompaction is the least number of timers at which stale ones are removed.
+const minCompaction = 64
+
+// timerQueue orders timers by time. Stale ones are dropped when they surface,
+// and all at once when the queue has doubled: otherwise answered requests would
+// stay in memory until their deadlines, 38 MB in a busy group at the target
+// size.
+type timerQueue struct {
+	timers    timerHeap
+	compactAt int
+}
+
+func (q *timerQueue) add(t timer) {
+	if len(q.timers) >= max(q.compactAt, minCompaction) {
+		q.compact()
+	}
+	heap.Push(&q.timers, t)
+}
+
+func (q *timerQueue) compact() {
+	q.timers = slices.DeleteFunc(q.timers, timer.stale)
+	heap.Init(&q.timers)
+	q.compactAt = 2 * len(q.timers)
+}
 
 // next returns the earliest time of a timer that is not stale.
 func (q *timerQueue) next() (time.Time, bool) {
-	for len(*q) > 0 && (*q)[0].stale() {
-		heap.Pop(q)
+	for len(q.timers) > 0 && q.timers[0].stale() {
+		heap.Pop(&q.timers)
 	}
-	if len(*q) == 0 {
+	if len(q.timers) == 0 {
 		return time.Time{}, false
 	}
-	return (*q)[0].at, true
+	return q.timers[0].at, true
 }
 
 // due removes and returns the earliest timer at or before now.
@@ -64,5 +88,5 @@
 	if !ok || at.After(now) {
 		return timer{}, false
 	}
-	return heap.Pop(q).(timer), true
+	return heap.Pop(&q.timers).(timer), true
 }
--- /dev/null
+++ b/pkg/scheduler/timers_test.go
@@ -0,0 +1,24 @@
+package scheduler
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+// TestStaleTimersAreReleased guards against answered requests that stay in
+// memory until their deadlines.
+func TestStaleTimersAreReleased(t *testing.T) {
+	var q timerQueue
+	start := time.Unix(0, 0)
+	live := &request{}
+	q.add(timer{at: start.Add(time.Hour), request: live})
+	for n := range 10_000 {
+		q.add(timer{at: start.Add(time.Hour + time.Duration(n)), request: &request{done: true}})
+	}
+	must.LessEq(t, 2*minCompaction, len(q.timers))
+	at, ok := q.next()
+	must.True(t, ok)
+	must.Eq(t, start.Add(time.Hour), at)
+}
