--- a/pkg/instance/fake_world_test.go
+++ b/pkg/instance/fake_world_test.go
@@ -248,6 +248,12 @@
 	}
 }
 
+func (p *proc) pauses() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.paused
+}
+
 func (p *proc) isPaused() bool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/instance/soak_test.go
+++ b/pkg/instance/soak_test.go
@@ -280,6 +280,8 @@
 func (d *driver) node(n int) *node { return d.nodes[n%len(d.nodes)] }
 
 func (d *driver) upstream(s step) *fakeUpstream {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	u := d.docs[services[s.a%2]].Upstreams
 	return d.ups[u[s.b%len(u)].Address]
 }
@@ -377,7 +379,7 @@
 	if p == nil {
 		return
 	}
-	pauses := p.paused
+	pauses := p.pauses()
 	p.inst.Leave()
 	n.mu.Lock()
 	n.leaving = true
@@ -399,7 +401,7 @@
 	for p.inside.Load() > 0 && ctx.Err() == nil { // The peer server stops gracefully.
 		time.Sleep(10 * time.Millisecond)
 	}
-	d.check("graceful stop", p.paused != pauses || err == nil && callers == 0 && p.inside.Load() == 0 && busy == 0,
+	d.check("graceful stop", p.pauses() != pauses || err == nil && callers == 0 && p.inside.Load() == 0 && busy == 0,
 		"%s stopped with %d requests of callers, %d of peers, %d at upstreams: %v", n.id, callers, p.inside.Load(), busy, err)
 	p.inst.Stop()
 	n.kill()
@@ -488,7 +490,7 @@
 	}
 	p.callers.Add(1)
 	defer p.callers.Add(-1)
-	pauses, waiting := p.paused, p.isPaused()
+	pauses, waiting := p.pauses(), p.isPaused()
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
 	if d.faulty && d.chance(0.02) {
@@ -509,7 +511,7 @@
 		d.check("answered in time", false, "%s at %s was not answered", name, p.n.id)
 		return false
 	}
-	excused := waiting || p.paused != pauses
+	excused := waiting || p.pauses() != pauses
 	d.check("answered in time", excused || !time.Now().After(deadline.Add(answerMargin)), "%s was answered by %s %s after its deadline", name, p.n.id, time.Since(deadline))
 	return true
 }
@@ -990,7 +992,9 @@
 		must.Eq(t, result.JustResumed, run(2))
 		time.Sleep(200 * time.Millisecond)
 		must.Eq(t, result.JustResumed, run(3))
+		d.mu.Lock()
 		clear(d.cut)
+		d.mu.Unlock()
 		time.Sleep(3 * time.Second)
 		must.Eq(t, result.OK, run(4))
 		d.finish()
