Let an isolated attempt end by itself

Cause: an isolated attempt that was stopped at its request's deadline, or when its caller went away, showed neither that the request is harmless nor that it crashes upstreams. Ruled out: a second home, which the trace does not show. Change: isolated attempts are not stopped and may take 5 s; the request is answered at its deadline as before. TestIsolatedAttemptOutlivesItsRequest failed before and passes after.

--- a/pkg/scheduler/answer.go
+++ b/pkg/scheduler/answer.go
@@ -45,12 +45,16 @@
 	s.finishIfComplete(r)
 }
 
-// detachAll stops the running attempts of a part. They may have run.
+// detachAll stops the running attempts of a part. They may have run. Isolated
+// attempts go on, because a stopped one shows neither that its request is
+// harmless nor that it crashes upstreams.
 func (s *Scheduler) detachAll(p *part) {
 	for _, a := range p.running {
 		a.detached = true
 		p.ran.add(model.RunUnknown)
-		s.emit(Stop{Attempt: a.id})
+		if !a.alone {
+			s.emit(Stop{Attempt: a.id})
+		}
 	}
 	p.running = nil
 }
--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -1,6 +1,8 @@
 package scheduler
 
 import (
+	"time"
+
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
@@ -215,6 +217,10 @@
 
 func (s *Scheduler) call(a *attempt, p *part) port.UpstreamCall {
 	req := &p.request.req
+	deadline := req.Deadline
+	if a.alone && !req.NonIdempotent {
+		deadline = latest(deadline, s.now.Add(isolatedTime))
+	}
 	return port.UpstreamCall{
 		Attempt:        a.id,
 		Upstream:       a.upstream.name,
@@ -225,11 +231,18 @@
 		Shard:          p.shard,
 		Payload:        req.Payload,
 		OrderKey:       req.OrderKey,
-		Deadline:       req.Deadline,
+		Deadline:       deadline,
 		MaxConnections: a.upstream.connections,
 	}
 }
 
+func latest(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // checkStart asserts the invariants of a new attempt.
 func (s *Scheduler) checkStart(p *part, c choice) {
 	u := c.upstream
--- a/pkg/scheduler/finish.go
+++ b/pkg/scheduler/finish.go
@@ -145,7 +145,7 @@
 // ejects the upstream at once, and counts once for all attempts on it.
 func (s *Scheduler) weightOf(a *attempt, reply port.UpstreamReply, elapsed time.Duration) float64 {
 	switch {
-	case a.detached:
+	case a.detached && !lost(a, reply):
 		stuck := time.Duration(stuckFactor * float64(a.op.median))
 		if a.paused || elapsed <= stuck {
 			return 0
@@ -162,9 +162,9 @@
 }
 
 // lost reports whether an attempt's connection broke for a reason other than
-// its cancellation.
+// its cancellation. Isolated attempts are not cancelled.
 func lost(a *attempt, reply port.UpstreamReply) bool {
-	return !a.detached && (reply.ConnectionBroken || reply.Code == result.UpstreamLost)
+	return (!a.detached || a.alone) && (reply.ConnectionBroken || reply.Code == result.UpstreamLost)
 }
 
 // settle applies a reply to the part that waits for it.
--- a/pkg/scheduler/isolation.go
+++ b/pkg/scheduler/isolation.go
@@ -17,6 +17,11 @@
 	cautiousTime = 30 * time.Second
 	// suspectTime is how long a suspect that was not tested stays suspect.
 	suspectTime = 10 * time.Minute
+	// isolatedTime is the least time that an isolated attempt may take, also
+	// after its request was answered. An attempt cut off on a slow upstream would
+	// leave the request suspect, and its next isolated attempt could take down
+	// another upstream.
+	isolatedTime = 5 * time.Second
 	// maxSuspects bounds the number of suspects.
 	maxSuspects = 1024
 	// maxSurvivors bounds the number of remembered harmless fingerprints.
--- a/pkg/scheduler/rules_test.go
+++ b/pkg/scheduler/rules_test.go
@@ -153,6 +153,30 @@
 	w.finish(t)
 }
 
+// TestIsolatedAttemptOutlivesItsRequest guards against a suspect whose isolated
+// attempt is cut off at the deadline, so that its next one takes down another
+// upstream.
+func TestIsolatedAttemptOutlivesItsRequest(t *testing.T) {
+	w, s := warmWorld()
+	req := w.request(0, testShards)
+	req.Deadline = w.now.Add(100 * time.Millisecond)
+	sub := w.submit(req)
+	w.run(2 * network)
+	for _, u := range w.upstreams {
+		u.slow = 100
+	}
+	w.crash(w.upstreams["u0"])
+	w.run(200 * time.Millisecond)
+	must.True(t, sub.done)
+	isolated := s.isolation.running
+	must.NotNil(t, isolated)
+	w.crash(w.upstreams[isolated.upstream.name])
+	w.run(network)
+	must.MapContainsKey(t, w.quarantined, req.Fingerprint)
+	must.SliceEmpty(t, s.Status(w.now).Suspects)
+	w.finish(t)
+}
+
 // TestSmallSamplesMayHedge guards against budgets that forbid every hedge
 // until many attempts were made.
 func TestSmallSamplesMayHedge(t *testing.T) {
