--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -54,3 +54,19 @@
 	}
 	return nil
 }
+
+type costCommand struct {
+	programs
+	Seed uint64 `default:"1" help:"Seed of the load and the service times."`
+}
+
+// Run implements the command.
+func (c *costCommand) Run() error {
+	self, err := c.resolve("sardineturn-cost-")
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	return experiment.Cost(ctx, experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed}, os.Stdout)
+}
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -101,6 +101,8 @@
 type catalogState struct {
 	mu      sync.RWMutex
 	catalog *catalog.Catalog
+	// sources says where each document in force came from.
+	sources map[string]string
 }
 
 // readState guards the decisions when to read the platform and which peers to
@@ -165,6 +167,7 @@
 		Rand:    ports.NewRand(),
 	}, now)
 	i.catalog.catalog = catalog.New(document.Parse)
+	i.catalog.sources = make(map[string]string)
 	i.quarantine.set = quarantine.New(quarantineLimit)
 	i.reads.reader = catalog.NewReader(catalog.ReaderConfig{Rand: ports.NewRand()})
 	i.reads.plan = catalog.NewFetchPlan(catalog.FetchConfig{Rand: ports.NewRand()})
--- a/pkg/instance/reading.go
+++ b/pkg/instance/reading.go
@@ -68,7 +68,7 @@
 	i.observe(now)
 	cancelled := err != nil && errors.Is(ctx.Err(), context.Canceled)
 	if err == nil {
-		i.offer(now, batch.Documents)
+		i.offer(now, batch.Documents, sourcePlatform)
 	}
 	i.reads.mu.Lock()
 	if cancelled {
@@ -98,13 +98,19 @@
 	i.logInfo(event.PlatformRestored, nil, "the platform's configuration service answers again")
 }
 
-// offer passes documents to the catalog and announces what was adopted. It
-// reports whether any was.
-func (i *Instance) offer(now time.Time, docs []port.RawDocument) bool {
+// sourcePlatform is the source of documents that this instance read itself.
+const sourcePlatform = "platform"
+
+// offer passes documents to the catalog and announces what was adopted. The
+// source is the platform or a peer's id. It reports whether any was adopted.
+func (i *Instance) offer(now time.Time, docs []port.RawDocument, source string) bool {
 	adopted := false
 	for _, raw := range docs {
 		i.catalog.mu.Lock()
 		outcome := i.catalog.catalog.Offer(raw)
+		if outcome.Verdict == catalog.Adopted {
+			i.catalog.sources[raw.Service] = source
+		}
 		i.catalog.mu.Unlock()
 		i.reportOffer(raw, outcome)
 		if outcome.Verdict != catalog.Adopted {
@@ -207,7 +213,7 @@
 	docs, err := i.ports.Peers.FetchDocuments(ctx, peer, have)
 	now := i.now()
 	i.observe(now)
-	gained := i.offer(now, docs)
+	gained := i.offer(now, docs, string(peer))
 	i.reads.mu.Lock()
 	defer i.reads.mu.Unlock()
 	if err == nil {
--- a/pkg/instance/status.go
+++ b/pkg/instance/status.go
@@ -29,9 +29,11 @@
 
 // DocumentStatus is a document in force.
 type DocumentStatus struct {
-	Service  string           `json:"service"`
-	Revision uint64           `json:"revision"`
-	Digest   uint64           `json:"digest"`
+	Service  string `json:"service"`
+	Revision uint64 `json:"revision"`
+	Digest   uint64 `json:"digest"`
+	// Source is "platform" or the id of the peer that it was fetched from.
+	Source   string           `json:"source"`
 	Snapshot model.SnapshotID `json:"snapshot"`
 	Groups   int              `json:"groups"`
 }
@@ -94,6 +96,7 @@
 			Service:  v.Service,
 			Revision: v.Revision,
 			Digest:   v.Digest,
+			Source:   i.catalog.sources[v.Service],
 			Snapshot: doc.Newest().ID,
 			Groups:   len(doc.Groups()),
 		})
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -42,6 +42,11 @@
 }
 
 func deploy(ctx context.Context, o Options, program, dir string, s launch.Service) (*deployment, error) {
+	return deploySized(ctx, o, program, dir, s, instanceCount)
+}
+
+// deploySized starts the given number of instances.
+func deploySized(ctx context.Context, o Options, program, dir string, s launch.Service, count int) (*deployment, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	fleet, err := launch.NewFleet(ctx, launch.Config{
@@ -60,18 +65,18 @@
 		return nil, err
 	}
 	d := &deployment{fleet: fleet, service: s, capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1)}
-	if err := d.start(ctx); err != nil {
+	if err := d.start(ctx, count); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
 	return d, nil
 }
 
-func (d *deployment) start(ctx context.Context) error {
+func (d *deployment) start(ctx context.Context, count int) error {
 	var err error
 	if d.host, err = d.fleet.StartService(ctx, d.service); err != nil {
 		return err
 	}
-	for n := range instanceCount {
+	for n := range count {
 		if _, err := d.fleet.StartInstance(ctx, d.service.DataCentres[n%len(d.service.DataCentres)]); err != nil {
 			return err
 		}
