--- a/pkg/standin/baseline/baseline.go
+++ b/pkg/standin/baseline/baseline.go
@@ -135,10 +135,16 @@
 		wg.Go(func() { outcomes[n] = b.shard(ctx, doc, snapshot.ID, sh, q) })
 	}
 	wg.Wait()
-	return merge(doc, snapshot.ID, outcomes)
+	least := q.LeastCoverage
+	if least == 0 {
+		least = doc.Priorities[doc.PriorityIndex(q.Priority)].LeastCoverage
+	}
+	return merge(doc, snapshot.ID, outcomes, least)
 }
 
-func merge(doc *document.Document, snapshot model.SnapshotID, outcomes []model.ShardOutcome) model.Answer {
+// merge codes an answer below the least useful coverage as a failure, as the
+// product does, so that the two are comparable.
+func merge(doc *document.Document, snapshot model.SnapshotID, outcomes []model.ShardOutcome, least float64) model.Answer {
 	a := model.Answer{Code: result.OK, Ran: model.Ran, Snapshot: snapshot, Revision: doc.Revision}
 	a.Coverage.Total = len(outcomes)
 	for _, o := range outcomes {
@@ -153,6 +159,8 @@
 	case a.Coverage.Answered == 0:
 		a.Code = result.NoAnswerInTime
 		a.Ran = model.RunUnknown
+	case a.Coverage.Fraction() < least:
+		a.Code = result.CoverageTooLow
 	case a.Coverage.Answered < a.Coverage.Total:
 		a.Code = result.PartialAnswer
 	}
--- a/pkg/standin/experiment/plot.go
+++ b/pkg/standin/experiment/plot.go
@@ -1,9 +1,13 @@
 package experiment
 
 import (
+	"encoding/json"
+	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
+	"slices"
 	"sort"
 	"strings"
 
@@ -21,7 +25,12 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	if err := writeJSON(filepath.Join(dir, customer+".json"), r.Rows); err != nil {
+	file := filepath.Join(dir, customer+".json")
+	rows, err := r.mergeRows(file)
+	if err != nil {
+		return err
+	}
+	if err := writeJSON(file, rows); err != nil {
 		return err
 	}
 	names := make([]string, 0, len(r.Reports))
@@ -38,6 +47,26 @@
 	return nil
 }
 
+// mergeRows returns the rows of an existing file with those of the scenarios
+// that were run replaced.
+func (r Result) mergeRows(file string) ([]Row, error) {
+	content, err := os.ReadFile(file)
+	if errors.Is(err, fs.ErrNotExist) {
+		return r.Rows, nil
+	}
+	if err != nil {
+		return nil, err
+	}
+	var rows []Row
+	if err := json.Unmarshal(content, &rows); err != nil {
+		return nil, err
+	}
+	rows = slices.DeleteFunc(rows, func(old Row) bool {
+		return slices.ContainsFunc(r.Rows, func(row Row) bool { return row.Scenario == old.Scenario })
+	})
+	return append(rows, r.Rows...), nil
+}
+
 func drawWindows(file, title string, report load.Report) error {
 	p := plot.New()
 	p.Title.Text = title
