Wait until a paused process has stopped

TestLoadAgainstFleet failed once in a fresh clone beside a running soak: SIGSTOP takes effect some time after it is sent, so that the process answered one more readiness check.

--- a/pkg/standin/launch/process.go
+++ b/pkg/standin/launch/process.go
@@ -14,6 +14,7 @@
 	"os/exec"
 	"path/filepath"
 	"runtime"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -124,8 +125,37 @@
 // collected, so a reused id is safe.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
-// Pause stops the process with SIGSTOP.
-func (p *Process) Pause() { p.Signal(syscall.SIGSTOP) }
+// pausePoll is the time between looks at a process that is being stopped.
+const pausePoll = time.Millisecond
+
+// Pause stops the process as SIGSTOP does, and returns when all of its threads
+// have stopped: the signal takes effect some time after it is sent.
+func (p *Process) Pause() {
+	p.Signal(syscall.SIGSTOP)
+	for p.Running() && !allStopped(p.PID()) {
+		time.Sleep(pausePoll)
+	}
+}
+
+// allStopped reports whether every thread of a process is stopped.
+func allStopped(pid int) bool {
+	threads, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil || len(threads) == 0 {
+		return false
+	}
+	for _, file := range threads {
+		content, err := os.ReadFile(file)
+		if err != nil {
+			continue
+		}
+		// The state follows the name, which is in parentheses.
+		_, state, _ := strings.Cut(string(content), ") ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return true
+}
 
 // Resume continues a paused process.
 func (p *Process) Resume() { p.Signal(syscall.SIGCONT) }
