--- a/pkg/adapter/peergrpc/client.go
+++ b/pkg/adapter/peergrpc/client.go
@@ -57,16 +57,6 @@
 	}
 }
 
-// Forget closes the connection to a peer that has left.
-func (c *Client) Forget(id model.InstanceID) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if conn := c.conns[id]; conn != nil {
-		_ = conn.Close()
-		delete(c.conns, id)
-	}
-}
-
 func (c *Client) conn(id model.InstanceID) (*grpc.ClientConn, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/pkg/instance/control.go
+++ b/pkg/instance/control.go
@@ -70,6 +70,9 @@
 	i.control.mu.Unlock()
 	for _, e := range events {
 		i.reportMember(e)
+		if e.Kind == membership.EventDead {
+			i.reads.forget(e.Member.ID)
+		}
 	}
 	if !changed {
 		return
--- a/pkg/instance/reading.go
+++ b/pkg/instance/reading.go
@@ -40,6 +40,14 @@
 	r.fetched = make(map[uint64]bool)
 }
 
+// forget drops a dead peer, from which nothing can be fetched.
+func (r *readState) forget(peer model.InstanceID) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.plan.Forget(peer)
+	delete(r.peerHashes, peer)
+}
+
 // readTick starts due reads of the platform and fetches from peers.
 func (i *Instance) readTick() {
 	now := i.now()
--- a/pkg/query/answer.go
+++ b/pkg/query/answer.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -308,6 +307,3 @@
 		return ""
 	}
 }
-
-// Snapshot returns the pinned snapshot.
-func (s *Query) Snapshot() *document.Snapshot { return s.snapshot }
