--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -137,6 +137,9 @@
 // Deadline returns when Expire must be called.
 func (s *Query) Deadline() time.Time { return s.deadline }
 
+// Done reports whether the query was answered.
+func (s *Query) Done() bool { return s.done }
+
 // pickSnapshot returns the newest snapshot that upstreams are not known to
 // lack and that is not rejected, or the newest if there is no such one.
 func (s *Query) pickSnapshot(rejected *document.Snapshot) *document.Snapshot {
