--- a/pkg/scheduler/rival_test.go
+++ b/pkg/scheduler/baseline_test.go
@@ -9,47 +9,47 @@
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
-// rival is a simple policy to compare with: one FIFO queue of shards without
+// baseline is a simple policy to compare with: one FIFO queue of shards without
 // admission, priorities, hedges or retries. With roundRobin a shard is bound
 // to the next of its replicas when it is submitted; otherwise it takes the
 // replica with the fewest attempts in flight when a slot is free.
-type rival struct {
+type baseline struct {
 	cfg        Config
 	roundRobin bool
 	turn       int
-	queue      []*rivalShard
-	requests   []*rivalRequest
-	attempts   map[model.AttemptID]*rivalShard
+	queue      []*baselineShard
+	requests   []*baselineRequest
+	attempts   map[model.AttemptID]*baselineShard
 	inFlight   map[string]int
 	earliest   time.Time
 	out        []Action
 }
 
-type rivalRequest struct {
+type baselineRequest struct {
 	req    model.GroupRequest
 	answer model.GroupAnswer
 	open   int
 	done   bool
 }
 
-type rivalShard struct {
-	request  *rivalRequest
+type baselineShard struct {
+	request  *baselineRequest
 	index    int
 	replicas []string
 	upstream string
 }
 
-func newRival(cfg Config, roundRobin bool) *rival {
-	return &rival{
+func newBaseline(cfg Config, roundRobin bool) *baseline {
+	return &baseline{
 		cfg:        cfg,
 		roundRobin: roundRobin,
-		attempts:   make(map[model.AttemptID]*rivalShard),
+		attempts:   make(map[model.AttemptID]*baselineShard),
 		inFlight:   make(map[string]int),
 	}
 }
 
-func (r *rival) Submit(now time.Time, req model.GroupRequest) []Action {
-	q := &rivalRequest{req: req, open: len(req.Shards)}
+func (r *baseline) Submit(now time.Time, req model.GroupRequest) []Action {
+	q := &baselineRequest{req: req, open: len(req.Shards)}
 	q.answer = model.GroupAnswer{ID: req.ID, Code: result.OK}
 	r.requests = append(r.requests, q)
 	r.follow(q)
@@ -57,14 +57,14 @@
 		q.answer.Outcomes = append(q.answer.Outcomes, model.ShardOutcome{Shard: id, Code: result.NoAnswerInTime})
 		for _, sh := range r.cfg.Document.Snapshots[0].Shards {
 			if sh.ID == id {
-				r.queue = append(r.queue, r.bind(&rivalShard{request: q, index: i, replicas: sh.Replicas}))
+				r.queue = append(r.queue, r.bind(&baselineShard{request: q, index: i, replicas: sh.Replicas}))
 			}
 		}
 	}
 	return r.Tick(now)
 }
 
-func (r *rival) bind(s *rivalShard) *rivalShard {
+func (r *baseline) bind(s *baselineShard) *baselineShard {
 	if r.roundRobin {
 		r.turn++
 		s.replicas = s.replicas[r.turn%len(s.replicas):][:1]
@@ -72,7 +72,7 @@
 	return s
 }
 
-func (r *rival) Finish(now time.Time, id model.AttemptID, reply port.UpstreamReply) []Action {
+func (r *baseline) Finish(now time.Time, id model.AttemptID, reply port.UpstreamReply) []Action {
 	s := r.attempts[id]
 	delete(r.attempts, id)
 	r.inFlight[s.upstream]--
@@ -87,19 +87,19 @@
 	return r.Tick(now)
 }
 
-func (r *rival) end(q *rivalRequest) {
+func (r *baseline) end(q *baselineRequest) {
 	if !q.done {
 		q.done = true
 		r.out = append(r.out, Done{Answer: q.answer})
 	}
 }
 
-func (r *rival) Tick(now time.Time) []Action {
+func (r *baseline) Tick(now time.Time) []Action {
 	if next, ok := r.NextWake(); ok && !next.After(now) {
 		r.expire(now)
 	}
 	if !r.full() {
-		r.queue = slices.DeleteFunc(r.queue, func(s *rivalShard) bool { return s.request.done || r.start(s) })
+		r.queue = slices.DeleteFunc(r.queue, func(s *baselineShard) bool { return s.request.done || r.start(s) })
 	}
 	out := r.out
 	r.out = nil
@@ -107,13 +107,13 @@
 }
 
 // expire ends the requests whose deadline has passed.
-func (r *rival) expire(now time.Time) {
+func (r *baseline) expire(now time.Time) {
 	for _, q := range r.requests {
 		if !q.req.Deadline.After(now) {
 			r.end(q)
 		}
 	}
-	r.requests = slices.DeleteFunc(r.requests, func(q *rivalRequest) bool { return q.done })
+	r.requests = slices.DeleteFunc(r.requests, func(q *baselineRequest) bool { return q.done })
 	r.earliest = time.Time{}
 	for _, q := range r.requests {
 		r.follow(q)
@@ -125,7 +125,7 @@
 	}
 }
 
-func (r *rival) full() bool {
+func (r *baseline) full() bool {
 	for _, u := range r.cfg.Group.Upstreams {
 		if r.inFlight[u.Name] < u.Slots {
 			return false
@@ -134,7 +134,7 @@
 	return true
 }
 
-func (r *rival) start(s *rivalShard) bool {
+func (r *baseline) start(s *baselineShard) bool {
 	name := ""
 	for _, n := range s.replicas {
 		if r.inFlight[n] < 3 && (name == "" || r.inFlight[n] < r.inFlight[name]) {
@@ -156,10 +156,10 @@
 	return true
 }
 
-func (r *rival) NextWake() (time.Time, bool) { return r.earliest, !r.earliest.IsZero() }
+func (r *baseline) NextWake() (time.Time, bool) { return r.earliest, !r.earliest.IsZero() }
 
 // follow keeps the earliest deadline.
-func (r *rival) follow(q *rivalRequest) {
+func (r *baseline) follow(q *baselineRequest) {
 	if r.earliest.IsZero() || q.req.Deadline.Before(r.earliest) {
 		r.earliest = q.req.Deadline
 	}
--- a/pkg/scheduler/comparison_test.go
+++ b/pkg/scheduler/comparison_test.go
@@ -25,7 +25,7 @@
 	}},
 }
 
-// TestPolicyComparison prints the scheduler next to simple rivals in the same
+// TestPolicyComparison prints the scheduler next to simple baselines in the same
 // model. It guards against a rule that costs more useful work than it saves.
 func TestPolicyComparison(t *testing.T) {
 	t.Logf("seed %d, %d shards per query, 6 s; useful and in target in %% of offered", seed, testShards)
@@ -33,8 +33,8 @@
 	for _, sc := range scenarios {
 		ours := comparePolicy(t, sc, "scheduler")
 		for _, name := range []string{"no hedge", "fifo", "round robin"} {
-			if rival := comparePolicy(t, sc, name); rival > ours+0.03 {
-				t.Errorf("%s: %s has %.3f useful work, the scheduler %.3f", sc.name, name, rival, ours)
+			if baseline := comparePolicy(t, sc, name); baseline > ours+0.03 {
+				t.Errorf("%s: %s has %.3f useful work, the scheduler %.3f", sc.name, name, baseline, ours)
 			}
 		}
 	}
@@ -51,7 +51,7 @@
 	w := newWorld(seed, doc)
 	switch name {
 	case "fifo", "round robin":
-		w.policy = newRival(w.config(seed), name == "round robin")
+		w.policy = newBaseline(w.config(seed), name == "round robin")
 	default:
 		w.useScheduler(seed)
 	}
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -14,7 +14,7 @@
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
-// policy is what the model drives: the scheduler or a rival of it.
+// policy is what the model drives: the scheduler or a baseline.
 type policy interface {
 	Submit(now time.Time, req model.GroupRequest) []Action
 	Finish(now time.Time, id model.AttemptID, reply port.UpstreamReply) []Action
@@ -74,17 +74,17 @@
 
 // submission is what the model knows about a submitted request.
 type submission struct {
-	req       model.GroupRequest
-	at        time.Time
-	done      bool
-	answer    model.GroupAnswer
-	latency   time.Duration
-	starts    int
-	inFlight  int
-	ran       map[model.ShardID]bool
-	honest    map[model.ShardID]bool
-	maybeRan  bool
-	poisonous bool
+	req      model.GroupRequest
+	at       time.Time
+	done     bool
+	answer   model.GroupAnswer
+	latency  time.Duration
+	starts   int
+	inFlight int
+	ran      map[model.ShardID]bool
+	replied  map[model.ShardID]bool
+	maybeRan bool
+	crashing bool
 }
 
 // world runs a policy against fake upstreams and checks the invariants.
@@ -281,7 +281,7 @@
 
 func (w *world) submit(req model.GroupRequest) *submission {
 	req.Payload = json.RawMessage(`"` + req.ID.String() + `"`)
-	sub := &submission{req: req, at: w.now, ran: make(map[model.ShardID]bool), honest: make(map[model.ShardID]bool)}
+	sub := &submission{req: req, at: w.now, ran: make(map[model.ShardID]bool), replied: make(map[model.ShardID]bool)}
 	w.subs[req.ID] = sub
 	w.byPayload[string(req.Payload)] = sub
 	w.all = append(w.all, sub)
@@ -390,7 +390,7 @@
 
 func (w *world) execute(c *fakeCall) {
 	work := time.Duration(float64(w.service()) * c.host.slow)
-	if c.owner.poisonous {
+	if c.owner.crashing {
 		w.after(time.Millisecond, func() {
 			if !c.over {
 				w.crash(c.host)
@@ -453,7 +453,7 @@
 		if c.host.lying {
 			r.Shard += "x"
 		} else {
-			c.owner.honest[c.call.Shard] = true
+			c.owner.replied[c.call.Shard] = true
 		}
 	}
 	w.after(network, func() {
@@ -500,7 +500,7 @@
 		w.fault("outcome of another shard")
 	case o.Ran == model.NotRun && sub.ran[shard]:
 		w.fault("shard %s ran, but is reported as not run (%v)", shard, o.Code)
-	case o.Code == result.OK && !sub.honest[shard]:
+	case o.Code == result.OK && !sub.replied[shard]:
 		w.fault("result of a reply that does not match")
 	case o.Code == result.OK && string(o.Result) != `"`+string(shard)+`"`:
 		w.fault("result of another shard")
--- a/pkg/scheduler/random_test.go
+++ b/pkg/scheduler/random_test.go
@@ -69,7 +69,7 @@
 		req.Deadline = w.now.Add(time.Duration(rapid.IntRange(-1, 600).Draw(t, "deadline")) * time.Millisecond)
 		req.Operation = rapid.SampledFrom([]string{"get", "get", "get", "get", "put", "no such"}).Draw(t, "operation")
 		req.Fingerprint = model.Fingerprint(rapid.IntRange(1, 30).Draw(t, "fingerprint"))
-		w.submit(req).poisonous = req.Fingerprint == 13
+		w.submit(req).crashing = req.Fingerprint == 13
 	}
 }
 
@@ -158,7 +158,7 @@
 
 // TestRandomFaults guards against any schedule of faults, cancellations,
 // reports, documents and pauses that violates an invariant: one answer in
-// time, honest run states, orders run at most once, slots, and no work for
+// time, replied run states, orders run at most once, slots, and no work for
 // upstreams that leave.
 func TestRandomFaults(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/pkg/scheduler/scenario_test.go
+++ b/pkg/scheduler/scenario_test.go
@@ -184,7 +184,7 @@
 		w.after(time.Duration(2000+100*i)*time.Millisecond, func() {
 			req := w.request(0, testShards)
 			req.Fingerprint = 666
-			w.submit(req).poisonous = true
+			w.submit(req).crashing = true
 		})
 	}
 	flood(w, 20*time.Second, 0.3, 0.3, 0.2)
@@ -224,7 +224,7 @@
 		w.after(time.Duration(100*i)*time.Millisecond, func() {
 			req := w.request(0, testShards)
 			req.Fingerprint = 666
-			w.submit(req).poisonous = true
+			w.submit(req).crashing = true
 		})
 	}
 	flood(w, 10*time.Second, 0.3, 0.3, 0.2)
