Make "not run" of an order final for its ticket

Cause: after a refusal the owner returned a ticket to its initial state, so that any other submission with the same ticket could run the order. A submission that was delayed, or the copy of one, did so while the refusal was on its way to the caller or after it. A trace of the submissions shows for instance a refusal sent at 5.42 s that arrived at 5.82 s and a run of another submission at 5.53 s.

Ruled out: a second run of the refused attempt itself (each case had exactly one execution, by another submission), relative deadlines (the submissions were within theirs).

Change: a refusal names the ticket of the next generation, and only that one can start the order. The refused ticket is answered with the recorded refusal, or with the outcome once the order has run. This replaces the ids of submissions, which could not tell copies that a balancer makes. A submission that arrives after its deadline ends the generation too.

The random check is stricter: it no longer excuses other submissions, but requires that the answer's next ticket was sent before the run.

--- a/pkg/adapter/callerhttp/messages.go
+++ b/pkg/adapter/callerhttp/messages.go
@@ -95,6 +95,9 @@
 	Result   json.RawMessage  `json:"result,omitempty"`
 	Snapshot model.SnapshotID `json:"snapshot,omitempty"`
 	Replayed bool             `json:"replayed"`
+	// NextTicket can start the order after "not run". The ticket that was
+	// refused cannot.
+	NextTicket string `json:"next_ticket,omitempty"`
 }
 
 func newStatus(code result.Code, ran model.RunState, retryAfter time.Duration, detail string) Status {
@@ -135,10 +138,11 @@
 
 func orderAnswer(a port.OrderAnswer) OrderAnswer {
 	return OrderAnswer{
-		Status:   newStatus(a.Code, a.Ran, a.RetryAfter, a.Detail),
-		Result:   a.Result,
-		Snapshot: a.Snapshot,
-		Replayed: a.Replayed,
+		Status:     newStatus(a.Code, a.Ran, a.RetryAfter, a.Detail),
+		Result:     a.Result,
+		Snapshot:   a.Snapshot,
+		Replayed:   a.Replayed,
+		NextTicket: a.NextTicket,
 	}
 }
 
--- a/pkg/adapter/peergrpc/convert.go
+++ b/pkg/adapter/peergrpc/convert.go
@@ -120,7 +120,6 @@
 
 func toWireOrder(now time.Time, boot model.BootID, o port.OrderSubmission) *wire.SubmitOrderRequest {
 	return &wire.SubmitOrderRequest{
-		Id:         o.ID[:],
 		TargetBoot: uint64(boot),
 		Ticket:     o.Ticket,
 		Service:    o.Service,
@@ -134,10 +133,7 @@
 }
 
 func fromWireOrder(now time.Time, w *wire.SubmitOrderRequest) port.OrderSubmission {
-	var id model.AttemptID
-	copy(id[:], w.GetId())
 	return port.OrderSubmission{
-		ID:        id,
 		Ticket:    w.GetTicket(),
 		Service:   w.GetService(),
 		Operation: w.GetOperation(),
@@ -157,6 +153,7 @@
 		Snapshot:     string(a.Snapshot),
 		Replayed:     a.Replayed,
 		RetryAfterUs: a.RetryAfter.Microseconds(),
+		NextTicket:   a.NextTicket,
 		Detail:       a.Detail,
 	}
 }
@@ -169,6 +166,7 @@
 		Snapshot:   model.SnapshotID(w.GetSnapshot()),
 		Replayed:   w.GetReplayed(),
 		RetryAfter: time.Duration(w.GetRetryAfterUs()) * time.Microsecond,
+		NextTicket: w.GetNextTicket(),
 		Detail:     w.GetDetail(),
 	}
 }
--- a/pkg/adapter/peergrpc/peergrpc_test.go
+++ b/pkg/adapter/peergrpc/peergrpc_test.go
@@ -39,7 +39,7 @@
 	h.boot, h.order = boot, o
 	return port.OrderAnswer{
 		Code: result.OK, Ran: model.Ran, Result: json.RawMessage(`1`), Snapshot: "v1",
-		Replayed: true, RetryAfter: time.Second, Detail: "d",
+		Replayed: true, RetryAfter: time.Second, Detail: "d", NextTicket: "t2",
 	}
 }
 
@@ -85,13 +85,14 @@
 	must.Eq(t, req, h.group)
 
 	sub := port.OrderSubmission{
-		ID: model.AttemptID{9}, Ticket: "t", Service: "s", Operation: "o", Priority: "p", Caller: "c",
+		Ticket: "t", Service: "s", Operation: "o", Priority: "p", Caller: "c",
 		Payload: json.RawMessage(`[]`), Shard: "a", Deadline: epoch.Add(time.Second),
 	}
 	outcome, err := client.SubmitOrder(t.Context(), id, 11, sub)
 	must.NoError(t, err)
 	must.Eq(t, 11, h.boot)
 	must.True(t, outcome.Replayed)
+	must.Eq(t, "t2", outcome.NextTicket)
 	must.Eq(t, "v1", outcome.Snapshot)
 	sub.Deadline = sub.Deadline.Add(-hopMargin)
 	must.Eq(t, sub, h.order)
--- a/pkg/instance/orders.go
+++ b/pkg/instance/orders.go
@@ -136,9 +136,9 @@
 	return nil
 }
 
-// SubmitOrder runs an order or returns its recorded outcome. A refusal never
-// says that the order did not run unless its owner knows that from the ticket,
-// because an earlier submission may have run.
+// SubmitOrder runs an order or returns its recorded outcome. A refusal says that
+// the order did not run only if the ticket's owner knows it, because an earlier
+// submission may have run.
 func (i *Instance) SubmitOrder(ctx context.Context, sub port.OrderSubmission) port.OrderAnswer {
 	i.observe(i.now())
 	i.activeQueries.Add(1)
@@ -153,7 +153,6 @@
 	if err != nil {
 		return port.OrderAnswer{Code: result.BadRequest, Ran: model.NotRun, Detail: err.Error()}
 	}
-	sub.ID = i.ports.NewID()
 	sub.Deadline = i.orderDeadline(sub)
 	if ticket.Owner == i.cfg.ID {
 		return i.HandleSubmitOrder(ctx, ticket.Boot, sub)
--- a/pkg/instance/soak_test.go
+++ b/pkg/instance/soak_test.go
@@ -579,9 +579,10 @@
 
 // submission is one sending of an order.
 type submission struct {
-	tag        string
-	start, end time.Time
-	answer     port.OrderAnswer
+	tag    string
+	ticket order.Ticket
+	start  time.Time
+	answer port.OrderAnswer
 }
 
 // order takes a ticket and sends the order one to three times through any
@@ -597,36 +598,43 @@
 		return
 	}
 	for k := range int(d.between(1, 3)) {
-		s := &submission{tag: key}
+		s := &submission{tag: key, ticket: ticket}
 		if k == 2 && d.chance(0.3) {
 			s.tag += "-other" // Different content with the same ticket.
 		}
-		d.load.Go(func() { d.submit(service, ticket, key, s) })
+		d.load.Go(func() { d.submit(service, key, s) })
 		if d.chance(0.7) {
 			time.Sleep(d.between(0, 700*time.Millisecond))
 		}
 	}
 }
 
-func (d *driver) submit(service string, ticket order.Ticket, key string, s *submission) {
+// submit sends an order and, after a refusal, sometimes sends it again with the
+// next ticket.
+func (d *driver) submit(service, key string, s *submission) {
 	content, _ := json.Marshal(payload{Tag: s.tag})
 	p, deadline := d.entry(), time.Now().Add(deadlines["middle"])
-	sub := port.OrderSubmission{Ticket: ticket.String(), Service: service, Operation: "reserve", Priority: "middle", Payload: content, Shard: "0"}
-	s.start, s.end = time.Now(), time.Now().Add(time.Hour)
+	sub := port.OrderSubmission{Ticket: s.ticket.String(), Service: service, Operation: "reserve", Priority: "middle", Payload: content, Shard: "0"}
+	s.start = time.Now()
 	d.mu.Lock()
 	d.orders[key] = append(d.orders[key], s)
 	d.mu.Unlock()
-	if !d.visit(p, s.tag, deadline, func(ctx context.Context) { s.answer = p.inst.SubmitOrder(ctx, sub) }) {
+	var answer port.OrderAnswer
+	if !d.visit(p, s.tag, deadline, func(ctx context.Context) { answer = p.inst.SubmitOrder(ctx, sub) }) {
 		return
 	}
 	d.mu.Lock()
-	defer d.mu.Unlock()
-	s.end = time.Now()
-	d.answers["order "+s.answer.Code.String()+" "+s.answer.Ran.String()]++
+	s.answer = answer
+	d.answers["order "+answer.Code.String()+" "+answer.Ran.String()]++
 	var f fakeResult
-	if s.answer.Code == result.OK && (json.Unmarshal(s.answer.Result, &f) != nil || f.Tag != s.tag || f.Snapshot != s.answer.Snapshot) {
+	if answer.Code == result.OK && (json.Unmarshal(answer.Result, &f) != nil || f.Tag != s.tag || f.Snapshot != answer.Snapshot) {
 		d.violateLocked("own results", "order %s got the result of %s", s.tag, f.Tag)
 	}
+	d.mu.Unlock()
+	if next, err := order.ParseTicket(answer.NextTicket); err == nil && d.chance(0.5) {
+		time.Sleep(d.between(0, 300*time.Millisecond))
+		d.submit(service, key, &submission{tag: s.tag, ticket: next})
+	}
 }
 
 // observer samples what the balancer sees and the revisions in force.
@@ -789,17 +797,12 @@
 	}
 }
 
-// checkSubmission checks an order's answer: after "not run", only another
-// submission may have run it that ended later, or whose outcome is unknown and
-// whose message could still arrive before its deadline.
+// checkSubmission checks an order's answer: after "not run" the order runs only
+// if a caller sends the answer's next ticket, and not before that.
 func (d *driver) checkSubmission(s *submission, subs []*submission, runs []execution) {
 	d.checks["order answer"]++
-	later := slices.ContainsFunc(subs, func(o *submission) bool {
-		underWay := o.answer.Ran == model.RunUnknown && o.start.Add(deadlines["middle"]).After(s.end)
-		return o != s && (o.end.After(s.end) || underWay)
-	})
 	for _, e := range runs {
-		if s.answer.Code != 0 && s.answer.Ran == model.NotRun && e.tag == s.tag && (!e.at.After(s.end) || !later) {
+		if s.answer.Code != 0 && s.answer.Ran == model.NotRun && e.tag == s.tag && !sentBefore(subs, s.answer.NextTicket, e.at) {
 			d.violateLocked("not run", "order %s was refused with %s and ran", s.tag, s.answer.Code)
 		}
 	}
@@ -808,6 +811,15 @@
 	}
 }
 
+// sentBefore reports whether a caller had sent the ticket, or one of a later
+// generation, at the time.
+func sentBefore(subs []*submission, ticket string, at time.Time) bool {
+	next, err := order.ParseTicket(ticket)
+	return err == nil && slices.ContainsFunc(subs, func(o *submission) bool {
+		return o.ticket.Generation >= next.Generation && !o.start.After(at)
+	})
+}
+
 // finish ends all processes, also the killed ones, so that no goroutine stays.
 func (d *driver) finish() {
 	for _, n := range d.nodes {
--- a/pkg/model/model.go
+++ b/pkg/model/model.go
@@ -74,7 +74,7 @@
 type RunState int
 
 // Run states. NotRun is a promise: the request did not run and will not run
-// later on behalf of this submission.
+// later. An order may run later only with the next ticket of its answer.
 const (
 	RunUnknown RunState = iota
 	NotRun
--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -2,14 +2,19 @@
 // binds a non-idempotent request to the memory of one process: only that
 // process can start it, and it starts it again only after proof that the
 // earlier attempt did not run. When the process is lost, the ticket is void.
+//
+// A refused order gets a ticket of the next generation, and only that one can
+// start it. A message with the refused ticket that is still under way, or a
+// copy of one, therefore never runs an order after its caller was told that it
+// did not run.
 package order
 
 import (
 	"encoding/base64"
 	"encoding/binary"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
-	"slices"
 	"strings"
 	"time"
 
@@ -25,13 +30,11 @@
 	DefaultValidity = 30 * time.Second
 	// MaxValidity bounds how long a record is kept in memory.
 	MaxValidity = 10 * time.Minute
-	// maxAttempts bounds upstream attempts per submission; each but the first
-	// follows proof that the one before did not run.
+	// maxAttempts bounds upstream attempts per generation of a ticket; each but
+	// the first follows proof that the one before did not run.
 	maxAttempts = 3
-	// maxSubmissions bounds the submissions of one ticket that are remembered.
-	// Another one is refused, because a copy of a forgotten one could run after
-	// its caller was told "not run".
-	maxSubmissions = 64
+	// maxGeneration bounds how often a refused order can be sent again.
+	maxGeneration = math.MaxUint16
 	// limitRetryDelay is suggested to callers when no ticket is free.
 	limitRetryDelay = 2 * time.Second
 )
@@ -39,13 +42,13 @@
 // State is the state of a ticket.
 type State int
 
-// States of a ticket. Done and Unknown are final.
+// States of a ticket. Done, Unknown and Refused are final.
 const (
 	Issued State = iota
 	Running
 	Done
 	Unknown
-	Expired
+	Refused
 )
 
 // Config holds the identity and limits of a Book.
@@ -76,10 +79,10 @@
 	bound    bool
 	attempt  model.AttemptID
 	attempts int
-	// submissions are the ids of all submissions that could start the order.
-	submissions []model.AttemptID
-	sub         port.OrderSubmission
-	answer      port.OrderAnswer
+	// generation is that of the ticket that can start the order now.
+	generation uint16
+	sub        port.OrderSubmission
+	answer     port.OrderAnswer
 }
 
 // Book holds the tickets of one process run. It is not safe for concurrent
@@ -102,25 +105,34 @@
 	Owner model.InstanceID
 	Boot  model.BootID
 	ID    model.AttemptID
+	// Generation counts the refusals of the order.
+	Generation uint16
 }
 
+// ticketHeader is the size of a ticket's binary form without the owner.
+const ticketHeader = 8 + 16 + 2
+
 // String returns the text form given to callers.
 func (t Ticket) String() string {
 	raw := binary.BigEndian.AppendUint64(nil, uint64(t.Boot))
 	raw = append(raw, t.ID[:]...)
+	raw = binary.BigEndian.AppendUint16(raw, t.Generation)
 	raw = append(raw, t.Owner...)
 	return base64.RawURLEncoding.EncodeToString(raw)
 }
 
 // ParseTicket parses the text form.
 func ParseTicket(s string) (Ticket, error) {
-	const header = 8 + 16
 	raw, err := base64.RawURLEncoding.DecodeString(strings.TrimSpace(s))
-	if err != nil || len(raw) <= header || len(raw) > header+64 {
+	if err != nil || len(raw) <= ticketHeader || len(raw) > ticketHeader+64 {
 		return Ticket{}, result.Errorf(result.BadRequest, "the ticket is malformed")
 	}
-	t := Ticket{Boot: model.BootID(binary.BigEndian.Uint64(raw)), Owner: model.InstanceID(raw[header:])}
-	copy(t.ID[:], raw[8:header])
+	t := Ticket{
+		Owner:      model.InstanceID(raw[ticketHeader:]),
+		Boot:       model.BootID(binary.BigEndian.Uint64(raw)),
+		Generation: binary.BigEndian.Uint16(raw[8+16:]),
+	}
+	copy(t.ID[:], raw[8:])
 	return t, nil
 }
 
@@ -190,10 +202,11 @@
 	Deadline time.Time
 }
 
-// Submit decides on a submission of a ticket of this book.
+// Submit decides on a submission of a ticket of this book. A ticket of an
+// earlier generation learns the order's outcome and starts nothing.
 func (b *Book) Submit(now time.Time, t Ticket, sub port.OrderSubmission) Decision {
 	r := b.records[t.ID]
-	if t.Boot != b.cfg.Boot || r == nil {
+	if t.Boot != b.cfg.Boot || r == nil || t.Generation > r.generation {
 		return answered(port.OrderAnswer{Code: result.TicketUnknown, Ran: model.RunUnknown})
 	}
 	if d, refused := r.checkSubmission(sub); refused {
@@ -202,32 +215,44 @@
 	switch r.state {
 	case Running:
 		return Decision{Join: true}
-	case Done, Unknown:
-		recorded := r.answer
-		recorded.Replayed = true
-		return answered(recorded)
-	case Expired:
-		return answered(r.answer)
+	case Done, Unknown, Refused:
+		return r.replay()
+	}
+	if t.Generation < r.generation {
+		return r.replay()
 	}
 	if !now.Before(r.expires) {
-		r.state = Expired
+		r.state = Refused
 		r.answer = port.OrderAnswer{Code: result.TicketExpiredUnused, Ran: model.NotRun}
 		return answered(r.answer)
 	}
 	if !sub.Deadline.After(now) {
-		return answered(port.OrderAnswer{Code: result.DeadlineExceeded, Ran: model.NotRun})
-	}
-	if slices.Contains(r.submissions, sub.ID) {
-		// A copy of a message whose caller was told that the order did not run.
+		b.refuse(t.ID, r, port.OrderAnswer{Code: result.DeadlineExceeded, Ran: model.NotRun})
 		return answered(r.answer)
 	}
-	if len(r.submissions) >= maxSubmissions {
-		return answered(port.OrderAnswer{Code: result.TicketLimit, Ran: model.NotRun})
-	}
 	r.bind(sub)
 	return Decision{Start: b.start(t.ID, r)}
 }
 
+// refuse ends a generation of the ticket with an answer that names the ticket
+// of the next one.
+func (b *Book) refuse(ticket model.AttemptID, r *record, answer port.OrderAnswer) {
+	r.state = Refused
+	if r.generation < maxGeneration {
+		r.state = Issued
+		r.generation++
+		next := Ticket{Owner: b.cfg.Owner, Boot: b.cfg.Boot, ID: ticket, Generation: r.generation}
+		answer.NextTicket = next.String()
+	}
+	r.answer = answer
+}
+
+func (r *record) replay() Decision {
+	recorded := r.answer
+	recorded.Replayed = true
+	return answered(recorded)
+}
+
 func answered(a port.OrderAnswer) Decision { return Decision{Answer: &a} }
 
 // checkSubmission refuses a submission that differs from what the ticket was
@@ -247,7 +272,6 @@
 	r.content = contentHash(sub)
 	r.bound = true
 	r.sub = sub
-	r.submissions = append(r.submissions, sub.ID)
 	r.attempts = 0
 }
 
@@ -297,21 +321,19 @@
 	if o.Ran == model.NotRun && r.mayTryAgain(now, o.Code) {
 		return b.start(ticket, r), nil
 	}
-	r.answer = port.OrderAnswer{Code: o.Code, Ran: o.Ran, Result: o.Result, Snapshot: o.Snapshot, RetryAfter: o.RetryAfter}
+	answer := port.OrderAnswer{Code: o.Code, Ran: o.Ran, Result: o.Result, Snapshot: o.Snapshot, RetryAfter: o.RetryAfter}
 	switch o.Ran {
 	case model.NotRun:
-		r.state = Issued
+		b.refuse(ticket, r, answer)
 	case model.Ran:
-		r.state = Done
+		r.state, r.answer = Done, answer
 	default:
-		r.state = Unknown
-		r.answer.Code = result.OutcomeUnknown
-	}
-	if r.state != Issued {
-		// Only the hash of the content is needed from here on.
-		r.sub = port.OrderSubmission{}
+		answer.Code = result.OutcomeUnknown
+		r.state, r.answer = Unknown, answer
 	}
-	answer := r.answer
+	// Only the hash of the content is needed from here on.
+	r.sub = port.OrderSubmission{}
+	answer = r.answer
 	return nil, &answer
 }
 
--- a/pkg/order/order_test.go
+++ b/pkg/order/order_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"encoding/json"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -33,19 +34,9 @@
 	})
 }
 
-var submissions uint64
-
-// submissionID returns a new id for each sending by a caller.
-func submissionID() model.AttemptID {
-	submissions++
-	var id model.AttemptID
-	binary.BigEndian.PutUint64(id[:], submissions)
-	return id
-}
-
 func submission(ticket Ticket, now time.Time, payload string) port.OrderSubmission {
 	return port.OrderSubmission{
-		ID: submissionID(), Ticket: ticket.String(), Service: "s", Operation: "reserve", Shard: "0",
+		Ticket: ticket.String(), Service: "s", Operation: "reserve", Shard: "0",
 		Payload: json.RawMessage(payload), Deadline: now.Add(time.Second),
 	}
 }
@@ -63,14 +54,18 @@
 // orderModel drives several owner processes, one after another, against homes
 // that may run an attempt at any time, also long after the owner gave up.
 type orderModel struct {
-	now      time.Time
-	boot     model.BootID
-	book     *Book
-	tickets  []Ticket
+	now     time.Time
+	boot    model.BootID
+	book    *Book
+	tickets []Ticket
+	// refused holds, per ticket id, the lowest generation that no answer has
+	// refused.
+	refused  map[model.AttemptID]uint16
 	inFlight []*attemptInFlight
 	// executions counts runs per ticket: the upstreams' own log.
 	executions map[model.AttemptID]int
-	claimed    map[model.AttemptID]bool
+	// sent holds the highest generation that was submitted.
+	sent map[model.AttemptID]uint16
 }
 
 func (m *orderModel) start(b *Book, a *Attempt) {
@@ -85,13 +80,35 @@
 	}
 	ticket := rapid.SampledFrom(m.tickets).Draw(t, "ticket")
 	payload := rapid.SampledFrom([]string{`1`, `1`, `1`, `2`}).Draw(t, "payload")
-	d := m.book.Submit(m.now, ticket, submission(ticket, m.now, payload))
-	if d.Answer != nil && d.Answer.Ran == model.NotRun && d.Answer.Code != result.TicketMismatch {
-		must.Zero(t, m.executions[ticket.ID], must.Sprint("the answer says not run after a run"))
+	sub := submission(ticket, m.now, payload)
+	if rapid.IntRange(0, 3).Draw(t, "late") == 0 {
+		sub.Deadline = m.now // The message arrives after its deadline.
+	}
+	m.sent[ticket.ID] = max(m.sent[ticket.ID], ticket.Generation)
+	d := m.book.Submit(m.now, ticket, sub)
+	if d.Answer != nil && d.Answer.Code != result.TicketMismatch {
+		m.answered(t, ticket.ID, *d.Answer)
 	}
 	m.start(m.book, d.Start)
 }
 
+// answered keeps the next ticket of a refusal for later submissions.
+func (m *orderModel) answered(t *rapid.T, id model.AttemptID, a port.OrderAnswer) {
+	if a.Ran != model.NotRun {
+		return
+	}
+	must.Zero(t, m.executions[id], must.Sprint("the answer says not run after a run"))
+	m.refused[id] = math.MaxUint16
+	if a.NextTicket == "" {
+		return
+	}
+	next, err := ParseTicket(a.NextTicket)
+	must.NoError(t, err)
+	must.Eq(t, id, next.ID)
+	m.refused[id] = next.Generation
+	m.tickets = append(m.tickets, next)
+}
+
 // settle lets a home or an upstream act on an attempt.
 func (m *orderModel) settle(t *rapid.T) {
 	if len(m.inFlight) == 0 {
@@ -103,6 +120,8 @@
 		if !f.executed && !f.refused {
 			f.executed = true
 			m.executions[f.attempt.Ticket]++
+			must.GreaterEq(t, m.refused[f.attempt.Ticket], m.sent[f.attempt.Ticket],
+				must.Sprint("a refused order runs without a submission of its next ticket"))
 		}
 	case 1: // The home refuses it and has removed it.
 		if !f.executed {
@@ -125,18 +144,17 @@
 func (m *orderModel) finish(t *rapid.T, f *attemptInFlight, o Outcome) {
 	next, answer := f.book.Finish(m.now, f.attempt.Ticket, f.attempt.ID, o)
 	m.start(f.book, next)
-	if answer != nil && answer.Ran == model.NotRun {
-		must.Zero(t, m.executions[f.attempt.Ticket], must.Sprint("the answer says not run after a run"))
-		must.False(t, m.claimed[f.attempt.Ticket])
+	if answer != nil {
+		m.answered(t, f.attempt.Ticket, *answer)
 	}
 }
 
-// TestOrderRunsAtMostOnce guards against a second run of an order under resent
-// submissions, lost and repeated outcomes, late runs, expiry and owners that
-// restart without memory.
+// TestOrderRunsAtMostOnce guards against a second run of an order, and a run
+// after "not run", under resent submissions, lost and repeated outcomes, late
+// runs, expiry and owners that restart without memory.
 func TestOrderRunsAtMostOnce(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		m := &orderModel{now: epoch, boot: 1, book: newTestBook(1, 8), executions: map[model.AttemptID]int{}, claimed: map[model.AttemptID]bool{}}
+		m := &orderModel{now: epoch, boot: 1, book: newTestBook(1, 8), executions: map[model.AttemptID]int{}, sent: map[model.AttemptID]uint16{}, refused: map[model.AttemptID]uint16{}}
 		t.Repeat(map[string]func(*rapid.T){
 			"issue": func(t *rapid.T) {
 				ticket, _, err := m.book.Issue(m.now, Spec{Service: "s", Operation: "reserve", Validity: 3 * time.Second})
@@ -164,9 +182,10 @@
 	})
 }
 
-// TestCopyAfterNotRun guards against a copy of a submission that starts the
-// order after its caller was told that it did not run.
-func TestCopyAfterNotRun(t *testing.T) {
+// TestRefusedTicketStartsNothing guards against a copy of a submission, or one
+// that arrives late, that starts the order after its caller was told that it
+// did not run.
+func TestRefusedTicketStartsNothing(t *testing.T) {
 	b := newTestBook(1, 4)
 	ticket, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve"})
 	must.NoError(t, err)
@@ -177,7 +196,23 @@
 	again := b.Submit(epoch, ticket, sub)
 	must.Nil(t, again.Start)
 	must.Eq(t, result.Overloaded, again.Answer.Code)
-	must.NotNil(t, b.Submit(epoch, ticket, submission(ticket, epoch, `1`)).Start)
+	must.Eq(t, answer.NextTicket, again.Answer.NextTicket)
+	next, err := ParseTicket(answer.NextTicket)
+	must.NoError(t, err)
+	must.NotNil(t, b.Submit(epoch, next, submission(next, epoch, `1`)).Start)
+	must.True(t, b.Submit(epoch, ticket, sub).Join, must.Sprint("the refused ticket learns the outcome"))
+}
+
+// TestLateSubmissionEndsGeneration guards against an answer of "not run" for a
+// submission that arrived after its deadline while another one with the same
+// ticket may still start the order.
+func TestLateSubmissionEndsGeneration(t *testing.T) {
+	b := newTestBook(1, 4)
+	ticket, _, err := b.Issue(epoch, Spec{Service: "s", Operation: "reserve"})
+	must.NoError(t, err)
+	late := submission(ticket, epoch.Add(-2*time.Second), `1`)
+	must.Eq(t, result.DeadlineExceeded, b.Submit(epoch, ticket, late).Answer.Code)
+	must.Nil(t, b.Submit(epoch, ticket, submission(ticket, epoch, `1`)).Start)
 }
 
 // TestUnknownIsFinal guards against a retry after an attempt whose outcome is
--- a/pkg/port/port.go
+++ b/pkg/port/port.go
@@ -144,9 +144,6 @@
 
 // OrderSubmission is an order with its ticket.
 type OrderSubmission struct {
-	// ID is unique per sending by a caller, so that a copy of the message to
-	// the ticket's owner is told apart from the caller's sending again.
-	ID        model.AttemptID
 	Ticket    string
 	Service   string
 	Operation string
@@ -165,6 +162,9 @@
 	Snapshot   model.SnapshotID
 	Replayed   bool
 	RetryAfter time.Duration
+	// NextTicket can start the order after "not run". The ticket that was
+	// refused cannot.
+	NextTicket string
 	Detail     string
 }
 
--- a/pkg/standin/load/client.go
+++ b/pkg/standin/load/client.go
@@ -114,6 +114,7 @@
 	Snapshot     string          `json:"snapshot"`
 	Replayed     bool            `json:"replayed"`
 	RetryAfterMS int             `json:"retry_after_ms"`
+	NextTicket   string          `json:"next_ticket"`
 	Detail       string          `json:"detail"`
 }
 
--- a/pkg/standin/load/generator.go
+++ b/pkg/standin/load/generator.go
@@ -194,7 +194,9 @@
 	}
 }
 
-// order takes a ticket and submits the order until its outcome is settled.
+// order takes a ticket and submits the order until its outcome is settled or
+// it has been sent often enough. A refused order is sent again with the next
+// ticket, so that only the last answer is a statement on the order.
 func (g *generator) order(ctx context.Context, s Stream, n int, id, caller string, payload json.RawMessage, o *outcome) {
 	ticket, instance, ok := g.ticket(ctx, s, id, caller, o)
 	if !ok {
@@ -211,8 +213,13 @@
 		})
 		if err == nil {
 			o.code, o.detail, o.success = a.CodeName, a.Detail, isSuccess(a.Code)
-			g.checker.order(id, a)
-			return
+			if a.NextTicket == "" || o.sends > s.Resends {
+				g.checker.order(id, a)
+				return
+			}
+			order.Ticket = a.NextTicket
+			time.Sleep(time.Duration(a.RetryAfterMS) * time.Millisecond)
+			continue
 		}
 		o.code, o.detail = codeUnknownOpen, err.Error()
 		if o.sends > s.Resends {
