Split the random runs' driver and fakes by job

Declarations are moved unchanged: faults, load, checks and set-up of the driver, and the fakes of process, peers, platform and upstream, each have a file of their own.

--- /dev/null
+++ b/pkg/instance/soak_checks_test.go
@@ -0,0 +1,181 @@
+package instance
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/order"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// checkAnswer compares an answer with what the caller sent and what was
+// published.
+func (d *driver) checkAnswer(q model.Query, tag string, crash bool, a model.Answer) {
+	d.mu.Lock()
+	d.answers[a.Code.String()]++
+	if a.Ran == model.NotRun && !crash {
+		d.notRun[tag] = a.Code
+	}
+	published, known := d.shards[a.Snapshot]
+	if !d.faulty && a.Code != result.OK && a.Code != result.Cancelled && a.Code != result.DeadlineTooShort && q.Deadline.IsZero() && !crash {
+		d.violateLocked("full service", "%s was answered with %s at coverage %d of %d", tag, a.Code, a.Coverage.Answered, a.Coverage.Total)
+	}
+	d.mu.Unlock()
+	if a.Snapshot == "" && len(a.Results) == 0 {
+		d.check("coverage", a.Ran != model.Ran && a.Coverage.Total == 0, "%s: answer without a snapshot says %v", tag, a.Ran)
+		return
+	}
+	wanted := published
+	if len(q.Shards) > 0 {
+		wanted = q.Shards
+	}
+	got := make(map[model.ShardID]bool)
+	for _, r := range a.Results {
+		var f fakeResult
+		err := json.Unmarshal(r.Result, &f)
+		d.check("own results", err == nil && f.Tag == tag && f.Shard == r.Shard, "%s shard %s got the result of %s shard %s", tag, r.Shard, f.Tag, f.Shard)
+		d.check("one snapshot", known && f.Snapshot == a.Snapshot, "%s: result from snapshot %s in an answer of %s", tag, f.Snapshot, a.Snapshot)
+		d.check("coverage", r.Code == result.OK && !got[r.Shard] && slices.Contains(wanted, r.Shard), "%s: shard %s is doubled or not wanted", tag, r.Shard)
+		got[r.Shard] = true
+	}
+	missing := make(map[model.ShardID]bool)
+	for _, m := range a.Coverage.Missing {
+		missing[m.Shard] = true
+	}
+	exact := a.Coverage.Answered == len(got) && a.Coverage.Total == len(wanted) && len(missing) == len(wanted)-len(got)
+	for _, s := range wanted {
+		exact = exact && got[s] != missing[s]
+	}
+	whole := len(got) == len(wanted)
+	d.check("coverage", exact && (a.Code == result.OK) == whole, "%s: code %s, coverage %+v, %d results of %d shards", tag, a.Code, a.Coverage, len(got), len(wanted))
+	d.check("not run", a.Ran != model.NotRun || len(got) == 0, "%s: not run with results", tag)
+}
+
+// observer samples what the balancer sees and the revisions in force.
+func (d *driver) observer() {
+	last := make(map[*proc]map[string]model.GroupKey)
+	for {
+		var ready []*proc
+		for _, n := range d.nodes {
+			p := n.current()
+			if p == nil || p.isPaused() {
+				continue
+			}
+			if ok, _ := p.inst.Ready(); ok {
+				ready = append(ready, p)
+			}
+			if last[p] == nil {
+				last[p] = make(map[string]model.GroupKey)
+			}
+			for _, s := range services {
+				d.checkRevision(p, s, last[p])
+			}
+		}
+		d.ready.Store(&ready)
+		select {
+		case <-d.stop:
+			return
+		case <-time.After(sampleInterval):
+		}
+	}
+}
+
+func (d *driver) checkRevision(p *proc, service string, last map[string]model.GroupKey) {
+	doc := p.inst.document(service)
+	if doc == nil {
+		d.check("revision grows", last[service].Service == "", "%s lost the document of %s", p.n.id, service)
+		return
+	}
+	now := model.GroupKey{Service: fmt.Sprintf("%s %d %d", service, doc.Revision, doc.Digest), Index: int(doc.Revision)}
+	before := last[service]
+	d.check("revision grows", before.Index < now.Index || before == now, "%s went from %s to %s", p.n.id, before.Service, now.Service)
+	d.mu.Lock()
+	published := d.digests[now.Service]
+	d.mu.Unlock()
+	d.check("revision published", published, "%s has %s in force, which is invalid or was never published", p.n.id, now.Service)
+	last[service] = now
+}
+
+// expected returns the highest valid revision that the platform shows or that
+// is in force anywhere.
+func (d *driver) expected() map[string]uint64 {
+	out := make(map[string]uint64)
+	_, docs, _, _ := d.plat.view()
+	for _, s := range services {
+		if doc, err := document.Parse(docs[s]); err == nil {
+			out[s] = doc.Revision
+		}
+		for _, n := range d.nodes {
+			if doc := n.current().inst.document(s); doc != nil {
+				out[s] = max(out[s], doc.Revision)
+			}
+		}
+	}
+	return out
+}
+
+func (d *driver) checkEnd(want map[string]uint64) {
+	for _, n := range d.nodes {
+		for _, s := range services {
+			got := uint64(0)
+			if doc := n.current().inst.document(s); doc != nil {
+				got = doc.Revision
+			}
+			d.check("converged", got >= want[s], "%s has revision %d of %s %s after the faults, want %d", n.id, got, s, configBound, want[s])
+		}
+		ok, why := n.current().inst.Ready()
+		d.check("ready", ok, "%s is %s %s after the faults", n.id, why, configBound)
+	}
+}
+
+// checkRecords compares the answers with the upstreams' records.
+func (d *driver) checkRecords() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	byOrder := make(map[string][]execution)
+	for _, e := range d.executions {
+		if e.order != "" {
+			byOrder[e.order] = append(byOrder[e.order], e)
+		} else if code, ok := d.notRun[e.tag]; ok {
+			d.violateLocked("not run", "%s was refused with %s and ran on %s", e.tag, code, e.upstream)
+		}
+	}
+	d.checks["not run"] += len(d.notRun)
+	for key, subs := range d.orders {
+		runs := byOrder[key]
+		d.checks["order once"]++
+		if len(runs) > 1 {
+			d.violateLocked("order once", "%s ran %d times", key, len(runs))
+		}
+		for _, s := range subs {
+			d.checkSubmission(s, subs, runs)
+		}
+	}
+}
+
+// checkSubmission checks an order's answer: after "not run" the order runs only
+// if a caller sends the answer's next ticket, and not before that.
+func (d *driver) checkSubmission(s *submission, subs []*submission, runs []execution) {
+	d.checks["order answer"]++
+	for _, e := range runs {
+		if s.answer.Code != 0 && s.answer.Ran == model.NotRun && e.tag == s.tag && !sentBefore(subs, s.answer.NextTicket, e.at) {
+			d.violateLocked("not run", "order %s was refused with %s and ran", s.tag, s.answer.Code)
+		}
+	}
+	if s.answer.Ran == model.Ran && len(runs) == 0 {
+		d.violateLocked("order answer", "order %s is answered as run without an execution", s.tag)
+	}
+}
+
+// sentBefore reports whether a caller had sent the ticket, or one of a later
+// generation, at the time.
+func sentBefore(subs []*submission, ticket string, at time.Time) bool {
+	next, err := order.ParseTicket(ticket)
+	return err == nil && slices.ContainsFunc(subs, func(o *submission) bool {
+		return o.ticket.Generation >= next.Generation && !o.start.After(at)
+	})
+}
