--- a/pkg/instance/soak_faults_test.go
+++ b/pkg/instance/soak_faults_test.go
@@ -8,7 +8,6 @@
 	"time"
 
 	"pgregory.net/rapid"
-
 )
 
 // step is one fault of a plan.
