--- /dev/null
+++ b/pkg/standin/launch/instance.go
@@ -0,0 +1,158 @@
+package launch
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/settings"
+	"github.com/sardineturn/sardineturn/pkg/standin/platform"
+)
+
+// Instance is a process of sardineturn.
+type Instance struct {
+	*Process
+	Settings settings.Settings
+
+	fleet        *Fleet
+	settingsFile string
+}
+
+// StartInstance lists a new instance at the platform and starts it. It does
+// not wait until the instance is ready.
+func (f *Fleet) StartInstance(ctx context.Context, dataCentre model.DataCentre) (*Instance, error) {
+	s, err := f.newSettings(dataCentre)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	number := len(f.instances) + 1
+	f.mu.Unlock()
+	if f.config.Trace {
+		s.TraceFile = filepath.Join(f.config.Dir, fmt.Sprintf("instance-%d.trace.jsonl", number))
+	}
+	i := &Instance{fleet: f, Settings: s}
+	i.settingsFile = filepath.Join(f.config.Dir, fmt.Sprintf("instance-%d.json", number))
+	content, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, err
+	}
+	if err := os.WriteFile(i.settingsFile, content, 0o644); err != nil {
+		return nil, err
+	}
+	if err := f.list(ctx, s, false); err != nil {
+		return nil, err
+	}
+	name := fmt.Sprintf("instance-%d", number)
+	i.Process, err = f.start(ctx, name, f.config.Sardineturn, []string{"serve", "--settings", i.settingsFile}, nil)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.instances = append(f.instances, i)
+	return i, nil
+}
+
+func (f *Fleet) newSettings(dataCentre model.DataCentre) (settings.Settings, error) {
+	var addresses [4]string
+	for n := range addresses {
+		address, err := FreeAddress(loopback)
+		if err != nil {
+			return settings.Settings{}, err
+		}
+		addresses[n] = address
+	}
+	s := settings.Default()
+	s.InstanceID = model.InstanceID(addresses[0])
+	s.DataCentre = dataCentre
+	s.Cluster = f.config.Cluster
+	s.GRPCAddress = addresses[0]
+	s.ControlAddress = addresses[1]
+	s.CallerAddress = addresses[2]
+	s.OperatorAddress = addresses[3]
+	s.PlatformURL = "http://" + f.PlatformAddress
+	s.MaxInstances = f.config.MaxInstances
+	s.BalancerLagMS = f.config.BalancerLagMS
+	s.LogLevel = f.config.LogLevel
+	return s, nil
+}
+
+// list writes the instance's entry in the platform's list.
+func (f *Fleet) list(ctx context.Context, s settings.Settings, leaving bool) error {
+	entry := platform.Instance{ID: string(s.InstanceID), ControlAddress: s.ControlAddress, DataCentre: string(s.DataCentre), Leaving: leaving}
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances", entry, nil)
+}
+
+func (f *Fleet) unlist(ctx context.Context, s settings.Settings) error {
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances/remove", platform.Instance{ID: string(s.InstanceID)}, nil)
+}
+
+// WaitReady waits until the instance's readiness endpoint answers 200.
+func (i *Instance) WaitReady(ctx context.Context) error {
+	for {
+		if Ready(ctx, i.Settings.OperatorAddress) {
+			return nil
+		}
+		select {
+		case <-i.Done():
+			return fmt.Errorf("%s ended before it was ready (log: %s)", i.Name, i.LogFile)
+		case <-ctx.Done():
+			return fmt.Errorf("%s is not ready (log: %s): %w", i.Name, i.LogFile, ctx.Err())
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+// Ready asks an instance's readiness endpoint once.
+func Ready(ctx context.Context, operatorAddress string) bool {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operatorAddress+"/ready", nil)
+	if err != nil {
+		return false
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	_ = resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+// Restart starts the instance again with the same settings after it ended.
+func (i *Instance) Restart(ctx context.Context) error {
+	if i.Running() {
+		return fmt.Errorf("%s is still running", i.Name)
+	}
+	if err := i.fleet.list(ctx, i.Settings, false); err != nil {
+		return err
+	}
+	args := []string{"serve", "--settings", i.settingsFile}
+	p, err := i.fleet.start(ctx, i.Name, i.fleet.config.Sardineturn, args, nil)
+	if err != nil {
+		return err
+	}
+	i.Process = p
+	return nil
+}
+
+// Lose kills the instance with SIGKILL. The platform removes it from the list.
+func (i *Instance) Lose(ctx context.Context) error {
+	i.Kill()
+	return i.fleet.unlist(ctx, i.Settings)
+}
+
+// Leave stops the instance as a rollout does: the platform lists it as leaving,
+// the process gets SIGTERM, and its entry is removed at its end.
+func (i *Instance) Leave(ctx context.Context) error {
+	listed := i.fleet.list(ctx, i.Settings, true)
+	ended := i.Terminate(StopGrace)
+	return errors.Join(listed, ended, i.fleet.unlist(ctx, i.Settings))
+}
--- /dev/null
+++ b/pkg/standin/launch/service_host.go
@@ -0,0 +1,83 @@
+package launch
+
+import (
+	"context"
+	"encoding/json"
+	"net/url"
+	"strconv"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/standin/platform"
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+// UpstreamHost is a process with the upstreams of one service.
+type UpstreamHost struct {
+	*Process
+	Service   Service
+	Admin     string            `json:"admin"`
+	Upstreams []upstream.Listed `json:"upstreams"`
+	Document  document.Document
+}
+
+// StartService starts the service's upstreams in one process, gives them their
+// shards, lists them, and writes the service's document with revision 1.
+func (f *Fleet) StartService(ctx context.Context, s Service) (*UpstreamHost, error) {
+	behaviour, err := json.Marshal(s.Behaviour())
+	if err != nil {
+		return nil, err
+	}
+	h := &UpstreamHost{Service: s}
+	args := []string{
+		"upstream",
+		"--count=" + strconv.Itoa(s.Upstreams),
+		"--prefix=" + s.Name + "-u",
+		"--seed=" + strconv.FormatUint(f.config.Seed, 10),
+		"--behaviour=" + string(behaviour),
+	}
+	h.Process, err = f.start(ctx, "upstream-"+s.Name, f.config.Standin, args, h)
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	f.hosts = append(f.hosts, h)
+	f.mu.Unlock()
+	h.Document = s.Document(1, "v1", h.Upstreams)
+	for _, u := range h.Upstreams {
+		path := "/admin/index?upstream=" + url.QueryEscape(u.Name)
+		if err := PostJSON(ctx, h.Admin, path, IndexOf(h.Document, u.Name), nil); err != nil {
+			return nil, err
+		}
+		if err := f.ListUpstream(ctx, u.Address, false); err != nil {
+			return nil, err
+		}
+	}
+	return h, f.WriteDocument(ctx, h.Document)
+}
+
+// WriteDocument writes a document on behalf of the service's owner.
+func (f *Fleet) WriteDocument(ctx context.Context, d document.Document) error {
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/documents", d, nil)
+}
+
+// ChangeDocument changes the document of a service, raises its revision and
+// writes it. The document of h is replaced.
+func (f *Fleet) ChangeDocument(ctx context.Context, h *UpstreamHost, change func(*document.Document)) error {
+	change(&h.Document)
+	h.Document.Revision++
+	return f.WriteDocument(ctx, h.Document)
+}
+
+// ListUpstream writes an upstream's entry in the platform's list.
+func (f *Fleet) ListUpstream(ctx context.Context, address string, leaving bool) error {
+	return PostJSON(ctx, f.PlatformAdmin, "/admin/upstreams", platform.Upstream{Address: address, Leaving: leaving}, nil)
+}
+
+// SetFaults overlays faults of the named upstream, or of all when it is empty.
+func (h *UpstreamHost) SetFaults(ctx context.Context, name string, faults any) error {
+	path := "/admin/faults"
+	if name != "" {
+		path += "?upstream=" + url.QueryEscape(name)
+	}
+	return PostJSON(ctx, h.Admin, path, faults, nil)
+}
--- /dev/null
+++ b/pkg/standin/upstream/execute.go
@@ -0,0 +1,278 @@
+package upstream
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/sardineturn/sardineturn/internal/semaphore"
+)
+
+type request struct {
+	Attempt        string          `json:"attempt"`
+	Service        string          `json:"service"`
+	Operation      string          `json:"operation"`
+	Snapshot       string          `json:"snapshot"`
+	Shard          string          `json:"shard"`
+	Payload        json.RawMessage `json:"payload"`
+	OrderKey       string          `json:"order_key"`
+	DeadlineMS     int64           `json:"deadline_ms"`
+	DeadlineUnixMS int64           `json:"deadline_unix_ms"`
+}
+
+type answer struct {
+	Attempt  string          `json:"attempt"`
+	Snapshot string          `json:"snapshot"`
+	Shard    string          `json:"shard"`
+	State    string          `json:"state"`
+	Ran      string          `json:"ran"`
+	Result   json.RawMessage `json:"result,omitempty"`
+	Draining bool            `json:"draining,omitempty"`
+}
+
+func (u *Upstream) execute(w http.ResponseWriter, r *http.Request) {
+	arrived := time.Now()
+	u.arrive(arrived)
+	var req request
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxRequestBytes))
+	if err == nil {
+		err = json.Unmarshal(body, &req)
+	}
+	if err != nil {
+		u.write(w, req, "failed", false, nil)
+		return
+	}
+	b := u.Behaviour()
+	if c := connOf(r.Context()); c != nil && c.overLimit {
+		w.Header().Set("Connection", "close")
+		u.write(w, req, "connection_limit", false, nil)
+		return
+	}
+	if state := u.refusal(b, req); state != "" {
+		u.write(w, req, state, false, nil)
+		return
+	}
+	ctx, cancel := u.requestContext(r, b, req, arrived)
+	defer cancel()
+	if err := u.gate.Acquire(ctx, b.Queue); err != nil {
+		u.write(w, req, waitState(err), false, nil)
+		return
+	}
+	state, value := u.run(ctx, b, req)
+	u.gate.Release()
+	u.late(b)
+	u.write(w, req, state, true, value)
+}
+
+// requestContext ends with the client's connection and at the earlier of the
+// two deadlines.
+func (u *Upstream) requestContext(r *http.Request, b Behaviour, req request, arrived time.Time) (context.Context, context.CancelFunc) {
+	ctx := r.Context()
+	if b.IgnoreCancel {
+		ctx = context.WithoutCancel(ctx)
+	}
+	if b.IgnoreDeadline {
+		return context.WithCancel(ctx)
+	}
+	deadline := arrived.Add(time.Duration(req.DeadlineMS) * time.Millisecond)
+	if absolute := time.UnixMilli(req.DeadlineUnixMS); req.DeadlineUnixMS > 0 && absolute.Before(deadline) {
+		deadline = absolute
+	}
+	return context.WithDeadline(ctx, deadline)
+}
+
+// refusal returns the state of a request that is refused at once, or "".
+func (u *Upstream) refusal(b Behaviour, req request) string {
+	switch {
+	case b.Draining && b.RefuseWhenDraining:
+		return "draining"
+	case u.chance(b.ShedFraction):
+		return "shed"
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.index == nil {
+		return ""
+	}
+	shards, loaded := u.index[req.Snapshot]
+	switch {
+	case !loaded:
+		return "snapshot_missing"
+	case !shards[req.Shard]:
+		return "shard_missing"
+	default:
+		return ""
+	}
+}
+
+// waitState names why a request left the queue without a slot.
+func waitState(err error) string {
+	switch {
+	case errors.Is(err, semaphore.ErrQueueFull):
+		return "shed"
+	case errors.Is(err, context.DeadlineExceeded):
+		return "expired"
+	default:
+		return "cancelled"
+	}
+}
+
+// run holds a slot for the service time.
+func (u *Upstream) run(ctx context.Context, b Behaviour, req request) (string, json.RawMessage) {
+	l := labelsOf(req.Payload)
+	start := time.Now()
+	index := u.log.start(Execution{
+		Upstream: u.Name, Attempt: req.Attempt, OrderKey: req.OrderKey,
+		Service: req.Service, Operation: req.Operation, Snapshot: req.Snapshot, Shard: req.Shard,
+		Request: l.Request, Caller: l.Caller, Priority: l.Priority, Start: start,
+	})
+	crashed := u.begin(start)
+	if b.CrashMark != "" && bytes.Contains(req.Payload, []byte(b.CrashMark)) {
+		u.crashNow(b)
+	}
+	state := u.work(ctx, b, req, crashed)
+	end := time.Now()
+	u.finish(end, end.Sub(start))
+	u.log.end(index, end, state)
+	if state != "ok" {
+		return state, nil
+	}
+	value, _ := json.Marshal(map[string]string{"shard": req.Shard, "snapshot": req.Snapshot, "request": l.Request})
+	return state, value
+}
+
+func (u *Upstream) crashNow(b Behaviour) {
+	if b.CrashExit {
+		os.Exit(exitCrashed)
+	}
+	u.Crash(milliseconds(b.CrashRefuseMS))
+}
+
+func (u *Upstream) work(ctx context.Context, b Behaviour, req request, crashed <-chan struct{}) string {
+	timer := time.NewTimer(u.serviceTime(b, req))
+	defer timer.Stop()
+	select {
+	case <-crashed:
+		return stateCrashed
+	default:
+	}
+	select {
+	case <-timer.C:
+	case <-crashed:
+		return stateCrashed
+	case <-ctx.Done():
+		return waitState(ctx.Err())
+	}
+	if u.chance(b.FailFraction) {
+		return "failed"
+	}
+	return "ok"
+}
+
+func (u *Upstream) arrive(now time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.counters.Requests++
+	u.counters.LastRequest = now
+}
+
+// begin counts a start and returns the channel that a crash closes.
+func (u *Upstream) begin(now time.Time) <-chan struct{} {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running++
+	u.counters.Started++
+	u.counters.LastStart = now
+	u.counters.PeakInFlight = max(u.counters.PeakInFlight, u.running)
+	u.remember(now)
+	return u.crashed
+}
+
+func (u *Upstream) finish(now time.Time, busy time.Duration) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.running--
+	u.remember(now)
+	u.counters.BusyMS += float64(busy) / float64(time.Millisecond)
+}
+
+func (u *Upstream) serviceTime(b Behaviour, req request) time.Duration {
+	dist, ok := b.Service[req.Operation]
+	if !ok {
+		dist = b.Service[""]
+	}
+	u.mu.Lock()
+	ms := dist.MedianMS * math.Exp(dist.Sigma*u.rng.NormFloat64())
+	age := time.Since(u.started)
+	u.mu.Unlock()
+	ms *= b.Slowdown
+	if f, ok := b.ShardSlowdown[req.Shard]; ok {
+		ms *= f
+	}
+	if cold := milliseconds(b.ColdStartMS); age < cold {
+		ms *= b.ColdFactor - (b.ColdFactor-1)*float64(age)/float64(cold)
+	}
+	return milliseconds(ms)
+}
+
+func (u *Upstream) late(b Behaviour) {
+	if u.chance(b.LateFraction) {
+		time.Sleep(milliseconds(b.LateMS))
+	}
+}
+
+func (u *Upstream) chance(fraction float64) bool {
+	if fraction <= 0 {
+		return false
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.rng.Float64() < fraction
+}
+
+// write sends an answer, with the configured faults.
+func (u *Upstream) write(w http.ResponseWriter, req request, state string, ran bool, value json.RawMessage) {
+	b := u.Behaviour()
+	a := answer{
+		Attempt: req.Attempt, Snapshot: req.Snapshot, Shard: req.Shard,
+		State: state, Ran: "not_run", Result: value, Draining: b.Draining,
+	}
+	status := http.StatusServiceUnavailable
+	if ran {
+		a.Ran, status = "ran", http.StatusOK
+	}
+	u.mu.Lock()
+	u.counters.States[state]++
+	u.mu.Unlock()
+	if u.chance(b.WrongEchoFraction) {
+		a.Attempt = "00000000000000000000000000000000"
+	}
+	body, _ := json.Marshal(a)
+	if u.chance(b.InvalidFraction) {
+		body = body[:len(body)/2]
+	}
+	w.Header().Set("Content-Type", "application/json")
+	if u.chance(b.TruncateFraction) {
+		u.truncate(w, status, body)
+		return
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write(body)
+}
+
+// truncate announces the whole body, sends half of it and breaks the
+// connection.
+func (u *Upstream) truncate(w http.ResponseWriter, status int, body []byte) {
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body[:len(body)/2])
+	_ = http.NewResponseController(w).Flush()
+	panic(http.ErrAbortHandler)
+}
--- /dev/null
+++ b/pkg/standin/upstream/status.go
@@ -0,0 +1,79 @@
+package upstream
+
+import (
+	"net/http"
+	"sort"
+	"time"
+)
+
+type past struct {
+	at     time.Time
+	report Report
+}
+
+func (u *Upstream) health(w http.ResponseWriter, _ *http.Request) {
+	report := u.report()
+	writeJSON(w, map[string]bool{"healthy": report.Healthy, "draining": report.Draining})
+}
+
+func (u *Upstream) load(w http.ResponseWriter, _ *http.Request) {
+	report := u.report()
+	writeJSON(w, map[string]any{"in_flight": report.InFlight, "slots": report.Slots, "snapshots": report.Snapshots})
+}
+
+// report returns the state that the endpoints show, after their delay.
+func (u *Upstream) report() Report {
+	b := u.Behaviour()
+	time.Sleep(milliseconds(b.StatusDelayMS))
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := time.Now()
+	u.remember(now)
+	switch {
+	case b.Misreport != nil:
+		return *b.Misreport
+	case b.StatusLagMS > 0:
+		return u.at(now.Add(-milliseconds(b.StatusLagMS)))
+	default:
+		return u.current()
+	}
+}
+
+// remember adds the present state to the history while reports lag. The caller
+// holds the lock.
+func (u *Upstream) remember(now time.Time) {
+	if u.behaviour.StatusLagMS <= 0 {
+		u.history = nil
+		return
+	}
+	if n := len(u.history); n > 0 && now.Sub(u.history[n-1].at) < historyStep {
+		return
+	}
+	u.history = append(u.history, past{at: now, report: u.current()})
+	if len(u.history) > historyLength {
+		u.history = u.history[len(u.history)-historyLength:]
+	}
+}
+
+// current returns the true state. The caller holds the lock.
+func (u *Upstream) current() Report {
+	report := Report{
+		Healthy:   true,
+		Draining:  u.behaviour.Draining,
+		InFlight:  u.running,
+		Slots:     u.behaviour.Slots,
+		Snapshots: []string{},
+	}
+	for snapshot := range u.index {
+		report.Snapshots = append(report.Snapshots, snapshot)
+	}
+	sort.Strings(report.Snapshots)
+	return report
+}
+
+// at returns the last state recorded at or before the given time, or the
+// first one.
+func (u *Upstream) at(t time.Time) Report {
+	i := sort.Search(len(u.history), func(i int) bool { return u.history[i].at.After(t) })
+	return u.history[max(0, i-1)].report
+}
