Replace peer connections that a partition has stalled

Cause: after a cut, members answer pings at once, so the group's first home is used again. A peer connection that held unacknowledged data is not: the kernel sends lost data again only after about as long as the cut lasted. New calls waited on that connection until their deadlines.

Closing the connection of a suspect member was not done, because a false suspicion would make the orders on it unknown.

Change: when a call is given up and the peer has answered nothing on the connection since the call began, new calls use another connection. The old one is closed after its last call. TestStalledConnectionIsReplaced fails without it.

--- a/pkg/adapter/peergrpc/client.go
+++ b/pkg/adapter/peergrpc/client.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -34,16 +35,28 @@
 // Client sends data messages to other instances. It holds one connection per
 // peer in use.
 type Client struct {
-	clock port.Clock
+	clock  port.Clock
+	dialer net.Dialer
 
-	mu     sync.Mutex
-	conns  map[model.InstanceID]*grpc.ClientConn
-	closed bool
+	mu    sync.Mutex
+	conns map[model.InstanceID]*peerConn
+	// retired are connections that get no new calls and still have some.
+	retired map[*peerConn]bool
+	closed  bool
 }
 
 // NewClient returns a client without connections.
-func NewClient(clock port.Clock) *Client {
-	return &Client{clock: clock, conns: make(map[model.InstanceID]*grpc.ClientConn)}
+func NewClient(clock port.Clock) *Client { return NewClientFrom(clock, netip.Addr{}) }
+
+// NewClientFrom returns a client that makes its connections from the source
+// address, or from one that the system chooses if it is not valid.
+func NewClientFrom(clock port.Clock, source netip.Addr) *Client {
+	c := &Client{clock: clock, conns: make(map[model.InstanceID]*peerConn), retired: make(map[*peerConn]bool)}
+	c.dialer.Timeout = connectTimeout
+	if source.IsValid() {
+		c.dialer.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(source, 0))
+	}
+	return c
 }
 
 // Close closes all connections.
@@ -55,11 +68,27 @@
 		_ = conn.Close()
 		delete(c.conns, id)
 	}
+	for conn := range c.retired {
+		_ = conn.Close()
+	}
+	clear(c.retired)
 }
 
-func (c *Client) conn(id model.InstanceID) (*grpc.ClientConn, error) {
+// acquire returns the connection to a peer with the number of its answers, and
+// counts a call on it that release ends.
+func (c *Client) acquire(id model.InstanceID) (*peerConn, uint64, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	conn, err := c.conn(id)
+	if err != nil {
+		return nil, 0, err
+	}
+	conn.calls++
+	return conn, conn.answers, nil
+}
+
+// conn returns the connection to a peer. The caller holds the lock.
+func (c *Client) conn(id model.InstanceID) (*peerConn, error) {
 	if c.closed {
 		return nil, result.Errorf(result.PeerUnreachable, "the peer client is closed")
 	}
@@ -71,90 +100,80 @@
 	backoff.Backoff.Multiplier = 1.6
 	backoff.Backoff.Jitter = 0.2
 	backoff.Backoff.MaxDelay = reconnectDelay
-	conn, err := grpc.NewClient("passthrough:///"+string(id),
+	grpcConn, err := grpc.NewClient("passthrough:///"+string(id),
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithConnectParams(backoff),
 		grpc.WithIdleTimeout(idleTimeout),
 		grpc.WithDisableRetry(),
-		grpc.WithContextDialer(dialTCP),
+		grpc.WithContextDialer(c.dial),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessageBytes), grpc.MaxCallSendMsgSize(maxMessageBytes)),
 		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 	)
 	if err != nil {
 		return nil, result.Wrap(result.PeerUnreachable, err)
 	}
+	conn := &peerConn{ClientConn: grpcConn}
 	c.conns[id] = conn
 	return conn, nil
 }
 
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
-	d := net.Dialer{Timeout: connectTimeout}
-	return d.DialContext(ctx, "tcp", address)
+func (c *Client) dial(ctx context.Context, address string) (net.Conn, error) {
+	return c.dialer.DialContext(ctx, "tcp", address)
 }
 
-// ready returns the peer's client once a connection stands. Its errors carry
+// ready waits until the connection stands. Its errors carry
 // result.PeerUnreachable and mean that nothing was sent.
-func (c *Client) ready(ctx context.Context, id model.InstanceID) (wire.PeerClient, error) {
-	conn, err := c.conn(id)
-	if err != nil {
-		return nil, err
-	}
+func (p *peerConn) ready(ctx context.Context, id model.InstanceID) error {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	for {
-		state := conn.GetState()
+		state := p.GetState()
 		switch state {
 		case connectivity.Ready:
-			return wire.NewPeerClient(conn), nil
+			return nil
 		case connectivity.Idle:
-			conn.Connect()
+			p.Connect()
 		case connectivity.TransientFailure, connectivity.Shutdown:
-			return nil, result.Errorf(result.PeerUnreachable, "no connection to peer %s: %s", id, state)
+			return result.Errorf(result.PeerUnreachable, "no connection to peer %s: %s", id, state)
 		}
-		if !conn.WaitForStateChange(ctx, state) {
-			return nil, result.Errorf(result.PeerUnreachable, "no connection to peer %s within %s", id, connectTimeout)
+		if !p.WaitForStateChange(ctx, state) {
+			return result.Errorf(result.PeerUnreachable, "no connection to peer %s within %s", id, connectTimeout)
 		}
 	}
 }
 
 // RunGroup implements port.Peers.
 func (c *Client) RunGroup(ctx context.Context, to model.InstanceID, req model.GroupRequest) (model.GroupAnswer, error) {
-	peer, err := c.ready(ctx, to)
+	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.RunGroupReply, error) {
+		return peer.RunGroup(ctx, toWireGroup(c.clock.Now(), req))
+	})
 	if err != nil {
 		return model.GroupAnswer{}, err
 	}
-	reply, err := peer.RunGroup(ctx, toWireGroup(c.clock.Now(), req))
-	if err != nil {
-		return model.GroupAnswer{}, result.Wrap(result.PeerLost, err)
-	}
 	return fromWireAnswer(reply), nil
 }
 
 // SubmitOrder implements port.Peers.
 func (c *Client) SubmitOrder(ctx context.Context, to model.InstanceID, boot model.BootID, o port.OrderSubmission) (port.OrderAnswer, error) {
-	peer, err := c.ready(ctx, to)
+	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.SubmitOrderReply, error) {
+		return peer.SubmitOrder(ctx, toWireOrder(c.clock.Now(), boot, o))
+	})
 	if err != nil {
 		return port.OrderAnswer{}, err
 	}
-	reply, err := peer.SubmitOrder(ctx, toWireOrder(c.clock.Now(), boot, o))
-	if err != nil {
-		return port.OrderAnswer{}, result.Wrap(result.PeerLost, err)
-	}
 	return fromWireOrderAnswer(reply), nil
 }
 
 // FetchDocuments implements port.Peers.
 func (c *Client) FetchDocuments(ctx context.Context, to model.InstanceID, have []port.DocumentVersion) ([]port.RawDocument, error) {
-	peer, err := c.ready(ctx, to)
-	if err != nil {
-		return nil, err
-	}
 	// Documents compress about 18 times; uncompressed, one fetch per change of
 	// the target size exceeds the budget for control.
 	request := &wire.FetchDocumentsRequest{Have: toWireVersions(have)}
-	reply, err := peer.FetchDocuments(ctx, request, grpc.UseCompressor(gzip.Name))
+	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.FetchDocumentsReply, error) {
+		return peer.FetchDocuments(ctx, request, grpc.UseCompressor(gzip.Name))
+	})
 	if err != nil {
-		return nil, result.Wrap(result.PeerLost, err)
+		return nil, err
 	}
 	out := make([]port.RawDocument, 0, len(reply.GetDocuments()))
 	for _, d := range reply.GetDocuments() {
--- a/pkg/adapter/peergrpc/peergrpc_test.go
+++ b/pkg/adapter/peergrpc/peergrpc_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"encoding/json"
 	"net"
+	"net/netip"
+	"sync"
 	"testing"
 	"time"
 
@@ -144,3 +146,101 @@
 	_, err = client.RunGroup(t.Context(), model.InstanceID(l.Addr().String()), model.GroupRequest{Deadline: time.Now().Add(time.Minute)})
 	must.Eq(t, result.PeerLost, result.CodeOf(err))
 }
+
+// sourceListener records the address of the last accepted connection.
+type sourceListener struct {
+	net.Listener
+	from chan string
+}
+
+func (l sourceListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err == nil {
+		host, _, _ := net.SplitHostPort(c.RemoteAddr().String())
+		l.from <- host
+	}
+	return c, err
+}
+
+// TestSourceAddress guards against connections that leave from another address
+// than the settings name, which rules between instances would refuse.
+func TestSourceAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	from := make(chan string, 1)
+	server := NewServer(&echoHandler{}, port.SystemClock{})
+	go func() { _ = server.Serve(sourceListener{l, from}) }()
+	defer server.Stop()
+	client := NewClientFrom(port.SystemClock{}, netip.MustParseAddr("127.0.0.77"))
+	defer client.Close()
+	_, err = client.FetchDocuments(t.Context(), model.InstanceID(l.Addr().String()), nil)
+	must.NoError(t, err)
+	must.Eq(t, "127.0.0.77", <-from)
+}
+
+// stallingListener stops delivering the data of its first connection on demand,
+// as a path does that lost packets and waits to send them again.
+type stallingListener struct {
+	net.Listener
+	stalled chan struct{}
+	count   int
+}
+
+func (l *stallingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if l.count++; l.count > 1 {
+		return c, nil
+	}
+	return &stallingConn{Conn: c, stalled: l.stalled, closed: make(chan struct{})}, nil
+}
+
+type stallingConn struct {
+	net.Conn
+	stalled, closed chan struct{}
+	once            sync.Once
+}
+
+func (c *stallingConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	select {
+	case <-c.stalled:
+		<-c.closed
+		return 0, net.ErrClosed
+	default:
+		return n, err
+	}
+}
+
+func (c *stallingConn) Close() error {
+	c.once.Do(func() { close(c.closed) })
+	return c.Conn.Close()
+}
+
+// TestStalledConnectionIsReplaced guards against calls that wait on a connection
+// which a partition has stalled, while the peer can be reached again. The kernel
+// repeats lost data only after about as long as the partition lasted.
+func TestStalledConnectionIsReplaced(t *testing.T) {
+	plain, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	l := &stallingListener{Listener: plain, stalled: make(chan struct{})}
+	server := NewServer(&echoHandler{}, port.SystemClock{})
+	go func() { _ = server.Serve(l) }()
+	defer server.Stop()
+	client := NewClient(port.SystemClock{})
+	defer client.Close()
+	id := model.InstanceID(plain.Addr().String())
+	_, err = client.FetchDocuments(t.Context(), id, nil)
+	must.NoError(t, err)
+	close(l.stalled)
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err = client.FetchDocuments(short, id, nil)
+	must.Eq(t, result.PeerLost, result.CodeOf(err))
+	long, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	_, err = client.FetchDocuments(long, id, nil)
+	must.NoError(t, err)
+}
