Cut links between real processes in fault experiments

Settings: advertised_control_address is announced in place of control_address, and connections to other instances leave from peer_source_address. With instance_id, which was advertised before, a process can listen on other addresses than the ones that others use.

pkg/standin/relay listens on the advertised addresses of all instances, tells senders by their source addresses, and cuts links in one or both directions, silently or with resets.

New scenarios: instance-cut, fleet-split, crashing-request and three-services; the first three are part of make faults. The aim about broken properties now also counts the invariants that the instances found broken. Upstream stand-ins log the mark of a request, and orders can be submitted through another instance than the owner of their ticket.

--- a/Makefile
+++ b/Makefile
@@ -37,10 +37,11 @@
 	$(BIN)/standin experiment --customer shevitsa --seed $(SEED) --out docs/measurements
 	$(BIN)/standin experiment --customer scalai --seed $(SEED) --out docs/measurements
 
-# Kills, pauses and restarts instances under load with orders; fails when an
-# answer or an order breaks a promise.
+# Kills, pauses, cuts off, splits and restarts instances under load with orders,
+# and sends a request that crashes upstreams; fails when an answer or an order
+# breaks a promise, or an aim is missed.
 faults: build
-	$(BIN)/standin experiment --only instance-killed,instance-paused,rolling-restart --no-baseline --seed $(SEED) --strict
+	$(BIN)/standin experiment --only instance-killed,instance-paused,instance-cut,fleet-split,rolling-restart,crashing-request --no-baseline --seed $(SEED) --strict
 
 # Measures what the parts cost at growing sizes and fills docs/CAPACITY.md.
 capacity: build
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -3,6 +3,7 @@
 package app
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"math/rand/v2"
@@ -138,7 +139,9 @@
 	return peerudp.Listen(s.ControlAddress)
 }
 
-func newPeerClient(clock port.Clock) *peergrpc.Client { return peergrpc.NewClient(clock) }
+func newPeerClient(s settings.Settings, clock port.Clock) *peergrpc.Client {
+	return peergrpc.NewClientFrom(clock, s.PeerSource())
+}
 
 func newPlatform(s settings.Settings) port.Platform { return platformhttp.New(s.PlatformURL) }
 
@@ -183,7 +186,7 @@
 		ID:               s.InstanceID,
 		DataCentre:       s.DataCentre,
 		Cluster:          s.Cluster,
-		ControlAddress:   p.Control.Address(),
+		ControlAddress:   cmp.Or(s.AdvertisedControlAddress, p.Control.Address()),
 		Seeds:            s.Seeds,
 		MaxInstances:     s.MaxInstances,
 		MaxTickets:       s.Limits.MaxTickets,
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -13,21 +13,23 @@
 type serveCommand struct {
 	Settings string `json:"-" placeholder:"FILE" help:"Settings file in JSON."`
 
-	InstanceID       *string     `json:"instance_id,omitempty" placeholder:"IP:PORT" help:"Identity of the instance: where other instances reach its gRPC listener."`
-	DataCentre       *string     `json:"data_centre,omitempty" placeholder:"NAME" help:"Data centre that the process runs in."`
-	Cluster          *string     `json:"cluster,omitempty" placeholder:"NAME" help:"Name that keeps deployments apart."`
-	GRPCAddress      *string     `json:"grpc_address,omitempty" name:"grpc-address" placeholder:"IP:PORT" help:"Listen address for other instances, TCP."`
-	ControlAddress   *string     `json:"control_address,omitempty" placeholder:"IP:PORT" help:"Listen address for control messages, UDP."`
-	CallerAddress    *string     `json:"caller_address,omitempty" placeholder:"IP:PORT" help:"Listen address for callers, HTTP."`
-	OperatorAddress  *string     `json:"operator_address,omitempty" placeholder:"IP:PORT" help:"Listen address for operators, HTTP."`
-	PlatformURL      *string     `json:"platform_url,omitempty" name:"platform-url" placeholder:"URL" help:"Base URL of the platform."`
-	MaxInstances     *int        `json:"max_instances,omitempty" placeholder:"N" help:"Instances that may hold connections to one upstream at a time."`
-	BalancerLagMS    *int        `json:"balancer_lag_ms,omitempty" name:"balancer-lag-ms" placeholder:"MS" help:"Time for which listeners stay open after the instance became not ready."`
-	LogLevel         *string     `json:"log_level,omitempty" placeholder:"LEVEL" help:"Least severe level that is logged."`
-	Seeds            []string    `json:"seeds,omitempty" placeholder:"IP:PORT" help:"Control addresses to contact at start."`
-	Limits           limitsFlags `json:"limits,omitzero" embed:""`
-	TraceFile        *string     `json:"trace_file,omitempty" placeholder:"FILE" help:"File that decisions are recorded to, for the command replay."`
-	AssertInvariants *bool       `json:"assert_invariants,omitempty" help:"End the process on a broken invariant."`
+	InstanceID               *string     `json:"instance_id,omitempty" placeholder:"IP:PORT" help:"Identity of the instance: where other instances reach its gRPC listener."`
+	DataCentre               *string     `json:"data_centre,omitempty" placeholder:"NAME" help:"Data centre that the process runs in."`
+	Cluster                  *string     `json:"cluster,omitempty" placeholder:"NAME" help:"Name that keeps deployments apart."`
+	GRPCAddress              *string     `json:"grpc_address,omitempty" name:"grpc-address" placeholder:"IP:PORT" help:"Listen address for other instances, TCP."`
+	ControlAddress           *string     `json:"control_address,omitempty" placeholder:"IP:PORT" help:"Listen address for control messages, UDP."`
+	AdvertisedControlAddress *string     `json:"advertised_control_address,omitempty" placeholder:"IP:PORT" help:"Address at which other instances reach the control address, if it differs."`
+	PeerSourceAddress        *string     `json:"peer_source_address,omitempty" placeholder:"IP" help:"IP address that connections to other instances are made from."`
+	CallerAddress            *string     `json:"caller_address,omitempty" placeholder:"IP:PORT" help:"Listen address for callers, HTTP."`
+	OperatorAddress          *string     `json:"operator_address,omitempty" placeholder:"IP:PORT" help:"Listen address for operators, HTTP."`
+	PlatformURL              *string     `json:"platform_url,omitempty" name:"platform-url" placeholder:"URL" help:"Base URL of the platform."`
+	MaxInstances             *int        `json:"max_instances,omitempty" placeholder:"N" help:"Instances that may hold connections to one upstream at a time."`
+	BalancerLagMS            *int        `json:"balancer_lag_ms,omitempty" name:"balancer-lag-ms" placeholder:"MS" help:"Time for which listeners stay open after the instance became not ready."`
+	LogLevel                 *string     `json:"log_level,omitempty" placeholder:"LEVEL" help:"Least severe level that is logged."`
+	Seeds                    []string    `json:"seeds,omitempty" placeholder:"IP:PORT" help:"Control addresses to contact at start."`
+	Limits                   limitsFlags `json:"limits,omitzero" embed:""`
+	TraceFile                *string     `json:"trace_file,omitempty" placeholder:"FILE" help:"File that decisions are recorded to, for the command replay."`
+	AssertInvariants         *bool       `json:"assert_invariants,omitempty" help:"End the process on a broken invariant."`
 }
 
 type limitsFlags struct {
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -30,17 +30,23 @@
 	InstanceID model.InstanceID `json:"instance_id"`
 	DataCentre model.DataCentre `json:"data_centre"`
 	// Cluster keeps instances of different deployments apart.
-	Cluster         string   `json:"cluster"`
-	GRPCAddress     string   `json:"grpc_address"`
-	ControlAddress  string   `json:"control_address"`
-	CallerAddress   string   `json:"caller_address"`
-	OperatorAddress string   `json:"operator_address"`
-	PlatformURL     string   `json:"platform_url"`
-	MaxInstances    int      `json:"max_instances"`
-	BalancerLagMS   int      `json:"balancer_lag_ms"`
-	LogLevel        string   `json:"log_level"`
-	Seeds           []string `json:"seeds,omitempty"`
-	Limits          Limits   `json:"limits"`
+	Cluster        string `json:"cluster"`
+	GRPCAddress    string `json:"grpc_address"`
+	ControlAddress string `json:"control_address"`
+	// AdvertisedControlAddress is announced to other instances in place of
+	// ControlAddress, unless it is empty.
+	AdvertisedControlAddress string `json:"advertised_control_address,omitempty"`
+	// PeerSourceAddress is the IP address that connections to other instances
+	// are made from; the system chooses one if it is empty.
+	PeerSourceAddress string   `json:"peer_source_address,omitempty"`
+	CallerAddress     string   `json:"caller_address"`
+	OperatorAddress   string   `json:"operator_address"`
+	PlatformURL       string   `json:"platform_url"`
+	MaxInstances      int      `json:"max_instances"`
+	BalancerLagMS     int      `json:"balancer_lag_ms"`
+	LogLevel          string   `json:"log_level"`
+	Seeds             []string `json:"seeds,omitempty"`
+	Limits            Limits   `json:"limits"`
 	// AssertInvariants makes a broken invariant end the process.
 	AssertInvariants bool `json:"assert_invariants"`
 	// TraceFile names a file that the decisions are recorded to; none when
@@ -85,6 +91,13 @@
 	return time.Duration(s.BalancerLagMS) * time.Millisecond
 }
 
+// PeerSource returns the parsed PeerSourceAddress, which is not valid if there
+// is none.
+func (s Settings) PeerSource() netip.Addr {
+	a, _ := netip.ParseAddr(s.PeerSourceAddress)
+	return a
+}
+
 // Overrides are fields that replace those of the text. Nested objects are
 // merged.
 type Overrides map[string]any
@@ -191,9 +204,17 @@
 	}
 	id := address("$.instance_id", string(s.InstanceID), true)
 	grpc := address("$.grpc_address", s.GRPCAddress, false)
-	address("$.control_address", s.ControlAddress, true)
+	address("$.control_address", s.ControlAddress, s.AdvertisedControlAddress == "")
+	if s.AdvertisedControlAddress != "" {
+		address("$.advertised_control_address", s.AdvertisedControlAddress, true)
+	}
 	address("$.caller_address", s.CallerAddress, false)
 	address("$.operator_address", s.OperatorAddress, false)
+	if s.PeerSourceAddress != "" {
+		if _, err := netip.ParseAddr(s.PeerSourceAddress); err != nil {
+			add("$.peer_source_address", jsoncheck.BadFormat, "%q is not an IP address", s.PeerSourceAddress)
+		}
+	}
 	for i, seed := range s.Seeds {
 		address(fmt.Sprintf("$.seeds[%d]", i), seed, true)
 	}
--- a/pkg/settings/settings_test.go
+++ b/pkg/settings/settings_test.go
@@ -75,6 +75,9 @@
 		{"announced addresses", minimal, Overrides{
 			"instance_id": "0.0.0.0:7001", "control_address": "localhost:7002", "seeds": []string{"127.0.0.1:0"},
 		}, []string{"$.instance_id", "$.control_address", "$.seeds[0]"}},
+		{"advertised addresses", minimal, Overrides{
+			"control_address": "0.0.0.0:7002", "advertised_control_address": "0.0.0.0:7002", "peer_source_address": "127.0.0.1:1",
+		}, []string{"$.advertised_control_address", "$.peer_source_address"}},
 		{"gRPC port and URL", minimal, Overrides{"grpc_address": "127.0.0.1:1", "platform_url": "127.0.0.1:9"}, []string{
 			"$.grpc_address", "$.platform_url",
 		}},
--- a/pkg/standin/experiment/cost.go
+++ b/pkg/standin/experiment/cost.go
@@ -57,7 +57,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	d, err := deploySized(ctx, o, o.Sardineturn, dir, service, 1)
+	d, err := deploy(ctx, o, o.Sardineturn, dir, size{services: []launch.Service{service}, instances: 1})
 	if err != nil {
 		return err
 	}
--- a/pkg/standin/experiment/counters.go
+++ b/pkg/standin/experiment/counters.go
@@ -12,20 +12,25 @@
 // scrapeTimeout bounds a scrape of an instance that may be paused.
 const scrapeTimeout = 2 * time.Second
 
-// attemptsMetric is the instances' counter of upstream attempts by kind.
-const attemptsMetric = "sardineturn_upstream_attempts_total{"
+// counter is a metric of the instances with one label.
+type counter struct{ name, label string }
 
-// attempts sums the instances' upstream attempts by kind. Instances that do not
-// answer are left out.
-func (d *deployment) attempts(ctx context.Context) map[string]float64 {
+var (
+	attemptsByKind   = counter{"sardineturn_upstream_attempts_total", "kind"}
+	violationsByName = counter{"sardineturn_invariant_violations_total", "invariant"}
+)
+
+// sum adds up a counter of all instances by the value of its label. Instances
+// that do not answer are left out.
+func (d *deployment) sum(ctx context.Context, c counter) map[string]float64 {
 	total := make(map[string]float64)
 	for _, i := range d.fleet.Instances() {
-		addAttempts(ctx, i.Settings.OperatorAddress, total)
+		c.add(ctx, i.Settings.OperatorAddress, total)
 	}
 	return total
 }
 
-func addAttempts(ctx context.Context, address string, total map[string]float64) {
+func (c counter) add(ctx context.Context, address string, total map[string]float64) {
 	ctx, cancel := context.WithTimeout(ctx, scrapeTimeout)
 	defer cancel()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
@@ -39,16 +44,16 @@
 	defer resp.Body.Close()
 	lines := bufio.NewScanner(resp.Body)
 	for lines.Scan() {
-		kind, value, ok := parseAttempts(lines.Text())
+		label, value, ok := c.parse(lines.Text())
 		if ok {
-			total[kind] += value
+			total[label] += value
 		}
 	}
 }
 
-// parseAttempts parses a line of the form name{kind="first"} 12.
-func parseAttempts(line string) (string, float64, bool) {
-	rest, ok := strings.CutPrefix(line, attemptsMetric)
+// parse parses a line of the form name{label="first"} 12.
+func (c counter) parse(line string) (string, float64, bool) {
+	rest, ok := strings.CutPrefix(line, c.name+"{")
 	if !ok {
 		return "", 0, false
 	}
@@ -57,8 +62,8 @@
 		return "", 0, false
 	}
 	value, err := strconv.ParseFloat(number, 64)
-	kind := strings.Trim(strings.TrimPrefix(labels, "kind="), `"`)
-	return kind, value, err == nil
+	label := strings.Trim(strings.TrimPrefix(labels, c.label+"="), `"`)
+	return label, value, err == nil
 }
 
 // difference returns after minus before.
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -28,25 +28,35 @@
 	adminPage = 5000
 )
 
-// deployment is a fleet of one program with one service.
+// deployment is a fleet of one program. Faults and floods are applied to the
+// first of its services.
 type deployment struct {
-	fleet    *launch.Fleet
-	service  launch.Service
-	host     *launch.UpstreamHost
+	fleet   *launch.Fleet
+	service launch.Service
+	others  []launch.Service
+	host    *launch.UpstreamHost
+	// product is false for the baseline.
+	product  bool
 	capacity float64
 	paused   *launch.Instance
 	// leftAt is when an upstream began to leave.
 	leftAt time.Time
 	// rolled receives the result of a rolling restart.
 	rolled chan error
+	// home is the service's home at the start of a split.
+	home   *launch.Instance
+	change documentChange
 }
 
-func deploy(ctx context.Context, o Options, program, dir string, s launch.Service) (*deployment, error) {
-	return deploySized(ctx, o, program, dir, s, instanceCount)
+// size is what a deployment consists of.
+type size struct {
+	services  []launch.Service
+	instances int
+	// relayed puts a relay between the instances.
+	relayed bool
 }
 
-// deploySized starts the given number of instances.
-func deploySized(ctx context.Context, o Options, program, dir string, s launch.Service, count int) (*deployment, error) {
+func deploy(ctx context.Context, o Options, program, dir string, of size) (*deployment, error) {
 	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
 	fleet, err := launch.NewFleet(ctx, launch.Config{
@@ -60,12 +70,17 @@
 		LogLevel:      "info",
 		Seed:          o.Seed,
 		Trace:         o.Trace && program == o.Sardineturn,
+		Relayed:       of.relayed,
 	})
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{fleet: fleet, service: s, capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1)}
-	if err := d.start(ctx, count); err != nil {
+	s := of.services[0]
+	d := &deployment{
+		fleet: fleet, service: s, others: of.services[1:], product: program == o.Sardineturn,
+		capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1),
+	}
+	if err := d.start(ctx, of.instances); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
 	return d, nil
@@ -76,6 +91,11 @@
 	if d.host, err = d.fleet.StartService(ctx, d.service); err != nil {
 		return err
 	}
+	for _, s := range d.others {
+		if _, err := d.fleet.StartService(ctx, s); err != nil {
+			return err
+		}
+	}
 	for n := range count {
 		if _, err := d.fleet.StartInstance(ctx, d.service.DataCentres[n%len(d.service.DataCentres)]); err != nil {
 			return err
@@ -180,6 +200,9 @@
 		if !d.leftAt.IsZero() && e.Upstream == d.upstreamName(0) && e.Start.After(d.leftAt.Add(leavingGrace)) {
 			out.lateExecutions++
 		}
+		if e.Mark == crashMark {
+			out.crashes++
+		}
 	})
 	if finished > 0 {
 		out.meanService = total / time.Duration(finished)
--- a/pkg/standin/experiment/outcome.go
+++ b/pkg/standin/experiment/outcome.go
@@ -15,6 +15,12 @@
 	capacity       float64
 	report         load.Report
 	lateExecutions int
+	// crashes is the number of executions of the request that crashes upstreams.
+	crashes int
+	change  documentChange
+	// invariants counts the violations that the instances found themselves, by
+	// name. Those of ended processes are lost.
+	invariants map[string]float64
 	// rolloutErr says which instances did not stop or start cleanly.
 	rolloutErr error
 	// meanService is the mean duration of executions, as the upstreams logged.
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -70,24 +70,24 @@
 
 // Run runs the scenarios, product and baseline in turn.
 func Run(ctx context.Context, o Options, log io.Writer) (Result, error) {
-	service := launch.Shevitsa()[0]
+	services := launch.Shevitsa()
 	if o.Customer == "scalai" {
-		service = launch.Scalai()[0]
+		services = launch.Scalai()
 	}
 	result := Result{Reports: make(map[string]load.Report), Violations: make(map[string]int)}
 	for _, s := range scenarios() {
 		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
 			continue
 		}
-		if err := result.run(ctx, o, s, service, log); err != nil {
+		if err := result.run(ctx, o, s, s.choose(services), log); err != nil {
 			return result, fmt.Errorf("%s: %w", s.name, err)
 		}
 	}
 	return result, nil
 }
 
-func (r *Result) run(ctx context.Context, o Options, s scenario, service launch.Service, log io.Writer) error {
-	product, err := runOne(ctx, o, s, service, o.Sardineturn, productLabel)
+func (r *Result) run(ctx context.Context, o Options, s scenario, services []launch.Service, log io.Writer) error {
+	product, err := runOne(ctx, o, s, services, o.Sardineturn, productLabel)
 	if err != nil {
 		return err
 	}
@@ -97,7 +97,7 @@
 	}
 	var baseline *outcome
 	if !o.NoBaseline {
-		if baseline, err = runOne(ctx, o, s, service, o.Standin, baselineLabel); err != nil {
+		if baseline, err = runOne(ctx, o, s, services, o.Standin, baselineLabel); err != nil {
 			return err
 		}
 		r.Reports[s.name+" "+baselineLabel] = baseline.report
@@ -126,16 +126,16 @@
 }
 
 // runOne runs a scenario with one program.
-func runOne(ctx context.Context, o Options, s scenario, service launch.Service, program, label string) (*outcome, error) {
+func runOne(ctx context.Context, o Options, s scenario, services []launch.Service, program, label string) (*outcome, error) {
 	dir := filepath.Join(o.Dir, fmt.Sprintf("%s-%s-%s", o.Customer, s.name, label))
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return nil, err
 	}
-	d, err := deploy(ctx, o, program, dir, service)
+	d, err := deploy(ctx, o, program, dir, size{services: services, instances: instanceCount, relayed: s.relayed})
 	if err != nil {
 		return nil, err
 	}
-	out, err := d.measure(ctx, o, s, label)
+	out, err := d.measure(ctx, o, s)
 	if err == nil {
 		err = writeJSON(filepath.Join(dir, "report.json"), out.report)
 	}
@@ -145,32 +145,41 @@
 	return out, err
 }
 
-func (d *deployment) measure(ctx context.Context, o Options, s scenario, label string) (*outcome, error) {
+func (d *deployment) measure(ctx context.Context, o Options, s scenario) (*outcome, error) {
 	config := load.Config{
 		Seed:           o.Seed,
 		Instances:      load.Targets(d.fleet),
-		UpstreamAdmins: []string{d.host.Admin},
+		UpstreamAdmins: load.Admins(d.fleet),
 		Balancer:       load.Balancer{PollMS: balancerPollMS, LagMS: balancerLagMS},
 		Streams:        steadyStreams(d.service, o.loadFactor()),
 		Phases:         s.phases(d.service, d.capacity),
 		WindowMS:       windowMS,
 	}
-	if s.orders && label == productLabel {
-		config.Streams = append(config.Streams, orderStream(d.service))
+	for _, other := range d.others {
+		config.Streams = append(config.Streams, load.Queries(other, steadyShares(o.loadFactor())...)...)
+	}
+	if s.crashing {
+		config.Streams = append(config.Streams, crashingStream(d.service))
+	}
+	if s.orders && d.product {
+		orders := orderStream(d.service)
+		orders.Elsewhere = s.relayed
+		config.Streams = append(config.Streams, orders)
 	}
 	faults := make(chan error, 1)
 	var before map[string]float64
 	go func() {
 		time.Sleep(s.faultStart())
-		before = d.attempts(ctx)
+		before = d.sum(ctx, attemptsByKind)
 		faults <- d.applyFaults(ctx, s)
 	}()
 	report, err := load.Run(ctx, config)
 	if err := errors.Join(err, <-faults); err != nil {
 		return nil, err
 	}
-	after := d.attempts(ctx)
-	out := &outcome{scenario: s, service: d.service, capacity: d.capacity, report: report, faultAttempts: difference(before, after)}
+	after := d.sum(ctx, attemptsByKind)
+	out := &outcome{scenario: s, service: d.service, capacity: d.capacity, report: report, faultAttempts: difference(before, after), change: d.change}
+	out.invariants = d.sum(ctx, violationsByName)
 	out.rolloutErr = d.awaitRollout(s)
 	err = d.readExecutions(ctx, out)
 	return out, err
@@ -181,13 +190,14 @@
 	if s.fault == nil {
 		return nil
 	}
+	end := time.Now().Add(time.Duration(s.length()) * time.Millisecond)
 	if err := s.fault(ctx, d); err != nil {
 		return err
 	}
 	if s.undo == nil {
 		return nil
 	}
-	time.Sleep(time.Duration(s.length()) * time.Millisecond)
+	time.Sleep(time.Until(end))
 	return s.undo(ctx, d)
 }
 
--- a/pkg/standin/experiment/scenario.go
+++ b/pkg/standin/experiment/scenario.go
@@ -50,18 +50,31 @@
 	undo  func(context.Context, *deployment) error
 	// orders adds a stream of orders, which the baseline does not serve.
 	orders bool
-	aims   []aim
+	// relayed puts a relay between the instances, so that links can be cut.
+	// Orders are then submitted through other instances than the owners of their
+	// tickets.
+	relayed bool
+	// crashing adds a request that crashes upstreams to the fault phase.
+	crashing bool
+	// services are indexes of the customer's services; the first one when empty.
+	services []int
+	aims     []aim
 }
 
 // brokenPromises is the number of broken properties that the load tool found:
 // answers that mix snapshots or requests, misstate coverage, say "not run"
-// after a run, or orders that ran twice.
+// after a run, or orders that ran twice; and of invariants that the instances
+// found broken.
 func brokenPromises() aim {
 	return aim{text: "broken properties of answers and orders", limit: 0, measure: func(o *outcome) float64 {
 		if !o.report.ExecutionsChecked {
 			return math.Inf(1)
 		}
-		return float64(o.report.ViolationCount())
+		total := float64(o.report.ViolationCount())
+		for _, n := range o.invariants {
+			total += n
+		}
+		return total
 	}}
 }
 
@@ -101,6 +114,10 @@
 		}),
 		rolloutScenario(),
 		leavingScenario(),
+		cutScenario(),
+		splitScenario(),
+		crashingScenario(),
+		servicesScenario(),
 	}
 }
 
@@ -269,13 +286,30 @@
 
 // steadyStreams returns the steady load of the service, named by priority.
 func steadyStreams(s launch.Service, factor float64) []load.Stream {
+	out := load.Queries(s, steadyShares(factor)...)
+	for n := range out {
+		out[n].Name = out[n].Priority
+	}
+	return out
+}
+
+// steadyShares returns the steady load by priority as fractions of capacity.
+func steadyShares(factor float64) []float64 {
 	shares := make([]float64, 0, len(steadyLoad))
 	for _, share := range steadyLoad {
 		shares = append(shares, share*factor)
 	}
-	out := load.Queries(s, shares...)
-	for n := range out {
-		out[n].Name = out[n].Priority
+	return shares
+}
+
+// choose returns the services that the scenario uses.
+func (s scenario) choose(all []launch.Service) []launch.Service {
+	if len(s.services) == 0 {
+		return all[:1]
+	}
+	out := make([]launch.Service, 0, len(s.services))
+	for _, n := range s.services {
+		out = append(out, all[n])
 	}
 	return out
 }
@@ -298,6 +332,9 @@
 	for n, p := range st.Priorities {
 		rates[p.Name] = capacity * s.faultLoad[n]
 	}
+	if s.crashing {
+		rates[crashingName] = crashingPerSecond
+	}
 	out := []load.Phase{
 		{Name: phaseWarmup, DurationMS: warmupMS},
 		{Name: phaseSteady, DurationMS: s.length()},
--- /dev/null
+++ b/pkg/standin/experiment/services.go
@@ -0,0 +1,93 @@
+package experiment
+
+import (
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+// Indexes of services in the customer's list: the first of both kinds with many
+// services, the one with the most upstreams, and the last.
+const (
+	firstService  = 0
+	secondKind    = 10
+	widestService = 25
+	lastService   = 26
+)
+
+const (
+	// crashMark is the mark that crashes an upstream stand-in by default.
+	crashMark    = "crash-upstream"
+	crashingName = "crashing"
+	// crashingPerSecond is how often the caller sends the crashing request.
+	crashingPerSecond = 2
+	crashingMS        = 10000
+	// crashingShards is the number of shards that the crashing request touches.
+	// They are on different upstreams, so that its first wave runs on as many.
+	crashingShards = 3
+)
+
+// crashingScenario sends the same crashing request again and again through all
+// instances in turn. Upstreams start again 2 s after a crash, so that without
+// isolation each sending crashes more of them.
+func crashingScenario() scenario {
+	return scenario{
+		name:      "crashing-request",
+		faultLoad: steadyLoad,
+		lengthMS:  crashingMS,
+		crashing:  true,
+		services:  []int{widestService},
+		aims: []aim{
+			brokenPromises(),
+			{text: "crashes by one request of 3 shards that is sent again for 10 s", limit: crashingShards + 1, measure: func(o *outcome) float64 {
+				return float64(o.crashes)
+			}},
+		},
+	}
+}
+
+// crashingStream returns the sendings of one crashing request. Its rate is zero
+// outside of the fault phase.
+func crashingStream(s launch.Service) load.Stream {
+	p := s.Priorities[1]
+	out := load.Stream{
+		Name:             crashingName,
+		Service:          s.Name,
+		Operation:        launch.OperationSearch,
+		Priority:         p.Name,
+		DeadlineMS:       p.DeadlineMS,
+		TargetMS:         p.TargetMS,
+		DistinctPayloads: 1,
+		Mark:             crashMark,
+	}
+	// Shard n is on the upstreams n to n+Replicas-1.
+	for n := range crashingShards {
+		out.Shards = append(out.Shards, string(s.ShardIDs()[n*s.Replicas]))
+	}
+	return out
+}
+
+// servicesScenario floods one of three services on the same instances.
+func servicesScenario() scenario {
+	s := scenario{
+		name:      "three-services",
+		faultLoad: steadyLoad,
+		services:  []int{firstService, secondKind, lastService},
+		aims: []aim{
+			{text: "lowest share within target of a priority of the two services without the flood", limit: 0.99, atLeast: true, measure: (*outcome).othersOnTarget},
+		},
+	}
+	s.faultLoad[len(s.faultLoad)-1] = floodFactor
+	return s
+}
+
+// othersOnTarget is the lowest share within target over the priorities of all
+// services but the first.
+func (o *outcome) othersOnTarget() float64 {
+	lowest := 1.0
+	for _, s := range o.phase(phaseFault).Streams {
+		if s.Service != o.service.Name {
+			lowest = min(lowest, s.OnTargetShare)
+		}
+	}
+	return lowest
+}
--- a/pkg/standin/launch/fleet.go
+++ b/pkg/standin/launch/fleet.go
@@ -7,6 +7,8 @@
 	"strconv"
 	"sync"
 	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/relay"
 )
 
 const (
@@ -33,6 +35,9 @@
 	Seed          uint64
 	// Trace makes each instance record its decisions to a file in Dir.
 	Trace bool
+	// Relayed puts a relay between the instances, and between them and the
+	// platform, so that their links can be cut.
+	Relayed bool
 	// Env is added to the environment of every process.
 	Env []string
 }
@@ -45,6 +50,8 @@
 	PlatformAddress string
 	PlatformAdmin   string
 	platform        *Process
+	// Relay is nil unless the configuration asks for it.
+	Relay *relay.Relay
 
 	mu        sync.Mutex
 	hosts     []*UpstreamHost
@@ -58,6 +65,9 @@
 		return nil, err
 	}
 	f := &Fleet{config: c}
+	if c.Relayed {
+		f.Relay = relay.New()
+	}
 	ready := struct {
 		Address string `json:"address"`
 		Admin   string `json:"admin"`
@@ -123,7 +133,11 @@
 		hosts = append(hosts, h.Process)
 	}
 	f.mu.Unlock()
-	return errors.Join(terminateAll(instances), terminateAll(hosts), terminateAll([]*Process{f.platform}))
+	err := errors.Join(terminateAll(instances), terminateAll(hosts), terminateAll([]*Process{f.platform}))
+	if f.Relay != nil {
+		f.Relay.Close()
+	}
+	return err
 }
 
 // terminateAll stops the processes that still run, all at the same time.
--- a/pkg/standin/launch/instance.go
+++ b/pkg/standin/launch/instance.go
@@ -1,11 +1,13 @@
 package launch
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -14,6 +16,7 @@
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/settings"
 	"github.com/sardineturn/sardineturn/pkg/standin/platform"
+	"github.com/sardineturn/sardineturn/pkg/standin/relay"
 )
 
 // Instance is a process of sardineturn.
@@ -28,13 +31,17 @@
 // StartInstance lists a new instance at the platform and starts it. It does
 // not wait until the instance is ready.
 func (f *Fleet) StartInstance(ctx context.Context, dataCentre model.DataCentre) (*Instance, error) {
+	f.mu.Lock()
+	number := len(f.instances) + 1
+	f.mu.Unlock()
+	name := fmt.Sprintf("instance-%d", number)
 	s, err := f.newSettings(dataCentre)
+	if err == nil && f.Relay != nil {
+		err = f.relay(&s, name, number)
+	}
 	if err != nil {
 		return nil, err
 	}
-	f.mu.Lock()
-	number := len(f.instances) + 1
-	f.mu.Unlock()
 	if f.config.Trace {
 		s.TraceFile = filepath.Join(f.config.Dir, fmt.Sprintf("instance-%d.trace.jsonl", number))
 	}
@@ -50,7 +57,6 @@
 	if err := f.list(ctx, s, false); err != nil {
 		return nil, err
 	}
-	name := fmt.Sprintf("instance-%d", number)
 	i.Process, err = f.start(ctx, name, f.config.Sardineturn, []string{"serve", "--settings", i.settingsFile}, nil)
 	if err != nil {
 		return nil, err
@@ -85,9 +91,49 @@
 	return s, nil
 }
 
+// firstNodeHost is the last byte of the first instance's address behind a relay,
+// 127.0.0.11.
+const firstNodeHost = 11
+
+// relay turns the addresses of the settings into advertised ones that the relay
+// listens on, and lets the instance listen on an IP address of its own, by which
+// the relay tells its connections.
+func (f *Fleet) relay(s *settings.Settings, name string, number int) error {
+	own := fmt.Sprintf("127.0.0.%d", firstNodeHost+number-1)
+	control, err := FreeAddress(own)
+	if err != nil {
+		return err
+	}
+	_, port, err := net.SplitHostPort(string(s.InstanceID))
+	if err != nil {
+		return err
+	}
+	s.GRPCAddress = net.JoinHostPort(own, port)
+	s.AdvertisedControlAddress, s.ControlAddress = s.ControlAddress, control
+	s.PeerSourceAddress = own
+	err = f.Relay.Add(relay.Node{
+		Name:              name,
+		PeerAdvertised:    string(s.InstanceID),
+		ControlAdvertised: s.AdvertisedControlAddress,
+		Peer:              s.GRPCAddress,
+		Control:           s.ControlAddress,
+	})
+	if err != nil {
+		return err
+	}
+	platform, err := f.Relay.Forward(name, PlatformNode, f.PlatformAddress)
+	s.PlatformURL = "http://" + platform
+	return err
+}
+
+// PlatformNode is the platform's name at the relay. Instances have the names of
+// their processes.
+const PlatformNode = "platform"
+
 // list writes the instance's entry in the platform's list.
 func (f *Fleet) list(ctx context.Context, s settings.Settings, leaving bool) error {
-	entry := platform.Instance{ID: string(s.InstanceID), ControlAddress: s.ControlAddress, DataCentre: string(s.DataCentre), Leaving: leaving}
+	control := cmp.Or(s.AdvertisedControlAddress, s.ControlAddress)
+	entry := platform.Instance{ID: string(s.InstanceID), ControlAddress: control, DataCentre: string(s.DataCentre), Leaving: leaving}
 	return PostJSON(ctx, f.PlatformAdmin, "/admin/instances", entry, nil)
 }
 
--- a/pkg/standin/load/config.go
+++ b/pkg/standin/load/config.go
@@ -69,6 +69,9 @@
 	// Order makes the requests orders with a ticket; each acts on one of
 	// Shards, in turn.
 	Order bool `json:"order"`
+	// Elsewhere submits an order through another instance than the one that
+	// issued its ticket, as a caller behind a balancer may.
+	Elsewhere bool `json:"elsewhere"`
 	// Resends is how often a request whose connection failed, or an order whose
 	// outcome is open, is sent again through the next instance.
 	Resends int `json:"resends"`
--- a/pkg/standin/load/generator.go
+++ b/pkg/standin/load/generator.go
@@ -200,6 +200,12 @@
 	if !ok {
 		return
 	}
+	if s.Elsewhere {
+		if instance, ok = g.balancer.pick(instance); !ok {
+			o.code = codeNoInstance
+			return
+		}
+	}
 	order := Order{
 		Ticket: ticket, Service: s.Service, Operation: s.Operation, Priority: s.Priority, Caller: caller,
 		Shard: s.Shards[n%len(s.Shards)], DeadlineMS: s.DeadlineMS, Payload: payload,
--- a/pkg/standin/upstream/execute.go
+++ b/pkg/standin/upstream/execute.go
@@ -131,7 +131,7 @@
 	index := u.log.start(Execution{
 		Upstream: u.Name, Attempt: req.Attempt, OrderKey: req.OrderKey,
 		Service: req.Service, Operation: req.Operation, Snapshot: req.Snapshot, Shard: req.Shard,
-		Request: l.Request, Caller: l.Caller, Priority: l.Priority, Start: start,
+		Request: l.Request, Caller: l.Caller, Priority: l.Priority, Mark: l.Mark, Start: start,
 	})
 	crashed := u.begin(start)
 	if b.CrashMark != "" && bytes.Contains(req.Payload, []byte(b.CrashMark)) {
--- a/pkg/standin/upstream/execution.go
+++ b/pkg/standin/upstream/execution.go
@@ -19,11 +19,12 @@
 	Attempt  string `json:"attempt"`
 	OrderKey string `json:"order_key,omitempty"`
 	Service  string `json:"service"`
-	// Request, Caller and Priority are taken from the payload, where the load
+	// Request, Caller, Priority and Mark are taken from the payload, where the load
 	// generator puts them.
 	Request   string    `json:"request,omitempty"`
 	Caller    string    `json:"caller,omitempty"`
 	Priority  string    `json:"priority,omitempty"`
+	Mark      string    `json:"mark,omitempty"`
 	Operation string    `json:"operation"`
 	Snapshot  string    `json:"snapshot"`
 	Shard     string    `json:"shard"`
@@ -57,7 +58,7 @@
 	}
 	e.Sequence = len(l.entries)
 	// Entries share the strings that repeat.
-	for _, text := range []*string{&e.Service, &e.Operation, &e.Snapshot, &e.Shard, &e.Caller, &e.Priority} {
+	for _, text := range []*string{&e.Service, &e.Operation, &e.Snapshot, &e.Shard, &e.Caller, &e.Priority, &e.Mark} {
 		*text = unique.Make(*text).Value()
 	}
 	l.entries = append(l.entries, e)
@@ -132,6 +133,7 @@
 	Request  string `json:"request"`
 	Caller   string `json:"caller"`
 	Priority string `json:"priority"`
+	Mark     string `json:"mark"`
 }
 
 func labelsOf(payload json.RawMessage) labels {
