--- a/pkg/cli/replay.go
+++ b/pkg/cli/replay.go
@@ -16,8 +16,11 @@
 
 // Help is printed by --help.
 func (*replayCommand) Help() string {
-	return `The exit code is not zero when a decision differs from the recorded one, or
-when the trace shows a broken invariant.
+	return `Makes the recorded calls again: queries at the entry, scheduling groups, orders,
+documents, members and the phase of the process. Prints the counts, the calls
+whose result differs, and for each promise how many decisions were checked and
+how many break it. The exit code is not zero when a decision differs from the
+recorded one, or when the trace shows a broken invariant or promise.
 
 Example:
 
--- a/pkg/instance/entry.go
+++ b/pkg/instance/entry.go
@@ -22,7 +22,7 @@
 	cancel context.CancelFunc
 
 	mu    sync.Mutex
-	query *query.Query
+	query entryQuery
 	reply chan model.Answer
 	calls map[model.AttemptID]context.CancelFunc
 	// tried holds the homes that a group's part was sent to.
@@ -62,7 +62,7 @@
 	}
 	a.ctx, a.cancel = context.WithCancel(i.lifecycle.context())
 	defer a.cancel()
-	s, actions, err := query.New(now, q, doc, i.queryConfig(doc.Service))
+	s, actions, err := i.newQuery(now, q, doc)
 	if err != nil {
 		return refusedAnswer(err)
 	}
--- a/pkg/instance/fake_world_test.go
+++ b/pkg/instance/fake_world_test.go
@@ -1,6 +1,7 @@
 package instance
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -19,6 +20,7 @@
 	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/replay"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
@@ -47,6 +49,21 @@
 	// all processes that were ever started.
 	leaves    map[string]bool
 	instances []*Instance
+	// record makes processes record their decisions to traces.
+	record bool
+	traces []*bytes.Buffer
+}
+
+// newTrace returns the trace of a new process, or nil.
+func (w *world) newTrace() *replay.Trace {
+	if !w.record {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	trace := new(bytes.Buffer)
+	w.traces = append(w.traces, trace)
+	return replay.NewTrace(trace)
 }
 
 func newTestRand(seed, stream uint64) *mathrand.Rand {
@@ -186,6 +203,7 @@
 	p.inst = New(Config{
 		ID: n.id, DataCentre: n.dc, Cluster: "soak", ControlAddress: n.control,
 		MaxInstances: len(n.w.nodes), MaxTickets: 1 << 14, AssertInvariants: true,
+		Trace: n.w.newTrace(),
 	}, Ports{
 		Clock: procClock{p}, Upstreams: upstreamPort{p}, Platform: platformPort{p},
 		Peers: peerPort{p}, Control: controlPort{p}, Log: log, Metrics: metrics.New(tally.NoopScope),
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -14,7 +14,6 @@
 
 	"github.com/sirupsen/logrus"
 
-	"github.com/sardineturn/sardineturn/pkg/catalog"
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/membership"
@@ -38,7 +37,7 @@
 	MaxTickets   int
 	// AssertInvariants makes a broken invariant panic; test builds set it.
 	AssertInvariants bool
-	// Trace records the decisions about groups and orders, if it is not nil.
+	// Trace records the decisions of this instance, if it is not nil.
 	Trace *replay.Trace
 }
 
@@ -86,7 +85,7 @@
 // controlState guards membership.
 type controlState struct {
 	mu         sync.Mutex
-	membership *membership.Membership
+	membership memberTable
 	// seenVersion is the membership version that was last acted on.
 	seenVersion uint64
 	// listRead is true once the platform's instance list was read, and
@@ -100,7 +99,7 @@
 // catalogState guards the documents in force and the readers' state.
 type catalogState struct {
 	mu      sync.RWMutex
-	catalog *catalog.Catalog
+	catalog documentCatalog
 	// sources says where each document in force came from.
 	sources map[string]string
 }
@@ -109,8 +108,8 @@
 // fetch documents from.
 type readState struct {
 	mu     sync.Mutex
-	reader *catalog.Reader
-	plan   *catalog.FetchPlan
+	reader platformReader
+	plan   fetchPlan
 	// cancelRead ends the read in flight.
 	cancelRead context.CancelFunc
 	// platformRead is true once a read of the platform has succeeded.
@@ -156,7 +155,10 @@
 		boot:    membership.NewBootID(now, ports.NewRand()),
 		started: now,
 	}
-	i.control.membership = membership.New(membership.Config{
+	if cfg.Trace != nil {
+		cfg.Trace.SetProcess(cfg.ID, i.boot)
+	}
+	i.control.membership = i.newMembership(membership.Config{
 		Self: membership.Member{
 			ID:             cfg.ID,
 			ControlAddress: cfg.ControlAddress,
@@ -166,11 +168,11 @@
 		Cluster: cfg.Cluster,
 		Rand:    ports.NewRand(),
 	}, now)
-	i.catalog.catalog = catalog.New(document.Parse)
+	i.catalog.catalog = i.newCatalog()
 	i.catalog.sources = make(map[string]string)
 	i.quarantine.set = quarantine.New(quarantineLimit)
-	i.reads.reader = catalog.NewReader(catalog.ReaderConfig{Rand: ports.NewRand()})
-	i.reads.plan = catalog.NewFetchPlan(catalog.FetchConfig{Rand: ports.NewRand()})
+	i.reads.reader = i.newReader(ports.NewRand())
+	i.reads.plan = i.newFetchPlan(ports.NewRand())
 	i.reads.forgetPeers()
 	i.homes.groups = make(map[model.GroupKey]*homeGroup)
 	i.claims.ids = make(map[model.AttemptID]time.Time)
@@ -179,7 +181,8 @@
 	i.hints.missing = make(map[snapshotKey]time.Time)
 	i.random.source = ports.NewRand()
 	i.orders = newOrderTable(cfg, i.boot, ports)
-	i.lifecycle.init(now)
+	i.lifecycle.phase = newPhaseMachine(cfg, now)
+	i.lifecycle.timers = make(map[string]port.Timer)
 	return i
 }
 
--- a/pkg/instance/lifecycle.go
+++ b/pkg/instance/lifecycle.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/phase"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
 const (
-	// pauseThreshold is the gap between two runs of the control timer, which
-	// is due every 200 ms, from which the process counts as paused: others may
-	// have taken over its roles since.
-	pauseThreshold = time.Second
 	// drainPollInterval is how often a stopping instance checks for work.
 	drainPollInterval = 20 * time.Millisecond
 	// selfListedWait is how long a starting instance waits until the platform's
@@ -23,37 +20,16 @@
 	selfListedWait = 5 * time.Second
 )
 
-// phase is the instance's state towards callers and peers.
-type phase int
-
-const (
-	phaseStarting phase = iota
-	phaseServing
-	phaseResumed
-	phaseLeaving
-)
-
-func (p phase) String() string {
-	return [...]string{"starting", "serving", "resumed", "leaving"}[p]
-}
-
-// lifecycle guards the phase and the time of the control timer's last run.
+// lifecycle guards the phase and the timers.
 type lifecycle struct {
 	mu       sync.Mutex
-	phase    phase
-	lastRun  time.Time
-	resumed  time.Time
+	phase    phaseMachine
 	ctx      context.Context
 	cancel   context.CancelFunc
 	stopping bool
 	timers   map[string]port.Timer
 }
 
-func (l *lifecycle) init(now time.Time) {
-	l.lastRun = now
-	l.timers = make(map[string]port.Timer)
-}
-
 func (l *lifecycle) run(ctx context.Context) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -86,17 +62,7 @@
 func (i *Instance) observe(now time.Time) {
 	l := &i.lifecycle
 	l.mu.Lock()
-	gap := now.Sub(l.lastRun)
-	if gap > 0 {
-		l.lastRun = now
-	}
-	paused := gap > pauseThreshold && l.phase != phaseStarting
-	if paused {
-		l.resumed = now
-		if l.phase == phaseServing {
-			l.phase = phaseResumed
-		}
-	}
+	gap, paused := l.phase.Observe(now)
 	l.mu.Unlock()
 	if paused {
 		i.resume(now, gap)
@@ -117,58 +83,55 @@
 	}
 }
 
-func (i *Instance) phaseNow() phase {
+func (i *Instance) phaseNow() phase.Phase {
 	i.lifecycle.mu.Lock()
 	defer i.lifecycle.mu.Unlock()
-	return i.lifecycle.phase
+	return i.lifecycle.phase.Phase()
 }
 
 // gate returns the code with which new work must be refused, or result.OK.
 func (i *Instance) gate() result.Code {
-	switch i.phaseNow() {
-	case phaseServing:
-		return result.OK
-	case phaseLeaving:
-		return result.Leaving
-	case phaseResumed:
-		return result.JustResumed
-	default:
-		return result.NotReady
-	}
+	i.lifecycle.mu.Lock()
+	defer i.lifecycle.mu.Unlock()
+	return i.lifecycle.phase.Gate()
 }
 
 // Ready reports whether the instance may get new requests, and if not, why.
 func (i *Instance) Ready() (bool, string) {
 	i.observe(i.now())
 	p := i.phaseNow()
-	return p == phaseServing, p.String()
+	return p == phase.Serving, p.String()
 }
 
 // updatePhase moves to serving when membership and documents allow it.
 func (i *Instance) updatePhase(now time.Time) {
 	p := i.phaseNow()
-	if p != phaseStarting && p != phaseResumed {
-		return
-	}
-	i.control.mu.Lock()
-	confirmed := i.control.membership.Confirmed(now) && i.listCaughtUp(now)
-	candidate := false
-	for _, m := range i.control.membership.Candidates(now) {
-		candidate = candidate || m.ID == i.cfg.ID
-	}
-	i.control.mu.Unlock()
-	if !confirmed || !candidate || !i.documentsCurrent(now) {
+	if p != phase.Starting && p != phase.Resumed {
 		return
 	}
+	c := i.conditions(now)
 	i.lifecycle.mu.Lock()
-	if i.lifecycle.phase != phaseLeaving {
-		i.lifecycle.phase = phaseServing
-	}
+	confirmed := i.lifecycle.phase.Confirm(now, c)
 	i.lifecycle.mu.Unlock()
+	if !confirmed {
+		return
+	}
 	i.logInfo(event.ProcessReady, event.Fields{"after": p.String()}, "instance is ready")
 	i.warmSoon()
 }
 
+func (i *Instance) conditions(now time.Time) phase.Conditions {
+	var c phase.Conditions
+	i.control.mu.Lock()
+	c.Members = i.control.membership.Confirmed(now) && i.listCaughtUp(now)
+	for _, m := range i.control.membership.Candidates(now) {
+		c.Candidate = c.Candidate || m.ID == i.cfg.ID
+	}
+	i.control.mu.Unlock()
+	c.Documents = i.documentsCurrent(now)
+	return c
+}
+
 // listCaughtUp reports whether the platform's list is as new as this process's
 // start. The caller holds control.mu.
 func (i *Instance) listCaughtUp(now time.Time) bool {
@@ -180,7 +143,7 @@
 // entry are served by other homes.
 func (i *Instance) Leave() {
 	i.lifecycle.mu.Lock()
-	i.lifecycle.phase = phaseLeaving
+	i.lifecycle.phase.Leave(i.now())
 	i.lifecycle.mu.Unlock()
 	i.logInfo(event.ShutdownStarted, nil, "graceful shutdown started")
 	i.control.mu.Lock()
@@ -193,7 +156,7 @@
 // used, or ctx ends.
 func (i *Instance) Drain(ctx context.Context) error {
 	for {
-		if i.activeQueries.Load() == 0 && i.homes.idle() && i.orders.idle(i.now()) {
+		if i.drained(i.now()) {
 			return nil
 		}
 		select {
@@ -204,6 +167,17 @@
 	}
 }
 
+func (i *Instance) drained(now time.Time) bool {
+	work := phase.Work{
+		Requests: int(i.activeQueries.Load()),
+		Groups:   !i.homes.idle(),
+		Orders:   !i.orders.idle(now),
+	}
+	i.lifecycle.mu.Lock()
+	defer i.lifecycle.mu.Unlock()
+	return i.lifecycle.phase.Drained(now, work)
+}
+
 func (i *Instance) after(d time.Duration) <-chan struct{} {
 	done := make(chan struct{})
 	i.ports.Clock.AfterFunc(d, func() { close(done) })
@@ -216,6 +190,7 @@
 	l := &i.lifecycle
 	l.mu.Lock()
 	l.stopping = true
+	l.phase.Stop(i.now())
 	for _, t := range l.timers {
 		t.Stop()
 	}
--- a/pkg/instance/reading.go
+++ b/pkg/instance/reading.go
@@ -10,6 +10,7 @@
 	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/phase"
 	"github.com/sardineturn/sardineturn/pkg/placement"
 	"github.com/sardineturn/sardineturn/pkg/port"
 )
@@ -203,7 +204,7 @@
 	i.reads.mu.Lock()
 	defer i.reads.mu.Unlock()
 	i.reads.plan.Observe(now, r.Sender.ID, r.CatalogHash, lacks)
-	if i.phaseNow() != phaseServing {
+	if i.phaseNow() != phase.Serving {
 		i.reads.peerHashes[r.Sender.ID] = r.CatalogHash
 	}
 }
@@ -345,6 +346,7 @@
 	}
 	i.control.membership.SetListed(now, list.Instances)
 	i.control.mu.Unlock()
+	i.recordList(now, list.Upstreams)
 	i.setLeavingUpstreams(now, list.Upstreams)
 }
 
--- /dev/null
+++ b/pkg/instance/recording_phase.go
@@ -0,0 +1,26 @@
+package instance
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/phase"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// phaseMachine is a phase machine or one whose calls are recorded.
+type phaseMachine interface {
+	Observe(now time.Time) (time.Duration, bool)
+	Confirm(now time.Time, c phase.Conditions) bool
+	Leave(now time.Time)
+	Drained(now time.Time, w phase.Work) bool
+	Stop(now time.Time) bool
+	Phase() phase.Phase
+	Gate() result.Code
+}
+
+func newPhaseMachine(cfg Config, now time.Time) phaseMachine {
+	if cfg.Trace == nil {
+		return phase.New(now)
+	}
+	return cfg.Trace.NewPhase(now)
+}
--- /dev/null
+++ b/pkg/instance/recording_test.go
@@ -0,0 +1,56 @@
+package instance
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/replay"
+)
+
+// recordedPlans are runs that together make decisions about every promise.
+var recordedPlans = [][]step{
+	planOf([]string{"messages", "index", "repartition"}, 1),
+	{
+		{kind: "leaving", at: time.Second, a: 1, dur: 6 * time.Second},
+		{kind: "pause", at: 3 * time.Second, a: 2, dur: 3 * time.Second},
+		{kind: "race", at: 5 * time.Second, dur: time.Second},
+		{kind: "rollback", at: 7 * time.Second, dur: time.Second},
+		{kind: "restart", at: 9 * time.Second, dur: time.Second},
+	},
+}
+
+// Guards against a decision that a recorder misses or that depends on anything
+// but its recorded input, and against a promise that breaks under random faults
+// without a sign outside of the process.
+func TestRecordedRunsReplay(t *testing.T) {
+	checked := make(map[string]int)
+	for n, plan := range recordedPlans {
+		var d *driver
+		synctest.Test(t, func(*testing.T) {
+			d = newDriver(n + 1)
+			d.record = true
+			d.run(plan)
+		})
+		must.SliceEmpty(t, d.violations)
+		must.SliceNotEmpty(t, d.traces)
+		for _, trace := range d.traces {
+			report, err := replay.Play(trace)
+			must.NoError(t, err)
+			must.SliceEmpty(t, report.Differences)
+			for promise, v := range report.Promises {
+				must.Zero(t, v.Broken, must.Sprintf("plan %d: %s: %v", n, promise, v.Examples))
+				checked[promise] += v.Checked
+			}
+		}
+	}
+	t.Log(checked)
+	must.SliceContainsSubset(t, slices.Collect(maps.Keys(checked)), []string{
+		replay.PromiseSnapshot, replay.PromiseCoverage, replay.PromiseOwnAnswer, replay.PromiseNotRun,
+		replay.PromiseLeaving, replay.PromiseStop, replay.PromiseGrows, replay.PromiseResumed,
+	})
+}
--- /dev/null
+++ b/pkg/phase/phase_test.go
@@ -0,0 +1,52 @@
+package phase
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+var start = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// Guards against a pause that leaves the instance serving, and against a return
+// to serving before all conditions hold.
+func TestPause(t *testing.T) {
+	m := New(start)
+	_, paused := m.Observe(start.Add(time.Minute))
+	must.False(t, paused, must.Sprint("a slow start is no pause"))
+	all := Conditions{Members: true, Candidate: true, Documents: true}
+	must.True(t, m.Confirm(start, all))
+	must.Eq(t, result.OK, m.Gate())
+	_, paused = m.Observe(start.Add(time.Minute + PauseThreshold))
+	must.False(t, paused)
+	gap, paused := m.Observe(start.Add(2 * time.Minute))
+	must.True(t, paused)
+	must.Eq(t, time.Minute-PauseThreshold, gap)
+	must.Eq(t, result.JustResumed, m.Gate())
+	for _, c := range []Conditions{{Members: true, Candidate: true}, {Members: true, Documents: true}, {Candidate: true, Documents: true}} {
+		must.False(t, m.Confirm(start, c))
+	}
+	must.True(t, m.Confirm(start, all))
+	must.Eq(t, Serving, m.Phase())
+}
+
+// Guards against a leaving instance that serves again, and against a stop that
+// counts as graceful while work is left.
+func TestLeave(t *testing.T) {
+	m := New(start)
+	must.False(t, m.Stop(start))
+	m.Leave(start)
+	must.Eq(t, result.Leaving, m.Gate())
+	must.False(t, m.Confirm(start, Conditions{Members: true, Candidate: true, Documents: true}))
+	_, _ = m.Observe(start.Add(time.Minute))
+	must.Eq(t, Leaving, m.Phase())
+	for _, w := range []Work{{Requests: 1}, {Groups: true}, {Orders: true}} {
+		must.False(t, m.Drained(start, w))
+		must.False(t, m.Stop(start))
+	}
+	must.True(t, m.Drained(start, Work{}))
+	must.True(t, m.Stop(start))
+}
--- a/pkg/query/answer.go
+++ b/pkg/query/answer.go
@@ -1,6 +1,8 @@
 package query
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -179,7 +181,7 @@
 
 func (s *Query) abortOpen() []Action {
 	var actions []Action
-	for _, p := range s.parts {
+	for _, p := range s.orderedParts() {
 		if p.open {
 			p.open = false
 			s.ran = true
@@ -189,10 +191,20 @@
 	return actions
 }
 
+// orderedParts returns the parts in order of their groups, so that the same
+// calls give the same actions.
+func (s *Query) orderedParts() []*part {
+	out := make([]*part, 0, len(s.parts))
+	for _, group := range slices.Sorted(maps.Keys(s.parts)) {
+		out = append(out, s.parts[group])
+	}
+	return out
+}
+
 // closeOpen cancels the open parts with the given reason and answers.
 func (s *Query) closeOpen(code result.Code) []Action {
 	var actions []Action
-	for _, p := range s.parts {
+	for _, p := range s.orderedParts() {
 		if !p.open {
 			continue
 		}
--- /dev/null
+++ b/pkg/replay/check.go
@@ -0,0 +1,112 @@
+package replay
+
+import (
+	"fmt"
+	"time"
+)
+
+// Promises that the checks verify.
+const (
+	PromiseSnapshot  = "one snapshot"
+	PromiseCoverage  = "accurate coverage"
+	PromiseOwnAnswer = "own answer only"
+	PromiseNotRun    = "not run"
+	PromiseLeaving   = "leaving upstream"
+	PromiseStop      = "graceful stop"
+	PromiseGrows     = "revision grows"
+	PromiseInForce   = "in force in time"
+	PromiseResumed   = "resumed process"
+)
+
+// maxExamples bounds the described breaches of one promise.
+const maxExamples = 5
+
+// check verifies promises over the replayed decisions. It uses the lines'
+// arguments and the replayed results, and neither the recorded results nor the
+// decision code.
+type check interface {
+	// see takes a line and what its replay returned.
+	see(l line, out any) error
+	// end is called after the last line.
+	end()
+}
+
+// judge collects verdicts.
+type judge struct{ found map[string]*Verdict }
+
+func (j *judge) verdict(promise string) *Verdict {
+	v := j.found[promise]
+	if v == nil {
+		v = &Verdict{}
+		j.found[promise] = v
+	}
+	return v
+}
+
+// judge counts a decision and reports it unless it is ok.
+func (j *judge) judge(promise string, ok bool, format string, args ...any) {
+	v := j.verdict(promise)
+	v.Checked++
+	if ok {
+		return
+	}
+	v.Broken++
+	if len(v.Examples) < maxExamples {
+		v.Examples = append(v.Examples, fmt.Sprintf(format, args...))
+	}
+}
+
+// checks runs all checks.
+type checks struct {
+	judge judge
+	all   []check
+}
+
+func newChecks(contents map[string][]byte) *checks {
+	c := &checks{judge: judge{found: make(map[string]*Verdict)}}
+	c.all = []check{
+		newAnswerCheck(&c.judge, contents),
+		newReplyCheck(&c.judge),
+		newLeavingCheck(&c.judge),
+		newStopCheck(&c.judge),
+		newResumeCheck(&c.judge),
+		newDocumentCheck(&c.judge, contents),
+	}
+	return c
+}
+
+func (c *checks) see(l line, out any) error {
+	for _, check := range c.all {
+		if err := check.see(l, out); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// verdicts ends the checks and returns the promises that the trace is about.
+func (c *checks) verdicts() map[string]Verdict {
+	out := make(map[string]Verdict)
+	for _, check := range c.all {
+		check.end()
+	}
+	for promise, v := range c.judge.found {
+		out[promise] = *v
+	}
+	return out
+}
+
+// actionsOf returns the actions of the given type.
+func actionsOf[T any](out any) []T {
+	actions, _ := out.([]typed)
+	var found []T
+	for _, a := range actions {
+		if t, ok := a.Action.(T); ok {
+			found = append(found, t)
+		}
+	}
+	return found
+}
+
+// clockText formats a time of day in an example.
+func clockText(t time.Time) string { return t.Format("15:04:05.000") }
--- /dev/null
+++ b/pkg/replay/check_documents.go
@@ -0,0 +1,141 @@
+package replay
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// inForceBound is the time in which a valid document is in force everywhere.
+const inForceBound = 8 * time.Second
+
+// documentCheck verifies that the revision in force of each service grows with
+// each adoption at each process, and that a document that a scenario wrote is in
+// force at every process in time.
+type documentCheck struct {
+	*judge
+	contents  map[string][]byte
+	written   []writtenDocument
+	processes map[string]*documentState
+}
+
+type writtenDocument struct {
+	DocumentFact
+	at time.Time
+}
+
+type documentState struct {
+	opened time.Time
+	last   time.Time
+	left   bool
+	// adopted holds the adoptions of each service in order, and inForce the
+	// content that is in force.
+	adopted map[string][]adoption
+	inForce map[string]contentRef
+}
+
+type adoption struct {
+	revision uint64
+	at       time.Time
+}
+
+func newDocumentCheck(j *judge, contents map[string][]byte) *documentCheck {
+	return &documentCheck{judge: j, contents: contents, processes: make(map[string]*documentState)}
+}
+
+func (c *documentCheck) see(l line, out any) error {
+	if l.Component == componentFact {
+		return c.fact(l)
+	}
+	s := c.processes[l.Process]
+	if s == nil {
+		s = &documentState{adopted: make(map[string][]adoption), inForce: make(map[string]contentRef)}
+		c.processes[l.Process] = s
+	}
+	if l.Time.After(s.last) && !s.left {
+		s.last = l.Time
+	}
+	switch l.Component {
+	case componentPhase:
+		s.left = s.left || l.Call == "leave"
+	case componentCatalog:
+		if l.Call == "open" {
+			s.opened = l.Time
+			return nil
+		}
+		return c.offer(l, s, out)
+	}
+	return nil
+}
+
+func (c *documentCheck) fact(l line) error {
+	if l.Call != FactDocument {
+		return nil
+	}
+	f, err := decode[DocumentFact](l.Args)
+	c.written = append(c.written, writtenDocument{DocumentFact: f, at: l.Time})
+	return err
+}
+
+// offer judges the document in force after an offer. Its revision is read from
+// the offered bytes and not from the decision.
+func (c *documentCheck) offer(l line, s *documentState, out any) error {
+	ref, err := decode[contentRef](l.Args)
+	if err != nil {
+		return err
+	}
+	r, ok := out.(offerResult)
+	if !ok {
+		return nil
+	}
+	before := s.revision(ref.Service)
+	if r.Verdict != "adopted" {
+		unchanged := r.InForce == before && (before == 0 || r.Digest == s.inForce[ref.Service].Digest)
+		c.judge.judge(PromiseGrows, unchanged, "%s: revision %d in force after a refused offer, %d before", l.Process, r.InForce, before)
+		return nil
+	}
+	revision := c.revisionOf(ref)
+	c.judge.judge(PromiseGrows, revision > before && r.InForce == revision, "%s: revision %d of %s adopted over %d", l.Process, revision, ref.Service, before)
+	s.adopted[ref.Service] = append(s.adopted[ref.Service], adoption{revision: revision, at: l.Time})
+	s.inForce[ref.Service] = ref
+	return nil
+}
+
+func (s *documentState) revision(service string) uint64 {
+	if a := s.adopted[service]; len(a) > 0 {
+		return a[len(a)-1].revision
+	}
+	return 0
+}
+
+func (c *documentCheck) revisionOf(ref contentRef) uint64 {
+	var d struct {
+		Revision uint64 `json:"revision"`
+	}
+	if json.Unmarshal(c.contents[ref.key()], &d) != nil {
+		return 0
+	}
+	return d.Revision
+}
+
+// end judges the written documents at the processes that were recorded during
+// the whole time that they had.
+func (c *documentCheck) end() {
+	for _, w := range c.written {
+		due := w.at.Add(inForceBound)
+		for process, s := range c.processes {
+			if s.opened.IsZero() || s.opened.After(w.at) || s.last.Before(due) {
+				continue
+			}
+			c.judge.judge(PromiseInForce, s.has(w, due), "%s: revision %d of %s is not in force at %s", process, w.Revision, w.Service, clockText(due))
+		}
+	}
+}
+
+func (s *documentState) has(w writtenDocument, due time.Time) bool {
+	for _, a := range s.adopted[w.Service] {
+		if a.revision >= w.Revision && !a.at.After(due) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/replay/check_phase.go
@@ -0,0 +1,183 @@
+package replay
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/phase"
+	"github.com/sardineturn/sardineturn/pkg/query"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// gateSlack is the time that a request may take from the check of the phase to
+// the scheduler: a new home waits up to 50 ms for the status of its upstreams.
+const gateSlack = 200 * time.Millisecond
+
+// stopCheck verifies that a stopped process has answered everything that it
+// accepted, and took no new home work after it announced that it leaves.
+type stopCheck struct {
+	*judge
+	processes map[string]*stopState
+}
+
+// stopState is what the lines of one process show.
+type stopState struct {
+	left    time.Time
+	stopped bool
+	// queries and requests are accepted and not answered.
+	queries  map[string]bool
+	requests map[model.AttemptID]bool
+}
+
+func newStopCheck(j *judge) *stopCheck {
+	return &stopCheck{judge: j, processes: make(map[string]*stopState)}
+}
+
+func (c *stopCheck) end() {}
+
+func (c *stopCheck) see(l line, out any) error {
+	s := c.processes[l.Process]
+	if s == nil {
+		s = &stopState{queries: make(map[string]bool), requests: make(map[model.AttemptID]bool)}
+		c.processes[l.Process] = s
+	}
+	switch l.Component {
+	case componentQuery:
+		c.query(l, s, out)
+	case componentScheduler:
+		return c.scheduler(l, s, out)
+	case componentPhase:
+		c.phase(l, s, out)
+	}
+	return nil
+}
+
+func (c *stopCheck) query(l line, s *stopState, out any) {
+	if _, refused := out.(queryRefused); refused {
+		return
+	}
+	if l.Call == "open" {
+		s.queries[l.Key] = true
+	}
+	if len(actionsOf[query.Reply](out)) > 0 {
+		c.answered(l, s)
+		delete(s.queries, l.Key)
+	}
+}
+
+// answered counts an answer between the announcement and the end.
+func (c *stopCheck) answered(l line, s *stopState) {
+	if !s.left.IsZero() {
+		c.judge.judge(PromiseStop, !s.stopped, "%s: %s %s answered after the end", l.Process, l.Component, l.Key)
+	}
+}
+
+func (c *stopCheck) scheduler(l line, s *stopState, out any) error {
+	if l.Call == "submit" {
+		r, err := schedulerArgs[model.GroupRequest](l)
+		if err != nil {
+			return err
+		}
+		s.requests[r.ID] = true
+		if !s.left.IsZero() {
+			c.judge.judge(PromiseStop, l.Time.Before(s.left.Add(gateSlack)), "%s: new home work at %s, left at %s", l.Process, clockText(l.Time), clockText(s.left))
+		}
+	}
+	for _, a := range actionsOf[scheduler.Done](out) {
+		c.answered(l, s)
+		delete(s.requests, a.Answer.ID)
+	}
+	return nil
+}
+
+func (c *stopCheck) phase(l line, s *stopState, out any) {
+	r, ok := out.(phaseResult)
+	switch {
+	case !ok:
+	case l.Call == "leave":
+		s.left = l.Time
+	case l.Call == "stop" && !s.left.IsZero():
+		s.stopped = true
+		c.judge.judge(PromiseStop, r.Done, "%s: ended at %s before its work was done", l.Process, clockText(l.Time))
+		c.judge.judge(PromiseStop, len(s.queries) == 0, "%s: ended with %d unanswered queries", l.Process, len(s.queries))
+		c.judge.judge(PromiseStop, len(s.requests) == 0, "%s: ended with %d unanswered requests of entries", l.Process, len(s.requests))
+	}
+}
+
+// resumeCheck verifies that a process takes no home work from a pause on until
+// a member has answered, and that every pause is noticed.
+type resumeCheck struct {
+	*judge
+	processes map[string]*resumeState
+}
+
+type resumeState struct {
+	seen time.Time
+	// serving is true while the process has been ready and was not paused since.
+	serving bool
+	resumed bool
+	heard   bool
+}
+
+func newResumeCheck(j *judge) *resumeCheck {
+	return &resumeCheck{judge: j, processes: make(map[string]*resumeState)}
+}
+
+func (c *resumeCheck) end() {}
+
+func (c *resumeCheck) see(l line, out any) error {
+	s := c.processes[l.Process]
+	if s == nil {
+		s = &resumeState{}
+		c.processes[l.Process] = s
+	}
+	switch l.Component {
+	case componentPhase:
+		return c.phase(l, s, out)
+	case componentMembership:
+		s.heard = s.heard || l.Call == "receive"
+	case componentScheduler:
+		if l.Call == "submit" && s.resumed {
+			c.judge.judge(PromiseResumed, false, "%s: home work at %s after a pause", l.Process, clockText(l.Time))
+		}
+	}
+	return nil
+}
+
+func (c *resumeCheck) phase(l line, s *resumeState, out any) error {
+	switch r := out.(type) {
+	case observeResult:
+		paused := s.serving && !s.seen.IsZero() && l.Time.Sub(s.seen) > pauseGap
+		if paused {
+			c.judge.judge(PromiseResumed, r.Paused, "%s: a gap of %s before %s was not noticed", l.Process, l.Time.Sub(s.seen), clockText(l.Time))
+			s.serving, s.resumed, s.heard = false, true, false
+		}
+		s.seen = l.Time
+	case phaseResult:
+		return s.confirm(c, l, r)
+	}
+	return nil
+}
+
+// pauseGap is the gap from which a process counts as paused.
+const pauseGap = time.Second
+
+// confirm judges the return to serving: a datagram of a member has arrived, and
+// the membership counts this process as a candidate again, which takes an answer
+// to a ping that was sent after the pause.
+func (s *resumeState) confirm(c *resumeCheck, l line, r phaseResult) error {
+	switch {
+	case l.Call == "leave":
+		s.serving = false
+	case l.Call == "confirm" && r.Done:
+		conditions, err := decode[phase.Conditions](l.Args)
+		if err != nil {
+			return err
+		}
+		if s.resumed {
+			c.judge.judge(PromiseResumed, s.heard && conditions.Candidate, "%s: ready at %s before a member answered", l.Process, clockText(l.Time))
+		}
+		s.serving, s.resumed = true, false
+	}
+	return nil
+}
--- /dev/null
+++ b/pkg/replay/check_test.go
@@ -0,0 +1,314 @@
+package replay
+
+import (
+	"bytes"
+	"encoding/json"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/query"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/scheduler"
+)
+
+// judged plays a kept trace and returns the verdicts on decisions that alter
+// has changed.
+func judged(t *testing.T, trace string, alter func(l line, out any) any) map[string]Verdict {
+	return judgedLines(t, linesOf(t, trace), alter)
+}
+
+func judgedLines(t *testing.T, lines []line, alter func(l line, out any) any) map[string]Verdict {
+	p := newPlayer()
+	for _, l := range lines {
+		out, err := p.decide(l)
+		must.NoError(t, err)
+		must.NoError(t, p.checks.see(l, alter(l, out)))
+	}
+	return p.checks.verdicts()
+}
+
+func linesOf(t *testing.T, trace string) []line {
+	var out []line
+	d := json.NewDecoder(bytes.NewReader(readTrace(t, "testdata/"+trace+".jsonl.gz")))
+	for d.More() {
+		var l line
+		must.NoError(t, d.Decode(&l))
+		out = append(out, l)
+	}
+	return out
+}
+
+// once changes the first action of a type for which f returns true.
+func once[T any](f func(*T) bool) func(line, any) any {
+	done := false
+	return func(_ line, out any) any {
+		actions, _ := out.([]typed)
+		for n, a := range actions {
+			action, ok := a.Action.(T)
+			if done || !ok || !f(&action) {
+				continue
+			}
+			done = true
+			actions = slices.Clone(actions)
+			actions[n].Action = action
+			return actions
+		}
+		return out
+	}
+}
+
+// answers changes the first answer to a query for which f returns true.
+func answers(f func(*model.Answer) bool) func(line, any) any {
+	return once(func(r *query.Reply) bool { return f(&r.Answer) })
+}
+
+// homeResults changes the first result of a home for which f returns true.
+func homeResults(f func(*model.ShardOutcome)) func(line, any) any {
+	return once(func(d *scheduler.Done) bool {
+		for n := range d.Answer.Outcomes {
+			if d.Answer.Outcomes[n].Code == result.OK {
+				d.Answer.Outcomes = slices.Clone(d.Answer.Outcomes)
+				f(&d.Answer.Outcomes[n])
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// offers changes the decisions on documents with one verdict.
+func offers(verdict string, f func(*offerResult)) func(line, any) any {
+	return func(_ line, out any) any {
+		if r, ok := out.(offerResult); ok && r.Verdict == verdict {
+			f(&r)
+			return r
+		}
+		return out
+	}
+}
+
+// lateStarts moves the attempts from 4 s after the first line to the upstream
+// that is listed as leaving.
+func lateStarts(t *testing.T) func(line, any) any {
+	var fact line
+	for _, l := range linesOf(t, "upstream-listed") {
+		if l.Component == componentFact {
+			fact = l
+		}
+	}
+	leaving, err := decode[port.ListedUpstream](fact.Args)
+	must.NoError(t, err)
+	return func(l line, out any) any {
+		if l.Time.Before(fact.Time.Add(4 * time.Second)) {
+			return out
+		}
+		return once(func(s *scheduler.Start) bool { s.Call.Address = leaving.Address; return true })(l, out)
+	}
+}
+
+// withoutAnswers removes the answers after the signal to leave.
+func withoutAnswers() func(line, any) any {
+	left := make(map[string]bool)
+	return func(l line, out any) any {
+		if l.Component == componentPhase && l.Call == "leave" {
+			left[l.Process] = true
+		}
+		actions, ok := out.([]typed)
+		if !ok || !left[l.Process] {
+			return out
+		}
+		return slices.DeleteFunc(slices.Clone(actions), func(a typed) bool {
+			_, reply := a.Action.(query.Reply)
+			_, done := a.Action.(scheduler.Done)
+			return reply || done
+		})
+	}
+}
+
+// phases changes the results of one call of the phase machine.
+func phases(call string, f func(*phaseResult)) func(line, any) any {
+	return func(l line, out any) any {
+		if r, ok := out.(phaseResult); ok && l.Call == call {
+			f(&r)
+			return r
+		}
+		return out
+	}
+}
+
+// neverConfirmed keeps a process in the phase after a pause.
+func neverConfirmed() func(line, any) any {
+	paused := false
+	return func(_ line, out any) any {
+		switch r := out.(type) {
+		case observeResult:
+			paused = paused || r.Paused
+		case phaseResult:
+			r.Done = r.Done && !paused
+			return r
+		}
+		return out
+	}
+}
+
+// confirmedAtOnce makes a process ready at the first chance after a pause.
+func confirmedAtOnce() func(line, any) any {
+	paused := false
+	return func(_ line, out any) any {
+		switch r := out.(type) {
+		case observeResult:
+			paused = paused || r.Paused
+		case phaseResult:
+			r.Done = r.Done || paused
+			paused = false
+			return r
+		}
+		return out
+	}
+}
+
+// TestAlteredDecisions guards against checks that pass over a decision that
+// breaks their promise.
+func TestAlteredDecisions(t *testing.T) {
+	cases := []struct {
+		name, trace, promise string
+		alter                func(line, any) any
+	}{
+		{"answer from another snapshot", "index-change", PromiseSnapshot, answers(func(a *model.Answer) bool {
+			a.Snapshot = "other"
+			return len(a.Results) > 0
+		})},
+		{"result left out", "index-change", PromiseCoverage, answers(func(a *model.Answer) bool {
+			if len(a.Results) > 0 {
+				a.Results = a.Results[1:]
+			}
+			return a.Coverage.Answered > 0
+		})},
+		{"partial answer coded as whole", "index-change", PromiseCoverage, answers(func(a *model.Answer) bool {
+			partial := len(a.Coverage.Missing) > 0
+			a.Code = result.OK
+			return partial
+		})},
+		{"missing shard not counted", "index-change", PromiseCoverage, answers(func(a *model.Answer) bool {
+			partial := len(a.Coverage.Missing) > 0
+			a.Coverage.Missing = nil
+			a.Coverage.Total = a.Coverage.Answered
+			return partial
+		})},
+		{"result of another query", "index-change", PromiseOwnAnswer, answers(func(a *model.Answer) bool {
+			if len(a.Results) == 0 {
+				return false
+			}
+			a.Results = slices.Clone(a.Results)
+			a.Results[0].Result = json.RawMessage(`"other"`)
+			return true
+		})},
+		{"reply to another attempt", "index-change", PromiseOwnAnswer, homeResults(func(o *model.ShardOutcome) {
+			o.Result = json.RawMessage(`"other"`)
+		})},
+		{"not run after a run", "index-change", PromiseNotRun, answers(func(a *model.Answer) bool {
+			ran := a.Ran != model.NotRun
+			a.Ran = model.NotRun
+			return ran
+		})},
+		{"attempt on a leaving upstream", "upstream-listed", PromiseLeaving, lateStarts(t)},
+		{"request without an answer", "graceful-stop", PromiseStop, withoutAnswers()},
+		{"end before the work is done", "graceful-stop", PromiseStop, phases("stop", func(r *phaseResult) { r.Done = false })},
+		{"lower revision adopted", "configuration", PromiseGrows, offers("older", func(r *offerResult) { r.Verdict = "adopted" })},
+		{"conflicting revision adopted", "configuration", PromiseGrows, offers("conflict", func(r *offerResult) { r.Verdict = "adopted" })},
+		{"document reverted", "configuration", PromiseGrows, offers("older", func(r *offerResult) { r.InForce = 1 })},
+		{"document not adopted", "configuration", PromiseInForce, offers("adopted", func(r *offerResult) { r.Verdict = "older" })},
+		{"pause not noticed", "process-paused", PromiseResumed, func(_ line, out any) any {
+			if r, ok := out.(observeResult); ok {
+				r.Paused = false
+				return r
+			}
+			return out
+		}},
+		{"home work before a member answered", "process-paused", PromiseResumed, neverConfirmed()},
+		{"ready before a member answered", "process-paused", PromiseResumed, confirmedAtOnce()},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			must.Positive(t, judged(t, c.trace, c.alter)[c.promise].Broken)
+		})
+	}
+}
+
+// firstAnswered changes the first home's answer with results in a trace.
+func firstAnswered(f func(*model.GroupAnswer)) func(*testing.T, []line) {
+	return func(t *testing.T, lines []line) {
+		for n, l := range lines {
+			if l.Component != componentQuery || l.Call != "answered" {
+				continue
+			}
+			a, err := decode[queryAnswered](l.Args)
+			must.NoError(t, err)
+			if len(a.Answer.Outcomes) == 0 || a.Answer.Outcomes[0].Code != result.OK {
+				continue
+			}
+			f(&a.Answer)
+			lines[n].Args = encode(a)
+			return
+		}
+		t.Fatal("the trace has no answer with results")
+	}
+}
+
+// eachReply changes all replies with a result in a trace.
+func eachReply(f func(*port.UpstreamReply)) func(*testing.T, []line) {
+	return func(t *testing.T, lines []line) {
+		changed := 0
+		for n, l := range lines {
+			if l.Component != componentScheduler || l.Call != "finish" {
+				continue
+			}
+			a, err := schedulerArgs[finishArgs](l)
+			must.NoError(t, err)
+			if a.Reply.Code != result.OK {
+				continue
+			}
+			f(&a.Reply)
+			lines[n].Args = encode(withBlocked{Args: encode(a)})
+			changed++
+		}
+		must.Positive(t, changed)
+	}
+}
+
+// TestForeignInput guards against decision code that takes over what belongs to
+// another request, attempt or snapshot, or that says "not run" after a loss: a
+// trace with such an input must still keep the promise.
+func TestForeignInput(t *testing.T) {
+	cases := []struct {
+		name, promise string
+		alter         func(*testing.T, []line)
+	}{
+		{"answer from another snapshot", PromiseSnapshot, firstAnswered(func(a *model.GroupAnswer) { a.Snapshot = "other" })},
+		{"answer to another request", PromiseOwnAnswer, firstAnswered(func(a *model.GroupAnswer) { a.ID[0]++ })},
+		{"answer without a result", PromiseNotRun, firstAnswered(func(a *model.GroupAnswer) {
+			for n := range a.Outcomes {
+				a.Outcomes[n] = model.ShardOutcome{Shard: a.Outcomes[n].Shard, Code: result.UpstreamLost}
+			}
+		})},
+		{"replies to other attempts", PromiseOwnAnswer, eachReply(func(r *port.UpstreamReply) { r.Attempt[0]++ })},
+		{"replies for other shards", PromiseOwnAnswer, eachReply(func(r *port.UpstreamReply) { r.Shard = "other" })},
+		{"replies from another snapshot", PromiseSnapshot, eachReply(func(r *port.UpstreamReply) { r.Snapshot = "other" })},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			lines := linesOf(t, "index-change")
+			c.alter(t, lines)
+			v := judgedLines(t, lines, func(_ line, out any) any { return out })[c.promise]
+			must.Positive(t, v.Checked)
+			must.Zero(t, v.Broken, must.Sprint(v.Examples))
+		})
+	}
+}
--- /dev/null
+++ b/pkg/replay/content.go
@@ -0,0 +1,86 @@
+package replay
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// contentRef refers to a document's bytes.
+type contentRef struct {
+	Service string `json:"service"`
+	Digest  uint64 `json:"digest"`
+}
+
+func (r contentRef) key() string { return fmt.Sprintf("%s/%x", r.Service, r.Digest) }
+
+func refOf(d *document.Document) contentRef {
+	return contentRef{Service: d.Service, Digest: d.Digest}
+}
+
+// content writes a document's bytes once per trace and returns the reference.
+func (t *Trace) content(raw port.RawDocument) contentRef {
+	ref := contentRef{Service: raw.Service, Digest: xxhash.Sum64(raw.Content)}
+	t.mu.Lock()
+	known := t.contents[ref]
+	t.contents[ref] = true
+	t.mu.Unlock()
+	if !known {
+		t.write(line{Component: componentContent, Key: ref.key(), Args: encode(string(raw.Content)), Out: encode(nil)})
+	}
+	return ref
+}
+
+// List records the platform's list of upstreams.
+func (t *Trace) List(now time.Time, upstreams []port.ListedUpstream) {
+	t.write(line{Component: componentList, Call: "read", Time: wall(now), Args: encode(upstreams), Out: encode(nil)})
+}
+
+// Facts that a scenario adds to a trace.
+const (
+	// FactDocument is a document written by an operator.
+	FactDocument = "document"
+	// FactUpstream is a change of an upstream's entry in the platform's list.
+	FactUpstream = "upstream"
+)
+
+// DocumentFact is a valid document that the platform holds from now on.
+type DocumentFact struct {
+	Service  string `json:"service"`
+	Revision uint64 `json:"revision"`
+}
+
+// Fact records what a scenario did.
+func (t *Trace) Fact(now time.Time, kind string, fact any) {
+	t.write(line{Component: componentFact, Call: kind, Time: wall(now), Args: encode(fact), Out: encode(nil)})
+}
+
+// seed is the seed of a component's random source.
+type seed [2]uint64
+
+func drawSeed(r *rand.Rand) seed { return seed{r.Uint64(), r.Uint64()} }
+
+// counted is a seeded source that counts what was drawn, so that a recorder
+// knows which calls changed it.
+type counted struct {
+	rand.Source
+	draws int
+}
+
+func (s seed) source() *counted { return &counted{Source: rand.NewPCG(s[0], s[1])} }
+
+// Uint64 implements rand.Source.
+func (c *counted) Uint64() uint64 {
+	c.draws++
+	return c.Source.Uint64()
+}
+
+// object returns an object of a component that draws no ids.
+func (t *Trace) object(component, key string) object {
+	return object{trace: t, component: component, key: key}
+}
--- /dev/null
+++ b/pkg/replay/cut.go
@@ -0,0 +1,93 @@
+package replay
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"time"
+)
+
+// Cut selects lines of a trace, so that a kept trace is small and can still be
+// replayed.
+type Cut struct {
+	// Components names the components to keep. Documents and facts are always
+	// kept.
+	Components []string
+	// From drops queries that were opened before. Other objects are kept from
+	// their start on, because their state depends on it.
+	From time.Time
+	// Until drops later lines.
+	Until time.Time
+	// Queries bounds the number of kept queries.
+	Queries int
+	// FirstProcess drops the lines of restarted processes.
+	FirstProcess bool
+}
+
+// Cutter writes the selected lines of several traces into one.
+type Cutter struct {
+	enc      *json.Encoder
+	contents map[string]bool
+}
+
+// NewCutter returns a Cutter that writes to w.
+func NewCutter(w io.Writer) *Cutter {
+	return &Cutter{enc: json.NewEncoder(w), contents: make(map[string]bool)}
+}
+
+// Add writes the selected lines of a trace.
+func (c *Cutter) Add(r io.Reader, cut Cut) error {
+	s := selection{Cut: cut, cutter: c, queries: make(map[string]bool)}
+	lines := bufio.NewScanner(r)
+	lines.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
+	for n := 1; lines.Scan(); n++ {
+		var l line
+		if err := json.Unmarshal(lines.Bytes(), &l); err != nil {
+			return fmt.Errorf("line %d: %w", n, err)
+		}
+		if !s.keeps(l) {
+			continue
+		}
+		if err := c.enc.Encode(l); err != nil {
+			return err
+		}
+	}
+	return lines.Err()
+}
+
+// selection is the state of one cut.
+type selection struct {
+	Cut
+	cutter  *Cutter
+	queries map[string]bool
+	process string
+}
+
+func (s *selection) keeps(l line) bool {
+	switch l.Component {
+	case componentContent:
+		known := s.cutter.contents[l.Key]
+		s.cutter.contents[l.Key] = true
+		return !known
+	case componentFact:
+		return true
+	}
+	if !slices.Contains(s.Components, l.Component) || l.Time.After(s.Until) {
+		return false
+	}
+	if s.process == "" {
+		s.process = l.Process
+	}
+	if s.FirstProcess && l.Process != s.process {
+		return false
+	}
+	if l.Component != componentQuery {
+		return true
+	}
+	if l.Call == "open" && !l.Time.Before(s.From) && len(s.queries) < s.Queries {
+		s.queries[l.object()] = true
+	}
+	return s.queries[l.object()]
+}
--- /dev/null
+++ b/pkg/replay/membership.go
@@ -0,0 +1,283 @@
+package replay
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// Arguments and results of the membership's calls.
+type (
+	membershipOpen struct {
+		Self    membership.Member `json:"self"`
+		Cluster string            `json:"cluster"`
+		Seed    seed              `json:"seed"`
+	}
+	receiveArgs struct {
+		From     string `json:"from"`
+		Datagram []byte `json:"datagram"`
+	}
+	// sentDatagram stands for a datagram; its bytes are given by a hash.
+	sentDatagram struct {
+		To    string `json:"to"`
+		Bytes int    `json:"bytes"`
+		Hash  uint64 `json:"hash"`
+	}
+	// memberResult is what a call returned and changed.
+	memberResult struct {
+		Sends  []sentDatagram `json:"sends,omitempty"`
+		Events []memberEvent  `json:"events,omitempty"`
+		// Sender and the fields below are the content of a datagram.
+		Sender      model.InstanceID       `json:"sender,omitempty"`
+		CatalogHash uint64                 `json:"catalog_hash,omitempty"`
+		Documents   []port.DocumentVersion `json:"documents,omitempty"`
+		Quarantines int                    `json:"quarantines,omitempty"`
+		Error       string                 `json:"error,omitempty"`
+		// Candidates is given when it may have changed.
+		Candidates []model.InstanceID `json:"candidates,omitempty"`
+		Version    uint64             `json:"version"`
+	}
+	memberEvent struct {
+		Kind   string           `json:"kind"`
+		Member model.InstanceID `json:"member"`
+	}
+)
+
+func sentDatagrams(sends []membership.Send) []sentDatagram {
+	out := make([]sentDatagram, 0, len(sends))
+	for _, s := range sends {
+		out = append(out, sentDatagram{To: s.Address, Bytes: len(s.Datagram), Hash: xxhash.Sum64(s.Datagram)})
+	}
+	return out
+}
+
+func newReceived(r membership.Received, err error) memberResult {
+	return memberResult{
+		Sends:       sentDatagrams(r.Sends),
+		Sender:      r.Sender.ID,
+		CatalogHash: r.CatalogHash,
+		Documents:   r.Documents,
+		Quarantines: len(r.Quarantines),
+		Error:       errorText(err),
+	}
+}
+
+func memberEvents(events []membership.Event) []memberEvent {
+	out := make([]memberEvent, 0, len(events))
+	for _, e := range events {
+		out = append(out, memberEvent{Kind: e.Kind.String(), Member: e.Member.ID})
+	}
+	return out
+}
+
+// viewOf adds the version, and the candidates if it differs from the last one.
+func viewOf(m *membership.Membership, last *uint64, at time.Time, r memberResult) memberResult {
+	r.Version = m.Version()
+	if r.Version == *last {
+		return r
+	}
+	*last = r.Version
+	for _, c := range m.Candidates(at) {
+		r.Candidates = append(r.Candidates, c.ID)
+	}
+	return r
+}
+
+// Membership is a membership whose calls are recorded.
+type Membership struct {
+	*membership.Membership
+	object
+	clock     func() time.Time
+	version   uint64
+	confirmed bool
+}
+
+// NewMembership returns a recorded membership with the default intervals. Its
+// random source is seeded here, because a trace must hold the seed.
+func (t *Trace) NewMembership(cfg membership.Config, now time.Time, clock func() time.Time) *Membership {
+	now = wall(now)
+	open := membershipOpen{Self: cfg.Self, Cluster: cfg.Cluster, Seed: drawSeed(cfg.Rand)}
+	m := &Membership{object: t.object(componentMembership, ""), clock: clock}
+	m.Membership = open.membership(now)
+	m.record("open", now, open, nil)
+	return m
+}
+
+func (o membershipOpen) membership(now time.Time) *membership.Membership {
+	return membership.New(membership.Config{Self: o.Self, Cluster: o.Cluster, Rand: rand.New(o.Seed.source())}, now)
+}
+
+func (m *Membership) recordView(call string, now time.Time, args any, r memberResult) {
+	m.record(call, now, args, viewOf(m.Membership, &m.version, now, r))
+}
+
+// SetListed records membership.Membership.SetListed.
+func (m *Membership) SetListed(now time.Time, list []port.ListedInstance) {
+	now = wall(now)
+	m.Membership.SetListed(now, list)
+	m.recordView("listed", now, list, memberResult{})
+}
+
+// Confirmed records membership.Membership.Confirmed when it becomes true.
+func (m *Membership) Confirmed(now time.Time) bool {
+	now = wall(now)
+	confirmed := m.Membership.Confirmed(now)
+	if confirmed && !m.confirmed {
+		m.confirmed = true
+		m.recordView("confirmed", now, nil, memberResult{})
+	}
+	return confirmed
+}
+
+// Leave records membership.Membership.Leave.
+func (m *Membership) Leave(now time.Time) []membership.Send {
+	now = wall(now)
+	sends := m.Membership.Leave(now)
+	m.recordView("leave", now, nil, memberResult{Sends: sentDatagrams(sends)})
+	return sends
+}
+
+// SetPlatformUnreachable records membership.Membership.SetPlatformUnreachable.
+func (m *Membership) SetPlatformUnreachable(now time.Time, v bool) {
+	now = wall(now)
+	m.Membership.SetPlatformUnreachable(now, v)
+	m.recordView("platform", now, v, memberResult{})
+}
+
+// SetCatalogHash records membership.Membership.SetCatalogHash.
+func (m *Membership) SetCatalogHash(h uint64) {
+	m.Membership.SetCatalogHash(h)
+	m.recordView("hash", wall(m.clock()), h, memberResult{})
+}
+
+// AnnounceDocument records membership.Membership.AnnounceDocument.
+func (m *Membership) AnnounceDocument(v port.DocumentVersion) {
+	m.Membership.AnnounceDocument(v)
+	m.recordView("document", wall(m.clock()), v, memberResult{})
+}
+
+// AnnounceQuarantine records membership.Membership.AnnounceQuarantine.
+func (m *Membership) AnnounceQuarantine(q membership.Quarantine) {
+	q.Until = wall(q.Until)
+	m.Membership.AnnounceQuarantine(q)
+	m.recordView("quarantine", wall(m.clock()), q, memberResult{})
+}
+
+// Avoid records membership.Membership.Avoid.
+func (m *Membership) Avoid(now time.Time, id model.InstanceID) {
+	now = wall(now)
+	m.Membership.Avoid(now, id)
+	m.recordView("avoid", now, id, memberResult{})
+}
+
+// Resume records membership.Membership.Resume.
+func (m *Membership) Resume(now time.Time) {
+	now = wall(now)
+	m.Membership.Resume(now)
+	m.recordView("resume", now, nil, memberResult{})
+}
+
+// TakeEvents records membership.Membership.TakeEvents when there are any.
+func (m *Membership) TakeEvents() []membership.Event {
+	events := m.Membership.TakeEvents()
+	if len(events) > 0 {
+		m.recordView("events", wall(m.clock()), nil, memberResult{Events: memberEvents(events)})
+	}
+	return events
+}
+
+// Tick records membership.Membership.Tick.
+func (m *Membership) Tick(now time.Time) []membership.Send {
+	now = wall(now)
+	sends := m.Membership.Tick(now)
+	m.recordView("tick", now, nil, memberResult{Sends: sentDatagrams(sends)})
+	return sends
+}
+
+// Receive records membership.Membership.Receive.
+func (m *Membership) Receive(now time.Time, from string, datagram []byte) (membership.Received, error) {
+	now = wall(now)
+	received, err := m.Membership.Receive(now, from, datagram)
+	m.recordView("receive", now, receiveArgs{From: from, Datagram: datagram}, newReceived(received, err))
+	return received, err
+}
+
+// playedMembership is a membership under replay.
+type playedMembership struct {
+	*membership.Membership
+	version uint64
+}
+
+func (p *player) playMembership(l line) (any, error) {
+	if l.Call == "open" {
+		open, err := decode[membershipOpen](l.Args)
+		if err != nil {
+			return nil, err
+		}
+		p.members[l.object()] = &playedMembership{Membership: open.membership(l.Time)}
+		return nil, nil
+	}
+	m := p.members[l.object()]
+	if m == nil {
+		return nil, notOpen(l)
+	}
+	r, err := m.call(l)
+	if err != nil {
+		return nil, err
+	}
+	return viewOf(m.Membership, &m.version, l.Time, r), nil
+}
+
+func (m *playedMembership) call(l line) (memberResult, error) {
+	switch l.Call {
+	case "listed":
+		list, err := decode[[]port.ListedInstance](l.Args)
+		m.SetListed(l.Time, list)
+		return memberResult{}, err
+	case "confirmed":
+		m.Confirmed(l.Time)
+		return memberResult{}, nil
+	case "leave":
+		return memberResult{Sends: sentDatagrams(m.Leave(l.Time))}, nil
+	case "platform":
+		v, err := decode[bool](l.Args)
+		m.SetPlatformUnreachable(l.Time, v)
+		return memberResult{}, err
+	case "hash":
+		h, err := decode[uint64](l.Args)
+		m.SetCatalogHash(h)
+		return memberResult{}, err
+	case "document":
+		v, err := decode[port.DocumentVersion](l.Args)
+		m.AnnounceDocument(v)
+		return memberResult{}, err
+	case "quarantine":
+		q, err := decode[membership.Quarantine](l.Args)
+		m.AnnounceQuarantine(q)
+		return memberResult{}, err
+	case "avoid":
+		id, err := decode[model.InstanceID](l.Args)
+		m.Avoid(l.Time, id)
+		return memberResult{}, err
+	case "resume":
+		m.Resume(l.Time)
+		return memberResult{}, nil
+	case "events":
+		return memberResult{Events: memberEvents(m.TakeEvents())}, nil
+	case "tick":
+		return memberResult{Sends: sentDatagrams(m.Tick(l.Time))}, nil
+	case "receive":
+		a, err := decode[receiveArgs](l.Args)
+		if err != nil {
+			return memberResult{}, err
+		}
+		return newReceived(m.Receive(l.Time, a.From, a.Datagram)), nil
+	default:
+		return memberResult{}, unknownCall(l)
+	}
+}
--- a/pkg/replay/player.go
+++ b/pkg/replay/player.go
@@ -10,9 +10,11 @@
 	"strings"
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/catalog"
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/order"
+	"github.com/sardineturn/sardineturn/pkg/phase"
 	"github.com/sardineturn/sardineturn/pkg/scheduler"
 )
 
@@ -45,9 +47,20 @@
 	Broken int `json:"broken"`
 }
 
+// Verdict is what a check of one promise found.
+type Verdict struct {
+	// Checked counts the decisions that the promise is about.
+	Checked int `json:"checked"`
+	// Broken counts those that break it, and Examples describes the first.
+	Broken   int      `json:"broken"`
+	Examples []string `json:"examples,omitempty"`
+}
+
 // Report is the result of a replay.
 type Report struct {
 	Outcome Outcome `json:"outcome"`
+	// Promises holds the verdicts on the replayed decisions, by promise.
+	Promises map[string]Verdict `json:"promises,omitempty"`
 	// Mismatches counts calls whose result differs from the recorded one.
 	Mismatches int `json:"mismatches"`
 	// Differences describes the first mismatches.
@@ -55,20 +68,21 @@
 }
 
 // Holds reports whether every decision was repeated and the trace shows no
-// broken invariant.
+// broken invariant or promise.
 func (r Report) Holds() bool {
 	o := r.Outcome
+	for _, v := range r.Promises {
+		if v.Broken > 0 {
+			return false
+		}
+	}
 	return r.Mismatches == 0 && o.Broken == 0 && o.OrderStarts <= 1 && o.LeavingStarts == 0
 }
 
 // Play runs a trace through the decision code and compares each result with the
 // recorded one. An error means that the trace can't be read.
 func Play(r io.Reader) (Report, error) {
-	p := &player{
-		schedulers: make(map[string]*playedScheduler),
-		books:      make(map[string]*playedBook),
-		tally:      newTally(),
-	}
+	p := newPlayer()
 	lines := bufio.NewScanner(r)
 	lines.Buffer(make([]byte, 0, 1<<16), maxLineBytes)
 	for lines.Scan() {
@@ -82,16 +96,71 @@
 		}
 	}
 	p.tally.into(&p.report.Outcome)
+	p.report.Promises = p.checks.verdicts()
 	return p.report, lines.Err()
 }
 
 type player struct {
 	report     Report
 	tally      *tally
+	checks     *checks
 	schedulers map[string]*playedScheduler
 	books      map[string]*playedBook
+	queries    map[string]*playedQuery
+	catalogs   map[string]*catalog.Catalog
+	plans      map[string]*catalog.FetchPlan
+	readers    map[string]*catalog.Reader
+	members    map[string]*playedMembership
+	phases     map[string]*phase.Machine
+	// contents holds documents' bytes, and documents the parsed ones.
+	contents  map[string][]byte
+	documents map[string]*document.Document
+}
+
+func newPlayer() *player {
+	p := &player{
+		tally:      newTally(),
+		schedulers: make(map[string]*playedScheduler),
+		books:      make(map[string]*playedBook),
+		queries:    make(map[string]*playedQuery),
+		catalogs:   make(map[string]*catalog.Catalog),
+		plans:      make(map[string]*catalog.FetchPlan),
+		readers:    make(map[string]*catalog.Reader),
+		members:    make(map[string]*playedMembership),
+		phases:     make(map[string]*phase.Machine),
+		contents:   make(map[string][]byte),
+		documents:  make(map[string]*document.Document),
+	}
+	p.checks = newChecks(p.contents)
+	return p
+}
+
+// document returns a parsed document of the trace.
+func (p *player) document(ref contentRef) (*document.Document, error) {
+	if d := p.documents[ref.key()]; d != nil {
+		return d, nil
+	}
+	raw, ok := p.contents[ref.key()]
+	if !ok {
+		return nil, fmt.Errorf("the trace lacks document %s", ref.key())
+	}
+	d, err := document.Parse(raw)
+	if err == nil {
+		p.documents[ref.key()] = d
+	}
+	return d, err
+}
+
+func (p *player) addContent(l line) error {
+	text, err := decode[string](l.Args)
+	p.contents[l.Key] = []byte(text)
+	return err
 }
 
+func notOpen(l line) error { return fmt.Errorf("%s %q is not open", l.Component, l.Key) }
+
+func unknownCall(l line) error { return fmt.Errorf("unknown call %q of %s", l.Call, l.Component) }
+
 // ids replays recorded ids.
 type ids struct{ queue []model.AttemptID }
 
@@ -107,23 +176,46 @@
 }
 
 func (p *player) play(l line) error {
-	var out any
-	var err error
-	switch l.Component {
-	case componentScheduler:
-		out, err = p.playScheduler(l)
-	case componentOrders:
-		out, err = p.playOrders(l)
-	default:
-		return fmt.Errorf("unknown component %q", l.Component)
-	}
+	out, err := p.decide(l)
 	if err != nil {
 		return err
 	}
 	p.compare(l, encode(out))
+	if err := p.checks.see(l, out); err != nil {
+		return err
+	}
 	return p.tally.count(l)
 }
 
+// decide repeats the call of a line and returns its result.
+func (p *player) decide(l line) (any, error) {
+	switch l.Component {
+	case componentScheduler:
+		return p.playScheduler(l)
+	case componentOrders:
+		return p.playOrders(l)
+	case componentQuery:
+		return p.playQuery(l)
+	case componentCatalog:
+		return p.playCatalog(l)
+	case componentFetchPlan:
+		return p.playFetchPlan(l)
+	case componentReader:
+		return p.playReader(l)
+	case componentMembership:
+		return p.playMembership(l)
+	case componentPhase:
+		return p.playPhase(l)
+	case componentContent:
+		return nil, p.addContent(l)
+	case componentList, componentFact:
+		// These lines are input to the checks.
+		return nil, nil
+	default:
+		return nil, fmt.Errorf("unknown component %q", l.Component)
+	}
+}
+
 func (p *player) compare(l line, got json.RawMessage) {
 	var want bytes.Buffer
 	if err := json.Compact(&want, l.Out); err == nil && bytes.Equal(want.Bytes(), got) {
@@ -155,9 +247,9 @@
 	if l.Call == "open" {
 		return nil, p.openScheduler(l)
 	}
-	s := p.schedulers[l.Key]
+	s := p.schedulers[l.object()]
 	if s == nil {
-		return nil, fmt.Errorf("scheduler %q is not open", l.Key)
+		return nil, notOpen(l)
 	}
 	var w withBlocked
 	if err := json.Unmarshal(l.Args, &w); err != nil {
@@ -188,7 +280,7 @@
 		Rand:            rand.New(rand.NewPCG(open.Seed[0], open.Seed[1])),
 		Quarantine:      s.blocked,
 	}, l.Time)
-	p.schedulers[l.Key] = s
+	p.schedulers[l.object()] = s
 	return nil
 }
 
--- a/pkg/replay/replay_test.go
+++ b/pkg/replay/replay_test.go
@@ -24,13 +24,39 @@
 	return content
 }
 
+// statedPromises returns the promises that each kept trace must show. Unlike the
+// other files, the list is not written by make traces.
+func statedPromises(t *testing.T) map[string][]string {
+	content, err := os.ReadFile("testdata/promises.json")
+	must.NoError(t, err)
+	var promises map[string][]string
+	must.NoError(t, json.Unmarshal(content, &promises))
+	return promises
+}
+
+// shows requires that the trace has decisions about each promise and that none
+// breaks it.
+func shows(t *testing.T, r Report, promises []string) {
+	must.SliceNotEmpty(t, promises)
+	for _, promise := range promises {
+		if promise == "order at most once" {
+			must.Positive(t, r.Outcome.Orders)
+			must.Eq(t, 1, r.Outcome.OrderStarts)
+			continue
+		}
+		must.Positive(t, r.Promises[promise].Checked, must.Sprint(promise))
+		must.Zero(t, r.Promises[promise].Broken, must.Sprint(promise))
+	}
+}
+
 // TestRecordedTraces guards against decisions that differ from those of the
 // recorded processes, and against traces whose stated outcome no longer holds.
 // A wanted change of policy needs new traces: make traces.
 func TestRecordedTraces(t *testing.T) {
 	files, err := filepath.Glob("testdata/*.jsonl.gz")
 	must.NoError(t, err)
-	must.SliceNotEmpty(t, files)
+	promises := statedPromises(t)
+	must.MapLen(t, len(files), promises)
 	for _, file := range files {
 		t.Run(filepath.Base(file), func(t *testing.T) {
 			report, err := Play(bytes.NewReader(readTrace(t, file)))
@@ -42,6 +68,7 @@
 			var want Report
 			must.NoError(t, json.Unmarshal(stated, &want))
 			must.Eq(t, want, report)
+			shows(t, report, promises[strings.TrimSuffix(filepath.Base(file), ".jsonl.gz")])
 		})
 	}
 }
@@ -72,6 +99,13 @@
 func FuzzPlay(f *testing.F) {
 	f.Add([]byte(`{"component":"orders","key":"1/0","call":"open","args":{"owner":"127.0.0.1:1","boot":1,"capacity":2}}`))
 	f.Add([]byte(`{"component":"scheduler","key":"s/0","call":"tick"}`))
+	f.Add([]byte(`{"component":"content","key":"s/1","args":"{}"}`))
+	f.Add([]byte(`{"component":"query","key":"1","call":"open","args":{"document":{"service":"s","digest":1},"query":{}}}`))
+	f.Add([]byte(`{"component":"catalog","call":"open"}` + "\n" + `{"component":"catalog","call":"offer","args":{"service":"s"}}`))
+	f.Add([]byte(`{"component":"fetch","call":"open","args":{"seed":[1,2]}}` + "\n" + `{"component":"fetch","call":"next"}`))
+	f.Add([]byte(`{"component":"reader","call":"open","args":{"seed":[1,2]}}` + "\n" + `{"component":"reader","call":"finished","args":{"error":"e"}}`))
+	f.Add([]byte(`{"component":"membership","call":"open","args":{"seed":[1,2]}}` + "\n" + `{"component":"membership","call":"receive","args":{"datagram":"AAAA"}}`))
+	f.Add([]byte(`{"component":"phase","call":"open"}` + "\n" + `{"component":"phase","call":"confirm","args":{"Members":true}}`))
 	f.Fuzz(func(_ *testing.T, content []byte) {
 		_, _ = Play(bytes.NewReader(content))
 	})
--- a/pkg/replay/tally.go
+++ b/pkg/replay/tally.go
@@ -38,10 +38,14 @@
 	if l.Call == "open" {
 		return nil
 	}
-	if l.Component == componentOrders {
+	switch l.Component {
+	case componentOrders:
 		return t.countOrder(l)
+	case componentScheduler:
+		return t.countScheduler(l)
+	default:
+		return nil
 	}
-	return t.countScheduler(l)
 }
 
 func (t *tally) countScheduler(l line) error {
--- a/pkg/replay/trace.go
+++ b/pkg/replay/trace.go
@@ -9,20 +9,34 @@
 	"fmt"
 	"io"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/scheduler"
 )
 
 // Components of a trace.
 const (
-	componentScheduler = "scheduler"
-	componentOrders    = "orders"
+	componentScheduler  = "scheduler"
+	componentOrders     = "orders"
+	componentQuery      = "query"
+	componentCatalog    = "catalog"
+	componentFetchPlan  = "fetch"
+	componentReader     = "reader"
+	componentMembership = "membership"
+	componentPhase      = "phase"
+	// componentList is the platform's list of upstreams.
+	componentList = "list"
+	// componentContent holds a document's bytes, to which other lines refer.
+	componentContent = "content"
+	// componentFact is what a scenario did to the outside systems.
+	componentFact = "fact"
 )
 
 // line is one call.
 type line struct {
+	// Process tells apart the processes of one trace.
+	Process   string `json:"process,omitempty"`
 	Component string `json:"component"`
 	// Key tells apart the component's objects: a group or a ticket shard.
 	Key  string            `json:"key"`
@@ -36,13 +50,26 @@
 // Trace writes lines. It is safe for concurrent use. The lines of one object
 // are in the order of its calls, because its owner makes them under a lock.
 type Trace struct {
-	mu  sync.Mutex
-	enc *json.Encoder
-	err error
+	mu      sync.Mutex
+	enc     *json.Encoder
+	err     error
+	process string
+	// contents holds the documents written so far.
+	contents map[contentRef]bool
+	queries  atomic.Uint64
 }
 
 // NewTrace returns a trace that writes to w.
-func NewTrace(w io.Writer) *Trace { return &Trace{enc: json.NewEncoder(w)} }
+func NewTrace(w io.Writer) *Trace {
+	return &Trace{enc: json.NewEncoder(w), contents: make(map[contentRef]bool)}
+}
+
+// SetProcess names the process in all lines from now on.
+func (t *Trace) SetProcess(id model.InstanceID, boot model.BootID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.process = fmt.Sprintf("%s/%x", id, uint64(boot))
+}
 
 // Err returns the first error of writing.
 func (t *Trace) Err() error {
@@ -54,11 +81,15 @@
 func (t *Trace) write(l line) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	l.Process = t.process
 	if t.err == nil {
 		t.err = t.enc.Encode(l)
 	}
 }
 
+// object returns the name of the line's object, over all processes of a trace.
+func (l line) object() string { return l.Component + " " + l.Process + " " + l.Key }
+
 // object is what the recorders of all components share.
 type object struct {
 	trace     *Trace
@@ -103,11 +134,11 @@
 
 // typed names an action's type in a trace.
 type typed struct {
-	Type   string           `json:"type"`
-	Action scheduler.Action `json:"action"`
+	Type   string `json:"type"`
+	Action any    `json:"action"`
 }
 
-func typedActions(actions []scheduler.Action) []typed {
+func typedActions[T any](actions []T) []typed {
 	out := make([]typed, 0, len(actions))
 	for _, a := range actions {
 		out = append(out, typed{Type: fmt.Sprintf("%T", a), Action: a})
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -38,7 +38,8 @@
 	// leftAt is when an upstream began to leave.
 	leftAt time.Time
 	// rolled receives the result of a rolling restart.
-	rolled chan error
+	rolled    chan error
+	recording recording
 }
 
 func deploy(ctx context.Context, o Options, program, dir string, s launch.Service) (*deployment, error) {
@@ -65,6 +66,7 @@
 		return nil, err
 	}
 	d := &deployment{fleet: fleet, service: s, capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1)}
+	d.recording.dir = dir
 	if err := d.start(ctx, count); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
--- a/pkg/standin/experiment/run.go
+++ b/pkg/standin/experiment/run.go
@@ -9,7 +9,6 @@
 	"math"
 	"os"
 	"path/filepath"
-	"slices"
 	"text/tabwriter"
 	"time"
 
@@ -75,10 +74,7 @@
 		service = launch.Scalai()[0]
 	}
 	result := Result{Reports: make(map[string]load.Report), Violations: make(map[string]int)}
-	for _, s := range scenarios() {
-		if len(o.Only) > 0 && !slices.Contains(o.Only, s.name) {
-			continue
-		}
+	for _, s := range o.selected() {
 		if err := result.run(ctx, o, s, service, log); err != nil {
 			return result, fmt.Errorf("%s: %w", s.name, err)
 		}
@@ -142,6 +138,9 @@
 	// A program that a fault has killed or paused may not end cleanly; that is
 	// not the measured property.
 	_ = d.fleet.Stop()
+	if err == nil && label == productLabel {
+		err = d.keepTrace(o, s.name)
+	}
 	return out, err
 }
 
