--- a/Makefile
+++ b/Makefile
@@ -52,12 +52,9 @@
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
 
-# Records the traces that the replay test uses. Needed after a wanted change of
-# policy. The first ones are the trace of the busiest instance; the others are
-# cut to the part that shows their promise.
-TRACES_WHOLE := instance-paused upstream-leaving shard-lost straggler
-TRACES_CUT := index-change configuration graceful-stop upstream-listed process-paused
-TRACES ?= $(TRACES_WHOLE) $(TRACES_CUT)
+# Records the traces that the replay test uses, cut to the part that shows their
+# promise. Needed after a wanted change of policy.
+TRACES ?= instance-paused upstream-leaving shard-lost straggler index-change configuration graceful-stop upstream-listed process-paused
 TRACE_DIR ?= out/traces
 traces: build
 	rm -rf $(TRACE_DIR)
@@ -65,7 +62,6 @@
 	$(BIN)/standin experiment --only $(shell echo $(TRACES) | tr ' ' ',') --load-factor 0.1 --seed $(SEED) --trace --dir $(TRACE_DIR) --no-baseline
 	for s in $(TRACES); do \
 		f=$(TRACE_DIR)/shevitsa-$$s-sardineturn/kept.trace.jsonl; \
-		if [ ! -f $$f ]; then f=$$(ls -S $(TRACE_DIR)/shevitsa-$$s-sardineturn/*.trace.jsonl | head -1); fi; \
 		$(BIN)/sardineturn replay $$f > pkg/replay/testdata/$$s.json || exit 1; \
 		gzip -9 -n -c $$f > pkg/replay/testdata/$$s.jsonl.gz; \
 	done
--- a/pkg/replay/check_phase.go
+++ b/pkg/replay/check_phase.go
@@ -47,7 +47,7 @@
 	case componentScheduler:
 		return c.scheduler(l, s, out)
 	case componentPhase:
-		c.phase(l, s, out)
+		return c.phase(l, s, out)
 	}
 	return nil
 }
@@ -90,18 +90,25 @@
 	return nil
 }
 
-func (c *stopCheck) phase(l line, s *stopState, out any) {
+func (c *stopCheck) phase(l line, s *stopState, out any) error {
 	r, ok := out.(phaseResult)
 	switch {
 	case !ok:
 	case l.Call == "leave":
 		s.left = l.Time
+	case l.Call == "drained" && r.Done:
+		w, err := decode[phase.Work](l.Args)
+		if err != nil {
+			return err
+		}
+		c.judge.judge(PromiseStop, w == phase.Work{}, "%s: drained at %s with %d requests in progress", l.Process, clockText(l.Time), w.Requests)
 	case l.Call == "stop" && !s.left.IsZero():
 		s.stopped = true
 		c.judge.judge(PromiseStop, r.Done, "%s: ended at %s before its work was done", l.Process, clockText(l.Time))
 		c.judge.judge(PromiseStop, len(s.queries) == 0, "%s: ended with %d unanswered queries", l.Process, len(s.queries))
 		c.judge.judge(PromiseStop, len(s.requests) == 0, "%s: ended with %d unanswered requests of entries", l.Process, len(s.requests))
 	}
+	return nil
 }
 
 // resumeCheck verifies that a process takes no home work from a pause on until
--- a/pkg/replay/check_test.go
+++ b/pkg/replay/check_test.go
@@ -241,13 +241,16 @@
 	}
 }
 
-// firstAnswered changes the first home's answer with results in a trace.
+// firstAnswered changes the first answer of a home in a trace. Queries whose first
+// answer lacks a result are passed over, because they restarted.
 func firstAnswered(f func(*model.GroupAnswer)) func(*testing.T, []line) {
 	return func(t *testing.T, lines []line) {
+		seen := make(map[string]bool)
 		for n, l := range lines {
-			if l.Component != componentQuery || l.Call != "answered" {
+			if l.Component != componentQuery || l.Call != "answered" || seen[l.object()] {
 				continue
 			}
+			seen[l.object()] = true
 			a, err := decode[queryAnswered](l.Args)
 			must.NoError(t, err)
 			if len(a.Answer.Outcomes) == 0 || a.Answer.Outcomes[0].Code != result.OK {
@@ -312,3 +315,72 @@
 		})
 	}
 }
+
+// drop removes the lines for which f returns true.
+func drop(f func(line) bool) func([]line) []line {
+	return func(lines []line) []line { return slices.DeleteFunc(lines, f) }
+}
+
+// afterPause reports whether a line is a confirmation after the first pause.
+func afterPause() func(line) bool {
+	paused := false
+	return func(l line) bool {
+		if l.Component != componentPhase {
+			return false
+		}
+		r, err := decode[observeResult](l.Out)
+		paused = paused || l.Call == "observe" && err == nil && r.Paused
+		return paused && l.Call == "confirm"
+	}
+}
+
+// TestAlteredTraces guards against checks that pass over what a process did
+// around its decisions: a trace in which the process acts wrongly must break the
+// promise.
+func TestAlteredTraces(t *testing.T) {
+	cases := []struct {
+		name, trace, promise string
+		alter                func([]line) []line
+	}{
+		{"platform list passed on 5 s late", "upstream-listed", PromiseLeaving, func(lines []line) []line {
+			for n, l := range lines {
+				if l.Component == componentFact {
+					lines[n].Time = l.Time.Add(-5 * time.Second)
+				}
+			}
+			return lines
+		}},
+		{"home work after the signal to leave", "graceful-stop", PromiseStop, func(lines []line) []line {
+			for n, l := range lines {
+				if l.Component == componentPhase && l.Call == "leave" {
+					l.Time = l.Time.Add(-2 * time.Second)
+					lines = slices.Insert(slices.Delete(lines, n, n+1), 0, l)
+					break
+				}
+			}
+			phase := slices.IndexFunc(lines, func(l line) bool { return l.Component == componentPhase && l.Call == "open" })
+			return slices.Insert(lines, 0, lines[phase])
+		}},
+		{"end with open requests", "graceful-stop", PromiseStop, drop(func(l line) bool {
+			return l.Component == componentQuery && l.Call == "answered"
+		})},
+		{"home work before ready", "process-paused", PromiseResumed, drop(afterPause())},
+		{"documents not offered", "configuration", PromiseInForce, func(lines []line) []line {
+			first := make(map[string]bool)
+			return slices.DeleteFunc(lines, func(l line) bool {
+				known := first[l.Process]
+				first[l.Process] = known || l.Component == componentCatalog && l.Call == "offer"
+				return known && l.Component == componentCatalog
+			})
+		}},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			lines := c.alter(linesOf(t, c.trace))
+			v := judgedLines(t, lines, func(_ line, out any) any { return out })[c.promise]
+			must.Positive(t, v.Broken)
+			t.Log(v.Examples[0])
+		})
+	}
+}
--- a/pkg/replay/cut.go
+++ b/pkg/replay/cut.go
@@ -18,7 +18,7 @@
 	// From drops queries that were opened before. Other objects are kept from
 	// their start on, because their state depends on it.
 	From time.Time
-	// Until drops later lines.
+	// Until drops later lines, unless it is zero.
 	Until time.Time
 	// Queries bounds the number of kept queries.
 	Queries int
@@ -74,7 +74,7 @@
 	case componentFact:
 		return true
 	}
-	if !slices.Contains(s.Components, l.Component) || l.Time.After(s.Until) {
+	if !slices.Contains(s.Components, l.Component) || !s.Until.IsZero() && l.Time.After(s.Until) {
 		return false
 	}
 	if s.process == "" {
--- a/pkg/standin/experiment/recorded.go
+++ b/pkg/standin/experiment/recorded.go
@@ -255,8 +255,9 @@
 	return nil
 }
 
-// Components of kept traces. Order books are left out: other traces have them.
+// Components of kept traces.
 var (
+	groupParts    = []string{"scheduler", "orders"}
 	homeParts     = []string{"query", "scheduler"}
 	entryParts    = []string{"query"}
 	listParts     = []string{"scheduler", "list"}
@@ -270,6 +271,15 @@
 	return replay.Cut{Components: parts, From: r.from, Until: r.until, Queries: keptQueries}
 }
 
+// keepBusiest keeps the groups and orders of the busiest instance.
+func keepBusiest(_ *recording, c *replay.Cutter, files []string) error {
+	bySize, err := largestFirst(files)
+	if err != nil {
+		return err
+	}
+	return addAll(c, replay.Cut{Components: groupParts}, bySize[0])
+}
+
 // keepAnswers keeps the queries of all instances, and the home's scheduler.
 func keepAnswers(r *recording, c *replay.Cutter, files []string) error {
 	bySize, err := largestFirst(files)
@@ -349,14 +359,17 @@
 	return c.Add(f, cut)
 }
 
-// keepTrace writes the kept part of the traces of a recorded scenario. Facts
-// come first, because the checks need them before the decisions.
+// keepTrace writes the kept part of the traces of a scenario. Facts come first,
+// because the checks need them before the decisions.
 func (d *deployment) keepTrace(o Options, name string) error {
-	all := recordedScenarios()
-	n := slices.IndexFunc(all, func(s recordedScenario) bool { return s.name == name })
-	if n < 0 || !o.Trace {
+	if !o.Trace {
 		return nil
 	}
+	keep := keepBusiest
+	all := recordedScenarios()
+	if n := slices.IndexFunc(all, func(s recordedScenario) bool { return s.name == name }); n >= 0 {
+		keep = all[n].keep
+	}
 	r := &d.recording
 	out, err := os.Create(filepath.Join(r.dir, keptFile))
 	if err != nil {
@@ -364,12 +377,12 @@
 	}
 	defer out.Close()
 	c := replay.NewCutter(out)
-	if err := addAll(c, replay.Cut{}, filepath.Join(r.dir, factsFile)); err != nil {
+	if err := addAll(c, replay.Cut{}, filepath.Join(r.dir, factsFile)); err != nil && !errors.Is(err, os.ErrNotExist) {
 		return err
 	}
 	var files []string
 	for _, i := range d.fleet.Instances() {
 		files = append(files, i.Settings.TraceFile)
 	}
-	return all[n].keep(r, c, files)
+	return keep(r, c, files)
 }
