--- a/pkg/instance/fake_process_test.go
+++ b/pkg/instance/fake_process_test.go
@@ -73,6 +73,7 @@
 	p.inst = New(Config{
 		ID: n.id, DataCentre: n.dc, Cluster: "soak", ControlAddress: n.control,
 		MaxInstances: len(n.w.nodes), MaxTickets: 1 << 14, AssertInvariants: true,
+		Trace: n.w.newTrace(),
 	}, Ports{
 		Clock: procClock{p}, Upstreams: upstreamPort{p}, Platform: platformPort{p},
 		Peers: peerPort{p}, Control: controlPort{p}, Log: log, Metrics: metrics.New(tally.NoopScope),
--- a/pkg/instance/fake_world_test.go
+++ b/pkg/instance/fake_world_test.go
@@ -1,12 +1,14 @@
 package instance
 
 import (
+	"bytes"
 	"fmt"
 	mathrand "math/rand/v2"
 	"sync"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/replay"
 )
 
 // world holds the fakes at the ports of several instances in one process, and
@@ -34,6 +36,21 @@
 	// all processes that were ever started.
 	leaves    map[string]bool
 	instances []*Instance
+	// record makes processes record their decisions to traces.
+	record bool
+	traces []*bytes.Buffer
+}
+
+// newTrace returns the trace of a new process, or nil.
+func (w *world) newTrace() *replay.Trace {
+	if !w.record {
+		return nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	trace := new(bytes.Buffer)
+	w.traces = append(w.traces, trace)
+	return replay.NewTrace(trace)
 }
 
 func newTestRand(seed, stream uint64) *mathrand.Rand {
--- a/pkg/standin/experiment/deployment.go
+++ b/pkg/standin/experiment/deployment.go
@@ -44,8 +44,9 @@
 	// rolled receives the result of a rolling restart.
 	rolled chan error
 	// home is the service's home at the start of a split.
-	home   *launch.Instance
-	change documentChange
+	home      *launch.Instance
+	change    documentChange
+	recording recording
 }
 
 // size is what a deployment consists of.
@@ -80,6 +81,7 @@
 		fleet: fleet, service: s, others: of.services[1:], product: program == o.Sardineturn,
 		capacity: s.Capacity() * o.loadFactor(), rolled: make(chan error, 1),
 	}
+	d.recording.dir = dir
 	if err := d.start(ctx, of.instances); err != nil {
 		return nil, errors.Join(err, fleet.Stop())
 	}
