Serve profiles, and measure the transport alone and the memory per open query

The operator listener serves profiles under /debug/pprof/ unless the setting profiling is false. standin cost saves a processor profile per load, measures another version of the product in turn, and runs the client of upstreams alone (no decisions) against the same stand-ins.

--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -57,7 +58,13 @@
 
 type costCommand struct {
 	programs
-	Seed uint64 `default:"1" help:"Seed of the load and the service times."`
+	Seed        uint64    `default:"1" help:"Seed of the load and the service times."`
+	Against     string    `help:"Path of another version of the sardineturn binary, measured in turn with this one."`
+	Transport   bool      `help:"Measure the client of upstreams alone as well."`
+	Loads       []float64 `help:"Loads as fractions of the upstreams' capacity."`
+	Rounds      int       `default:"1" help:"Times that each load is measured."`
+	Profiles    string    `help:"Directory for a processor profile of the instance at each load."`
+	OpenQueries int       `help:"Measure the memory per open query with this many of them."`
 }
 
 // Run implements the command.
@@ -68,5 +75,26 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return experiment.Cost(ctx, experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed}, os.Stdout)
+	return experiment.Cost(ctx, experiment.CostOptions{
+		Options: experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed},
+		Against: c.Against, Transport: c.Transport, Loads: c.Loads, Rounds: c.Rounds,
+		Profiles: c.Profiles, OpenQueries: c.OpenQueries,
+	}, os.Stdout)
+}
+
+type transportCommand struct {
+	Upstreams []string `required:"" help:"Addresses of the upstreams."`
+	Rate      float64  `default:"50" help:"Bursts of calls per second."`
+	Seed      uint64   `default:"1" help:"Seed of the gaps between bursts."`
+}
+
+// Run implements the command.
+func (c *transportCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	r, err := experiment.RunTransport(ctx, experiment.DefaultTransportRun(c.Upstreams, c.Rate, c.Seed))
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(r)
 }
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -28,6 +28,7 @@
 	Experiment experimentCommand `cmd:"" help:"Run load and faults against the product and the baseline, and compare with the aims."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure what the parts cost at growing sizes and fill the tables of docs/CAPACITY.md."`
 	Cost       costCommand       `cmd:"" help:"Measure the processor time per upstream call and the memory of one instance."`
+	Transport  transportCommand  `cmd:"" help:"Call upstreams without any decision and print the processor time."`
 	Demo       demoCommand       `cmd:"" help:"Start a small deployment, send some requests and stop it."`
 }
 
--- a/pkg/adapter/operatorhttp/operatorhttp.go
+++ b/pkg/adapter/operatorhttp/operatorhttp.go
@@ -9,6 +9,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/gin-gonic/gin"
@@ -90,8 +91,9 @@
 	return nil
 }
 
-// NewHandler returns the handler of the operator interface.
-func NewHandler(op Operator, metrics http.Handler, log logrus.FieldLogger) http.Handler {
+// NewHandler returns the handler of the operator interface. Profiles are served
+// under /debug/pprof/ when profiling is true.
+func NewHandler(op Operator, metrics http.Handler, profiling bool, log logrus.FieldLogger) http.Handler {
 	gin.SetMode(gin.ReleaseMode)
 	router := gin.New()
 	router.Use(gin.CustomRecoveryWithWriter(nil, func(c *gin.Context, reason any) {
@@ -104,12 +106,26 @@
 	router.GET("/metrics", gin.WrapH(metrics))
 	router.GET("/status", func(c *gin.Context) { c.JSON(http.StatusOK, op.Status()) })
 	router.GET("/explain", func(c *gin.Context) { explain(c, op) })
+	if profiling {
+		addProfiles(router)
+	}
 	router.NoRoute(func(c *gin.Context) {
 		fail(c, http.StatusNotFound, result.BadRequest, "paths are /live, /ready, /metrics, /status and /explain")
 	})
 	return router
 }
 
+// addProfiles serves the runtime's profiles in the format of the command
+// "go tool pprof". The duration of a profile is bounded by the write timeout
+// of the listener.
+func addProfiles(router *gin.Engine) {
+	router.GET("/debug/pprof/profile", gin.WrapF(pprof.Profile))
+	router.GET("/debug/pprof/trace", gin.WrapF(pprof.Trace))
+	for _, name := range []string{"allocs", "goroutine", "heap"} {
+		router.GET("/debug/pprof/"+name, gin.WrapH(pprof.Handler(name)))
+	}
+}
+
 // readiness is the body of /ready.
 type readiness struct {
 	Ready  bool   `json:"ready"`
--- a/pkg/adapter/operatorhttp/operatorhttp_test.go
+++ b/pkg/adapter/operatorhttp/operatorhttp_test.go
@@ -54,7 +54,7 @@
 	log, hook := logtest.NewNullLogger()
 	op := &fakeOperator{}
 	metrics := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "m 1\n") })
-	handler := NewHandler(op, metrics, log)
+	handler := NewHandler(op, metrics, false, log)
 	get := func(path string) (int, string) {
 		rec := httptest.NewRecorder()
 		handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, path, nil))
@@ -91,7 +91,7 @@
 	defer goleak.VerifyNone(t)
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	handler := NewHandler(&fakeOperator{ready: true}, http.NotFoundHandler(), log)
+	handler := NewHandler(&fakeOperator{ready: true}, http.NotFoundHandler(), false, log)
 	server := NewServer("127.0.0.1:0", handler, log)
 	must.NoError(t, server.Start(context.Background()))
 	address := server.Address().String()
@@ -107,3 +107,22 @@
 	_, err = client.Get("http://" + address + "/ready")
 	must.Error(t, err)
 }
+
+// TestProfiles guards against profiles that are served although the setting
+// forbids them, and against a profile that cannot be read.
+func TestProfiles(t *testing.T) {
+	log, _ := logtest.NewNullLogger()
+	for _, profiling := range []bool{false, true} {
+		handler := NewHandler(&fakeOperator{ready: true}, http.NotFoundHandler(), profiling, log)
+		for _, name := range []string{"allocs", "goroutine", "heap"} {
+			rec := httptest.NewRecorder()
+			handler.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/debug/pprof/"+name+"?debug=1", nil))
+			if !profiling {
+				must.Eq(t, http.StatusNotFound, rec.Code, must.Sprint(name))
+				continue
+			}
+			must.Eq(t, http.StatusOK, rec.Code, must.Sprint(name))
+			must.StrContains(t, rec.Body.String(), "profile")
+		}
+	}
+}
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -225,7 +225,7 @@
 }
 
 func newOperatorServer(p operatorParams) *operatorhttp.Server {
-	handler := operatorhttp.NewHandler(operatorView{p.Instance}, p.Scrape, p.Log)
+	handler := operatorhttp.NewHandler(operatorView{p.Instance}, p.Scrape, p.Settings.Profiling, p.Log)
 	return operatorhttp.NewServer(p.Settings.OperatorAddress, handler, p.Log)
 }
 
--- a/pkg/cli/serve.go
+++ b/pkg/cli/serve.go
@@ -26,6 +26,7 @@
 	LogLevel         *string     `json:"log_level,omitempty" placeholder:"LEVEL" help:"Least severe level that is logged."`
 	Seeds            []string    `json:"seeds,omitempty" placeholder:"IP:PORT" help:"Control addresses to contact at start."`
 	Limits           limitsFlags `json:"limits,omitzero" embed:""`
+	Profiling        *bool       `json:"profiling,omitempty" negatable:"" help:"Serve profiles of the process on the operator listener."`
 	TraceFile        *string     `json:"trace_file,omitempty" placeholder:"FILE" help:"File that decisions are recorded to, for the command replay."`
 	AssertInvariants *bool       `json:"assert_invariants,omitempty" help:"End the process on a broken invariant."`
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -43,6 +43,8 @@
 	Limits          Limits   `json:"limits"`
 	// AssertInvariants makes a broken invariant end the process.
 	AssertInvariants bool `json:"assert_invariants"`
+	// Profiling serves profiles of the process on the operator listener.
+	Profiling bool `json:"profiling"`
 	// TraceFile names a file that the decisions are recorded to; none when
 	// empty.
 	TraceFile string `json:"trace_file,omitempty"`
@@ -60,6 +62,7 @@
 	DefaultMaxInstances          = 10
 	DefaultBalancerLagMS         = 3000
 	DefaultLogLevel              = "info"
+	DefaultProfiling             = true
 	DefaultMaxBodyBytes          = 1 << 20
 	DefaultMaxConcurrentRequests = 10_000
 	DefaultMaxTickets            = 100_000
@@ -71,6 +74,7 @@
 		MaxInstances:  DefaultMaxInstances,
 		BalancerLagMS: DefaultBalancerLagMS,
 		LogLevel:      DefaultLogLevel,
+		Profiling:     DefaultProfiling,
 		Limits: Limits{
 			MaxBodyBytes:          DefaultMaxBodyBytes,
 			MaxConcurrentRequests: DefaultMaxConcurrentRequests,
--- a/pkg/standin/experiment/cost.go
+++ b/pkg/standin/experiment/cost.go
@@ -2,12 +2,15 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
+	"net/http"
 	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
+	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
 	"github.com/sardineturn/sardineturn/pkg/standin/load"
@@ -28,10 +31,35 @@
 // costLoads are the measured loads as fractions of the upstreams' capacity.
 var costLoads = []float64{0.05, 0.1, 0.2, 0.4}
 
-// Cost measures the processor time of one instance per upstream call and its
-// memory at growing load, and writes a table.
-func Cost(ctx context.Context, o Options, w io.Writer) error {
-	service := launch.Service{
+// Labels of the programs of the cost measurement besides productLabel.
+const (
+	againstLabel   = "against"
+	transportLabel = "transport"
+)
+
+// CostOptions configure the cost measurement.
+type CostOptions struct {
+	Options
+	// Against is the path of another version of the product that is measured
+	// in turn with it; none when empty.
+	Against string
+	// Transport measures the client of upstreams alone as well, in turn with
+	// the product.
+	Transport bool
+	// Loads are fractions of the upstreams' capacity; costLoads when empty.
+	Loads []float64
+	// Rounds is the number of times that each load is measured; 0 means 1.
+	Rounds int
+	// Profiles receives a processor profile of the product for each load and
+	// round; no profile is taken when it is empty.
+	Profiles string
+	// OpenQueries is the number of queries that are open when the memory per
+	// open query is measured; it is not measured when 0.
+	OpenQueries int
+}
+
+func costService() launch.Service {
+	return launch.Service{
 		Name:            "cost",
 		Priorities:      launch.ShevitsaPriorities(),
 		Upstreams:       costUpstreams,
@@ -43,58 +71,145 @@
 		DataCentres:     launch.Shevitsa()[0].DataCentres,
 		Service:         map[string]upstream.ServiceTime{"": {MedianMS: 5, Sigma: 0.4}},
 	}
-	fmt.Fprintln(w, "load\tqueries/s\tupstream calls/s\tCPU per upstream call (us)\tresident memory (MB)\tp50 (ms)\tp99 (ms)")
-	for _, fraction := range costLoads {
-		if err := costAt(ctx, o, service, fraction, w); err != nil {
+}
+
+// Cost measures the processor time of one instance per upstream call and its
+// memory at growing load, and writes a table.
+func Cost(ctx context.Context, o CostOptions, w io.Writer) error {
+	if len(o.Loads) == 0 {
+		o.Loads = costLoads
+	}
+	fmt.Fprintln(w, "load\tprogram\tqueries/s\tupstream calls/s\tCPU per upstream call (us)\tresident memory (MB)\tp50 (ms)\tp99 (ms)\tutilisation")
+	for _, fraction := range o.Loads {
+		for round := range max(o.Rounds, 1) {
+			if err := costRound(ctx, o, fraction, round, w); err != nil {
+				return err
+			}
+		}
+	}
+	if o.OpenQueries == 0 {
+		return nil
+	}
+	return openQueryMemory(ctx, o, w)
+}
+
+// costRound measures each program once, one after another.
+func costRound(ctx context.Context, o CostOptions, fraction float64, round int, w io.Writer) error {
+	dir := filepath.Join(o.Dir, fmt.Sprintf("cost-%g-%d", fraction, round))
+	if o.Against != "" {
+		against := o
+		against.Sardineturn, against.Profiles = o.Against, ""
+		if err := costAt(ctx, against, againstLabel, filepath.Join(dir, againstLabel), fraction, w); err != nil {
 			return err
 		}
 	}
-	return nil
+	if err := costAt(ctx, o, productLabel, filepath.Join(dir, productLabel), fraction, w); err != nil {
+		return err
+	}
+	if !o.Transport {
+		return nil
+	}
+	return transportAt(ctx, o, filepath.Join(dir, transportLabel), fraction, w)
 }
 
-func costAt(ctx context.Context, o Options, service launch.Service, fraction float64, w io.Writer) error {
-	dir := filepath.Join(o.Dir, fmt.Sprintf("cost-%g", fraction))
+func costAt(ctx context.Context, o CostOptions, label, dir string, fraction float64, w io.Writer) error {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	d, err := deploySized(ctx, o, o.Sardineturn, dir, service, 1)
+	service := costService()
+	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 1)
 	if err != nil {
 		return err
 	}
 	defer func() { _ = d.fleet.Stop() }()
-	pid := d.fleet.Instances()[0].PID()
-	before, err := processorTime(pid)
+	instance := d.fleet.Instances()[0]
+	before, err := processorTime(instance.PID())
 	if err != nil {
 		return err
 	}
-	streams := load.Queries(service, fraction)
+	profile := startProfile(ctx, o, instance.Settings.OperatorAddress, dir)
 	report, err := load.Run(ctx, load.Config{
 		Seed:           o.Seed,
 		Instances:      load.Targets(d.fleet),
 		UpstreamAdmins: []string{d.host.Admin},
-		Streams:        streams,
-		Phases:         []load.Phase{{Name: phaseSteady, DurationMS: longPhaseMS / 2}},
+		Streams:        load.Queries(service, fraction),
+		Phases:         []load.Phase{{Name: phaseSteady, DurationMS: costPhaseMS}},
 	})
-	if err != nil {
+	if err := errors.Join(err, <-profile); err != nil {
 		return err
 	}
-	after, err := processorTime(pid)
+	after, err := processorTime(instance.PID())
 	if err != nil {
 		return err
 	}
-	memory, err := residentMemory(pid)
+	memory, err := residentMemory(instance.PID())
 	if err != nil {
 		return err
 	}
+	var out outcome
+	if err := d.readExecutions(ctx, &out); err != nil {
+		return err
+	}
 	p := report.Phases[0]
 	seconds := float64(p.DurationMS) / 1000
-	perCall := (after - before) * 1e6 / float64(p.Executions)
+	busy := out.meanService.Seconds() * float64(p.Executions) / seconds / (costUpstreams * costSlots)
 	latency := p.Streams[0].LatencyAll
-	_, err = fmt.Fprintf(w, "%g\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\n", fraction, float64(p.Streams[0].Requests)/seconds,
-		float64(p.Executions)/seconds, perCall, memory, latency.P50, latency.P99)
+	_, err = fmt.Fprintf(w, "%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\n", fraction, label, float64(p.Streams[0].Requests)/seconds,
+		float64(p.Executions)/seconds, (after-before)*1e6/float64(p.Executions), memory, latency.P50, latency.P99, busy)
 	return err
 }
 
+const (
+	// costPhaseMS is the length of one measurement.
+	costPhaseMS = longPhaseMS / 2
+	// profileDelay skips the time in which connections and estimates are new.
+	profileDelay   = 2 * time.Second
+	profileSeconds = 6
+)
+
+// startProfile takes a processor profile from the instance's operator listener
+// in the background. The channel receives one value at its end.
+func startProfile(ctx context.Context, o CostOptions, operator, dir string) <-chan error {
+	done := make(chan error, 1)
+	if o.Profiles == "" {
+		done <- nil
+		return done
+	}
+	go func() {
+		time.Sleep(profileDelay)
+		done <- saveProfile(ctx, o, operator, filepath.Base(filepath.Dir(dir))+".pprof")
+	}()
+	return done
+}
+
+func saveProfile(ctx context.Context, o CostOptions, operator, name string) error {
+	content, err := readOperator(ctx, operator, fmt.Sprintf("/debug/pprof/profile?seconds=%d", profileSeconds))
+	if err != nil {
+		return err
+	}
+	if err := os.MkdirAll(o.Profiles, 0o755); err != nil {
+		return err
+	}
+	return os.WriteFile(filepath.Join(o.Profiles, name), content, 0o644)
+}
+
+// readOperator returns the body of a path of an operator listener.
+func readOperator(ctx context.Context, operator, path string) ([]byte, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+operator+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		return nil, fmt.Errorf("%s: status %d", path, resp.StatusCode)
+	}
+	return io.ReadAll(resp.Body)
+}
+
 // processorTime returns the user and system time of a process in seconds.
 func processorTime(pid int) (float64, error) {
 	content, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
--- /dev/null
+++ b/pkg/standin/experiment/cost_memory.go
@@ -0,0 +1,119 @@
+package experiment
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/standin/load"
+)
+
+const (
+	// openSlowdown makes the upstreams take longer than the measurement, so
+	// that no query ends before the memory is read.
+	openSlowdown = 2000
+	// openPhaseMS is the time in which the queries are sent, and openSettle the
+	// time until the memory is read after that.
+	openPhaseMS    = 1000
+	openSettle     = 1500 * time.Millisecond
+	openDeadlineMS = 5000
+)
+
+// heapFields are the parts of the runtime's memory statistics that hold what a
+// query needs: objects and goroutine stacks.
+var heapFields = []string{"# HeapAlloc = ", "# Stack = "}
+
+// openQueryMemory measures the memory that an open query takes: the growth of
+// live objects and stacks while queries wait for upstreams.
+func openQueryMemory(ctx context.Context, o CostOptions, w io.Writer) error {
+	dir := filepath.Join(o.Dir, "cost-open")
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	service := costService()
+	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 1)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.fleet.Stop() }()
+	if err := d.host.SetFaults(ctx, "", map[string]any{"slowdown": openSlowdown}); err != nil {
+		return err
+	}
+	operator := d.fleet.Instances()[0].Settings.OperatorAddress
+	before, err := liveMemory(ctx, operator)
+	if err != nil {
+		return err
+	}
+	streams := load.Queries(service, 1)
+	streams[0].Rate = float64(o.OpenQueries) * 1000 / openPhaseMS
+	streams[0].DeadlineMS = openDeadlineMS
+	streams[0].Priority = service.Priorities[len(service.Priorities)-1].Name
+	finished := make(chan error, 1)
+	go func() {
+		_, err := load.Run(ctx, load.Config{
+			Seed:      o.Seed,
+			Instances: load.Targets(d.fleet),
+			Streams:   streams,
+			Phases:    []load.Phase{{Name: phaseSteady, DurationMS: openPhaseMS}},
+		})
+		finished <- err
+	}()
+	time.Sleep(openPhaseMS*time.Millisecond + openSettle)
+	open, err := openRequests(ctx, operator)
+	if err != nil {
+		return err
+	}
+	during, err := liveMemory(ctx, operator)
+	if err != nil {
+		return err
+	}
+	if err := <-finished; err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(w, "open queries: %.0f, memory per open query of %d shards: %.1f KB\n", open, costShards, (during-before)/max(open, 1)/1024)
+	return err
+}
+
+// liveMemory returns the bytes of live objects and stacks after a collection.
+func liveMemory(ctx context.Context, operator string) (float64, error) {
+	content, err := readOperator(ctx, operator, "/debug/pprof/heap?gc=1&debug=1")
+	if err != nil {
+		return 0, err
+	}
+	total := 0.0
+	for line := range strings.Lines(string(content)) {
+		for _, field := range heapFields {
+			value, ok := strings.CutPrefix(line, field)
+			if !ok {
+				continue
+			}
+			// Stack has the form "in use / obtained".
+			value, _, _ = strings.Cut(strings.TrimSpace(value), " ")
+			bytes, err := strconv.ParseFloat(value, 64)
+			if err != nil {
+				return 0, err
+			}
+			total += bytes
+		}
+	}
+	return total, nil
+}
+
+// openRequests returns the number of callers' requests in progress.
+func openRequests(ctx context.Context, operator string) (float64, error) {
+	content, err := readOperator(ctx, operator, "/metrics")
+	if err != nil {
+		return 0, err
+	}
+	for line := range strings.Lines(string(content)) {
+		if value, ok := strings.CutPrefix(line, "sardineturn_requests "); ok {
+			return strconv.ParseFloat(strings.TrimSpace(value), 64)
+		}
+	}
+	return 0, fmt.Errorf("the metrics of %s lack the number of requests", operator)
+}
--- /dev/null
+++ b/pkg/standin/experiment/cost_transport.go
@@ -0,0 +1,162 @@
+package experiment
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardineturn/sardineturn/internal/semaphore"
+	"github.com/sardineturn/sardineturn/pkg/adapter/upstreamhttp"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+)
+
+// TransportRun describes calls of upstreams without any decision: the client
+// of upstreams, a goroutine for each call, and a bound of calls per upstream.
+type TransportRun struct {
+	// Upstreams are the addresses, "ip:port".
+	Upstreams []string
+	Slots     int
+	// BurstsPerSecond is the mean rate of bursts, each of Calls calls in turn
+	// over the upstreams, with exponential gaps.
+	BurstsPerSecond float64
+	Calls           int
+	Duration        time.Duration
+	Seed            uint64
+}
+
+// TransportResult is what a TransportRun did and needed.
+type TransportResult struct {
+	Calls   int     `json:"calls"`
+	Failed  int     `json:"failed"`
+	Seconds float64 `json:"seconds"`
+	// ProcessorSeconds is the user and system time of the process.
+	ProcessorSeconds float64 `json:"processor_seconds"`
+	MemoryMB         float64 `json:"memory_mb"`
+}
+
+// transportDeadline is the time that each call may take. It is long enough for the
+// backlog of a busy machine, so that every call is made.
+const transportDeadline = 10 * time.Second
+
+// RunTransport makes the calls in this process and measures its cost.
+func RunTransport(ctx context.Context, r TransportRun) (TransportResult, error) {
+	client := upstreamhttp.New(port.SystemClock{})
+	defer client.Close()
+	slots := make([]*semaphore.Semaphore, len(r.Upstreams))
+	for n, address := range r.Upstreams {
+		slots[n] = semaphore.New(r.Slots)
+		client.Warm(address, r.Slots)
+	}
+	before, err := processorTime(os.Getpid())
+	if err != nil {
+		return TransportResult{}, err
+	}
+	var failed atomic.Int64
+	var wg sync.WaitGroup
+	rng := rand.New(rand.NewPCG(r.Seed, 0))
+	start := time.Now()
+	next := start
+	calls := 0
+	for ctx.Err() == nil && next.Sub(start) < r.Duration {
+		next = next.Add(time.Duration(rng.ExpFloat64() / r.BurstsPerSecond * float64(time.Second)))
+		time.Sleep(time.Until(next))
+		for range r.Calls {
+			n := calls % len(r.Upstreams)
+			call := r.call(n, calls)
+			calls++
+			wg.Go(func() {
+				if err := slots[n].Acquire(ctx, semaphore.Unbounded); err != nil {
+					return
+				}
+				defer slots[n].Release()
+				if client.Execute(ctx, call).Code != result.OK {
+					failed.Add(1)
+				}
+			})
+		}
+	}
+	wg.Wait()
+	after, err := processorTime(os.Getpid())
+	if err != nil {
+		return TransportResult{}, err
+	}
+	memory, err := residentMemory(os.Getpid())
+	return TransportResult{
+		Calls: calls, Failed: int(failed.Load()), Seconds: time.Since(start).Seconds(),
+		ProcessorSeconds: after - before, MemoryMB: memory,
+	}, err
+}
+
+func (r TransportRun) call(n, number int) port.UpstreamCall {
+	var id model.AttemptID
+	copy(id[:], fmt.Sprintf("%016d", number))
+	payload, _ := json.Marshal(map[string]string{"request": "transport." + strconv.Itoa(number), "priority": "counter", "mark": "", "filler": ""})
+	return port.UpstreamCall{
+		Attempt:        id,
+		Upstream:       r.Upstreams[n],
+		Address:        r.Upstreams[n],
+		Service:        costService().Name,
+		Operation:      launch.OperationSearch,
+		Snapshot:       "v1",
+		Shard:          model.ShardID(fmt.Sprintf("shard-%03d", number%r.Calls)),
+		Payload:        payload,
+		Deadline:       time.Now().Add(transportDeadline),
+		MaxConnections: costConnection / maxInstances,
+	}
+}
+
+// transportAt runs the calls in a process of their own against upstreams of
+// their own, at the rate that the instance gets at the same load.
+func transportAt(ctx context.Context, o CostOptions, dir string, fraction float64, w io.Writer) error {
+	if err := os.MkdirAll(dir, 0o755); err != nil {
+		return err
+	}
+	service := costService()
+	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 0)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = d.fleet.Stop() }()
+	addresses := make([]string, 0, len(d.host.Upstreams))
+	for _, u := range d.host.Upstreams {
+		addresses = append(addresses, u.Address)
+	}
+	out, err := exec.CommandContext(ctx, o.Standin, "transport",
+		"--upstreams", strings.Join(addresses, ","),
+		"--rate", strconv.FormatFloat(fraction*service.Capacity(), 'g', -1, 64),
+		"--seed", strconv.FormatUint(o.Seed, 10)).Output()
+	if err != nil {
+		return fmt.Errorf("calls without decisions: %w", err)
+	}
+	var r TransportResult
+	if err := json.Unmarshal(out, &r); err != nil {
+		return err
+	}
+	if r.Failed > 0 {
+		return fmt.Errorf("%d of %d calls without decisions failed", r.Failed, r.Calls)
+	}
+	_, err = fmt.Fprintf(w, "%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t-\t-\t-\n", fraction, transportLabel, float64(r.Calls)/costShards/r.Seconds,
+		float64(r.Calls)/r.Seconds, r.ProcessorSeconds*1e6/float64(r.Calls), r.MemoryMB)
+	return err
+}
+
+// DefaultTransportRun returns the run of the cost measurement at a rate of
+// bursts.
+func DefaultTransportRun(upstreams []string, rate float64, seed uint64) TransportRun {
+	return TransportRun{
+		Upstreams: upstreams, Slots: costSlots, BurstsPerSecond: rate, Calls: costShards,
+		Duration: costPhaseMS * time.Millisecond, Seed: seed,
+	}
+}
