Replace http.Transport for upstreams by one goroutine per exchange

A request is now written and its response read by the goroutine of the attempt.

Since no other goroutine writes, what left the process is known when an exchange ends, and a connection needs no mark or seal: TestWriteAfterPeerClosed checks the same at the exchange. TestAbandonedDialEnds passes the request's own context, since the pool no longer dials on behalf of the transport. A kept connection that the upstream closes is noticed at the next use, and one that holds unexpected data is not used again.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -3,12 +3,9 @@
 package upstreamhttp
 
 import (
-	"bytes"
 	"context"
 	"errors"
-	"io"
 	"net/http"
-	"net/http/httptrace"
 	"sync"
 	"time"
 
@@ -18,6 +15,13 @@
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
+// Paths of the upstream interface.
+const (
+	executePath = "/v1/execute"
+	healthPath  = "/v1/health"
+	loadPath    = "/v1/load"
+)
+
 const (
 	dialTimeout    = 2 * time.Second
 	tcpKeepAlive   = 15 * time.Second
@@ -142,27 +146,11 @@
 	if err != nil {
 		return port.UpstreamReply{Code: result.BadRequest, Ran: model.NotRun}
 	}
-	e, answer, err := p.exchange(ctx, body)
-	if err != nil {
-		return e.failed(ctx, err)
-	}
-	if p.overLimit() {
-		p.closeIdle()
+	a := p.roundTrip(ctx, appendPost(nil, p.address, executePath, body), MaxAnswerBytes)
+	if a.err != nil {
+		return failed(ctx, a)
 	}
-	return parseAnswer(call, answer)
-}
-
-// exchange posts the body. If the chosen connection turned out to be closed
-// before any byte was written, it posts once more on another connection.
-func (p *pool) exchange(ctx context.Context, body []byte) (*exchange, []byte, error) {
-	e := &exchange{pool: p}
-	answer, err := e.post(ctx, "/v1/execute", body)
-	if err == nil || !e.stale() || ctx.Err() != nil {
-		return e, answer, err
-	}
-	e = &exchange{pool: p}
-	answer, err = e.post(ctx, "/v1/execute", body)
-	return e, answer, err
+	return parseAnswer(call, a.body)
 }
 
 // Status reads the health and load endpoints over one connection of the
@@ -176,101 +164,35 @@
 		return port.UpstreamStatus{}, result.Errorf(result.ConnectionLimit, "all connections to %s are in use", address)
 	}
 	defer p.requests.Release()
-	health, err := p.get(ctx, "/v1/health")
+	health, err := p.get(ctx, healthPath)
 	if err != nil {
 		return port.UpstreamStatus{}, err
 	}
-	load, err := p.get(ctx, "/v1/load")
+	load, err := p.get(ctx, loadPath)
 	if err != nil {
 		return port.UpstreamStatus{}, err
 	}
+	p.closeIdle(c.clock.Now().Add(-idleTimeout))
 	return parseStatus(health, load)
 }
 
 func (p *pool) get(ctx context.Context, path string) ([]byte, error) {
-	req, err := http.NewRequestWithContext(withRequest(ctx), http.MethodGet, "http://"+p.address+path, nil)
-	if err != nil {
-		return nil, result.Wrap(result.Internal, err)
-	}
-	resp, err := p.transport.RoundTrip(req)
-	if err != nil {
-		p.warm(1)
-		return nil, result.Wrap(result.ConnectFailed, err)
-	}
-	defer resp.Body.Close()
-	body, err := readAll(resp.Body, maxStatusBytes)
-	if err != nil {
-		return nil, result.Wrap(result.UpstreamFailed, err)
-	}
-	if resp.StatusCode != http.StatusOK {
-		return nil, result.Errorf(result.UpstreamFailed, "%s answered status %d", path, resp.StatusCode)
-	}
-	return body, nil
-}
-
-// exchange is one request on one connection.
-type exchange struct {
-	pool *pool
-	// conn is nil until the transport has chosen a connection.
-	conn   *conn
-	mark   int64
-	reused bool
-}
-
-// stale reports whether a failed exchange got a kept connection and surely
-// wrote nothing to it. The connection is unusable afterwards.
-func (e *exchange) stale() bool {
-	return e.conn != nil && (e.reused || e.conn.spare) && !e.conn.seal(e.mark)
-}
-
-// onceBody hides the concrete reader type, so that http.NewRequest does not
-// set GetBody. Without GetBody the transport cannot send the request again.
-type onceBody struct{ io.Reader }
-
-func (e *exchange) post(ctx context.Context, path string, body []byte) ([]byte, error) {
-	trace := &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) {
-		if c, ok := info.Conn.(*conn); ok {
-			e.conn, e.mark, e.reused = c, c.mark(), info.Reused
-		}
-	}}
-	ctx = withRequest(httptrace.WithClientTrace(ctx, trace))
-	url := "http://" + e.pool.address + path
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, url, onceBody{bytes.NewReader(body)})
-	if err != nil {
-		return nil, err
+	a := p.roundTrip(ctx, appendGet(nil, p.address, path), maxStatusBytes)
+	if a.err != nil {
+		return nil, result.Wrap(result.ConnectFailed, a.err)
 	}
-	req.ContentLength = int64(len(body))
-	req.Header.Set("Content-Type", "application/json")
-	resp, err := e.pool.transport.RoundTrip(req)
-	if err != nil {
-		return nil, err
+	if a.status != http.StatusOK {
+		return nil, result.Errorf(result.UpstreamFailed, "%s answered status %d", path, a.status)
 	}
-	defer resp.Body.Close()
-	return readAll(resp.Body, MaxAnswerBytes)
+	return a.body, nil
 }
 
-var errAnswerTooLarge = errors.New("answer exceeds the size limit")
-
-func readAll(r io.Reader, limit int64) ([]byte, error) {
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, errAnswerTooLarge
-	}
-	return body, nil
-}
-
-// failed classifies an exchange without a complete answer and replaces its
-// connection in the background.
-func (e *exchange) failed(ctx context.Context, err error) port.UpstreamReply {
-	if e.conn == nil || !e.conn.seal(e.mark) {
-		return notSent(ctx)
-	}
-	e.pool.warm(1)
+// failed classifies an attempt without a complete answer.
+func failed(ctx context.Context, a answer) port.UpstreamReply {
 	switch {
-	case errors.Is(err, errAnswerTooLarge):
+	case !a.sent:
+		return notSent(ctx)
+	case errors.Is(a.err, errAnswerTooLarge):
 		return port.UpstreamReply{Code: result.UpstreamFailed}
 	case errors.Is(ctx.Err(), context.Canceled):
 		return port.UpstreamReply{Code: result.CancelledWhileRun}
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -321,7 +321,7 @@
 	request, cancel := context.WithCancel(t.Context())
 	errs := make(chan error)
 	go func() {
-		_, err := p.connect(context.WithoutCancel(withRequest(request)))
+		_, err := p.connect(request)
 		errs <- err
 	}()
 	cancel()
@@ -395,12 +395,10 @@
 	must.NoError(t, err)
 	must.NoError(t, peer.Close())
 
-	c := &conn{Conn: raw, onClose: func() {}}
-	_, err = c.Write([]byte("x"))
-	must.ErrorIs(t, err, errClosedIdle)
-	must.False(t, c.seal(0))
-	_, err = c.Write([]byte("x"))
-	must.ErrorIs(t, err, errSealed)
+	a := newConn(raw, func() {}).roundTrip(t.Context(), []byte("x"), 1)
+	must.ErrorIs(t, a.err, errClosedIdle)
+	must.False(t, a.sent)
+	must.False(t, a.reusable)
 }
 
 // TestNotRunHoldsUnderFaults guards against an attempt that runs although it
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -1,76 +1,145 @@
 package upstreamhttp
 
 import (
+	"bufio"
+	"context"
 	"errors"
+	"io"
 	"net"
+	"net/http"
 	"sync"
 	"syscall"
 	"time"
 )
 
 var (
-	errSealed     = errors.New("upstream connection is no longer usable")
-	errClosedIdle = errors.New("upstream closed the idle connection")
+	errClosedIdle     = errors.New("upstream closed the idle connection or sent data on it")
+	errAnswerTooLarge = errors.New("answer exceeds the size limit")
+	errProtocolSwitch = errors.New("upstream switched the protocol")
 )
 
-// conn counts what is written, so that a failed attempt can prove that none
-// of its bytes left.
+const (
+	// readBufferBytes holds the usual answer with its header.
+	readBufferBytes = 4 << 10
+	// maxInformational bounds the 1xx responses before a response.
+	maxInformational = 5
+	// closeLinger covers the time until the upstream notices a closed connection.
+	closeLinger = 2 * time.Millisecond
+)
+
+// conn is one connection to an upstream. At most one goroutine uses it at a
+// time, so that what was written is known when a request ends.
 type conn struct {
 	net.Conn
+	reader  *bufio.Reader
+	limited limitedReader
 	onClose func()
 	closed  sync.Once
-	// spare is true for a connection that was opened ahead of need.
-	spare bool
+}
 
-	mu      sync.Mutex
-	sealed  bool
-	written int64
-	pending bool
+func newConn(raw net.Conn, onClose func()) *conn {
+	c := &conn{Conn: raw, onClose: onClose}
+	c.limited.reader = raw
+	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
+	return c
 }
 
-// Write refuses to write when the upstream has closed the connection, which
-// keeps "not run" provable on a connection that went stale while idle.
-func (c *conn) Write(p []byte) (int, error) {
-	c.mu.Lock()
-	if c.sealed {
-		c.mu.Unlock()
-		return 0, errSealed
+// limitedReader fails when more than left bytes are read.
+type limitedReader struct {
+	reader io.Reader
+	left   int64
+}
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if l.left <= 0 {
+		return 0, errAnswerTooLarge
+	}
+	if int64(len(p)) > l.left {
+		p = p[:l.left]
 	}
-	c.pending = true
-	c.mu.Unlock()
+	n, err := l.reader.Read(p)
+	l.left -= int64(n)
+	return n, err
+}
 
-	n, err := c.checkedWrite(p)
+// roundTrip sends a request and reads the body of its answer, of at most limit
+// bytes. It reports whether any byte of the request may have left, and whether
+// the connection can be used again. An end of ctx interrupts it.
+func (c *conn) roundTrip(ctx context.Context, request []byte, limit int64) (a answer) {
+	stop := context.AfterFunc(ctx, c.interrupt)
+	n, err := c.send(request)
+	a.sent = n > 0
+	if err != nil {
+		stop()
+		a.err = err
+		return a
+	}
+	a.status, a.body, a.reusable, a.err = c.receive(limit)
+	// An interrupt that has begun may change the deadline later.
+	a.reusable = stop() && a.reusable
+	return a
+}
 
-	c.mu.Lock()
-	c.pending = false
-	c.written += int64(n)
-	c.mu.Unlock()
-	return n, err
+// answer is the outcome of a round trip.
+type answer struct {
+	status   int
+	body     []byte
+	sent     bool
+	reusable bool
+	err      error
 }
 
-func (c *conn) checkedWrite(p []byte) (int, error) {
-	if !alive(c.Conn) {
+// past is a deadline that makes reads and writes return at once.
+var past = time.Unix(1, 0)
+
+func (c *conn) interrupt() { _ = c.SetDeadline(past) }
+
+// send writes a request. It refuses to write when the upstream has closed the
+// connection, which keeps "not run" provable on a connection that went stale
+// while idle.
+func (c *conn) send(request []byte) (int, error) {
+	if c.reader.Buffered() > 0 || peek(c.Conn) != peerSilent {
 		return 0, errClosedIdle
 	}
-	return c.Conn.Write(p)
+	return c.Write(request)
 }
 
-// mark returns the number of bytes written so far.
-func (c *conn) mark() int64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.written
+// receive reads one response and reports whether the connection can be kept.
+func (c *conn) receive(limit int64) (int, []byte, bool, error) {
+	for range maxInformational + 1 {
+		c.limited.left = maxHeaderBytes
+		resp, err := http.ReadResponse(c.reader, nil)
+		if err != nil {
+			return 0, nil, false, err
+		}
+		if resp.StatusCode == http.StatusSwitchingProtocols {
+			return 0, nil, false, errProtocolSwitch
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		// The factor covers the lengths of small chunks.
+		c.limited.left = 2*limit + maxHeaderBytes
+		body, err := readAll(resp, limit)
+		return resp.StatusCode, body, err == nil && !resp.Close, err
+	}
+	return 0, nil, false, errProtocolSwitch
 }
 
-// seal stops all further writes and reports whether any byte may have left
-// since mark.
-func (c *conn) seal(mark int64) bool {
-	c.mu.Lock()
-	c.sealed = true
-	wrote := c.pending || c.written > mark
-	c.mu.Unlock()
-	_ = c.Close()
-	return wrote
+func readAll(resp *http.Response, limit int64) ([]byte, error) {
+	if n := resp.ContentLength; n > limit {
+		return nil, errAnswerTooLarge
+	} else if n >= 0 {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		err = errAnswerTooLarge
+	}
+	return body, err
 }
 
 // Close closes the connection and frees its place in the pool. Unless the
@@ -79,7 +148,7 @@
 func (c *conn) Close() error {
 	var err error
 	c.closed.Do(func() {
-		noticed := !alive(c.Conn)
+		noticed := peek(c.Conn) == peerClosed
 		err = c.Conn.Close()
 		if noticed {
 			c.onClose()
@@ -90,26 +159,41 @@
 	return err
 }
 
-// closeLinger covers the time until the upstream notices a closed connection.
-const closeLinger = 2 * time.Millisecond
+// peerState is what the receive buffer of a connection shows.
+type peerState int
+
+const (
+	// peerSilent: the connection is open and no data waits.
+	peerSilent peerState = iota
+	// peerSent: data waits to be read.
+	peerSent
+	// peerClosed: the peer closed the connection, or it is broken.
+	peerClosed
+)
 
-// alive reports whether the peer has kept the connection open, without
-// consuming data. It uses Control rather than Read because the transport's
-// read loop holds the read lock of the descriptor.
-func alive(c net.Conn) bool {
+// peek looks at the receive buffer without consuming data.
+func peek(c net.Conn) peerState {
 	sc, ok := c.(syscall.Conn)
 	if !ok {
-		return true
+		return peerSilent
 	}
 	raw, err := sc.SyscallConn()
 	if err != nil {
-		return false
+		return peerClosed
 	}
-	ok = true
+	state := peerClosed
 	err = raw.Control(func(fd uintptr) {
 		var b [1]byte
 		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		ok = n > 0 || errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR)
+		switch {
+		case n > 0:
+			state = peerSent
+		case errors.Is(err, syscall.EAGAIN) || errors.Is(err, syscall.EINTR):
+			state = peerSilent
+		}
 	})
-	return err == nil && ok
+	if err != nil {
+		return peerClosed
+	}
+	return state
 }
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -2,42 +2,45 @@
 
 import (
 	"context"
+	"errors"
 	"net"
-	"net/http"
 	"sync"
+	"time"
 
 	"github.com/sardineturn/sardineturn/internal/semaphore"
 )
 
-// maxIdle keeps the transport from closing idle connections by count; the
-// pool bounds their number instead.
-const maxIdle = 1 << 16
-
-// pool holds the connections to one upstream. It bounds open connections
-// across the transport and the spare connections opened ahead of need, and
-// its limit can change, which http.Transport's own limit cannot.
+// pool holds the connections to one upstream, within a limit that can change.
 type pool struct {
-	address   string
-	dialer    *net.Dialer
-	transport *http.Transport
-	// requests bounds requests in the transport to the connection limit, so
-	// that waiting happens here in order of arrival.
+	address string
+	dialer  *net.Dialer
+	// requests bounds requests to the connection limit, so that waiting
+	// happens here in order of arrival.
 	requests *semaphore.Semaphore
 	ctx      context.Context
 	cancel   context.CancelFunc
 	dials    sync.WaitGroup
 
-	mu      sync.Mutex
-	limit   int
-	open    int
-	peak    int
-	spare   []*conn
+	mu    sync.Mutex
+	limit int
+	open  int
+	peak  int
+	// idle holds the open connections without a request; the last one was used
+	// last.
+	idle []idleConn
+	// waiting counts the requests that wait for changed to be closed.
+	waiting int
 	changed chan struct{}
 }
 
+type idleConn struct {
+	*conn
+	since time.Time
+}
+
 func newPool(address string, limit int) *pool {
 	ctx, cancel := context.WithCancel(context.Background())
-	p := &pool{
+	return &pool{
 		address:  address,
 		dialer:   &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive},
 		requests: semaphore.New(limit),
@@ -46,102 +49,116 @@
 		limit:    limit,
 		changed:  make(chan struct{}),
 	}
-	protocols := new(http.Protocols)
-	protocols.SetHTTP1(true)
-	p.transport = &http.Transport{
-		DialContext:            func(ctx context.Context, _, _ string) (net.Conn, error) { return p.connect(ctx) },
-		Protocols:              protocols,
-		DisableCompression:     true,
-		MaxIdleConns:           maxIdle,
-		MaxIdleConnsPerHost:    maxIdle,
-		IdleConnTimeout:        idleTimeout,
-		MaxResponseHeaderBytes: maxHeaderBytes,
-	}
-	return p
 }
 
-type requestKey struct{}
-
-// withRequest attaches the request's context to itself. The transport dials
-// with a context that keeps the request's values but not its cancellation.
-func withRequest(ctx context.Context) context.Context {
-	return context.WithValue(ctx, requestKey{}, ctx)
+// dial is a connection being opened for a request that may not wait for it to
+// the end. The connection goes to the idle ones in any case.
+type dial struct {
+	done chan struct{}
+	err  error
 }
 
-// connect returns a live spare connection, or dials when the limit allows,
-// or waits for either until the request that needs it has ended. Without that
-// end, requests to an unreachable upstream would leave waiting dials behind.
-func (p *pool) connect(ctx context.Context) (net.Conn, error) {
-	request, ok := ctx.Value(requestKey{}).(context.Context)
-	if !ok {
-		request = ctx
-	}
+// connect returns an idle connection, or waits for one that is returned or
+// dialled, as far as the limit allows, until ctx ends.
+func (p *pool) connect(ctx context.Context) (*conn, error) {
+	var dialled *dial
 	for {
-		c, reserved, changed := p.takeOrReserve()
+		c, changed := p.takeIdle()
 		if c != nil {
 			return c, nil
 		}
-		if reserved {
-			return p.dialReserved(ctx)
+		if dialled == nil {
+			dialled = p.startDial()
 		}
-		select {
-		case <-changed:
-		case <-request.Done():
-			return nil, request.Err()
-		case <-ctx.Done():
-			return nil, ctx.Err()
-		case <-p.ctx.Done():
-			return nil, net.ErrClosed
+		err := p.await(ctx, changed, &dialled)
+		if err != nil {
+			return nil, err
 		}
 	}
 }
 
-func (p *pool) takeOrReserve() (*conn, bool, <-chan struct{}) {
-	for {
-		c := p.popSpare()
-		if c == nil {
-			break
-		}
-		if alive(c.Conn) {
-			return c, false, nil
-		}
-		_ = c.Close()
-	}
+// takeIdle returns the idle connection that was used last, or the channel that
+// is closed by the next change. With the channel, the request counts as
+// waiting.
+func (p *pool) takeIdle() (*conn, <-chan struct{}) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if p.open < p.limit {
-		p.reserve()
-		return nil, true, nil
+	if n := len(p.idle); n > 0 {
+		c := p.idle[n-1].conn
+		p.idle[n-1] = idleConn{}
+		p.idle = p.idle[:n-1]
+		return c, nil
 	}
-	return nil, false, p.changed
+	p.waiting++
+	return nil, p.changed
 }
 
-// reserve counts a connection that is about to be opened. The caller holds the
-// lock.
-func (p *pool) reserve() {
-	p.open++
-	p.peak = max(p.peak, p.open)
+// await waits for a change, or for the end of the dial, which it then clears.
+func (p *pool) await(ctx context.Context, changed <-chan struct{}, d **dial) error {
+	defer func() {
+		p.mu.Lock()
+		p.waiting--
+		p.mu.Unlock()
+	}()
+	var done chan struct{}
+	if *d != nil {
+		done = (*d).done
+	}
+	select {
+	case <-changed:
+		return nil
+	case <-done:
+		err := (*d).err
+		*d = nil
+		return err
+	case <-ctx.Done():
+		return ctx.Err()
+	case <-p.ctx.Done():
+		return net.ErrClosed
+	}
 }
 
-func (p *pool) popSpare() *conn {
+// startDial opens a connection in the background if the limit allows.
+func (p *pool) startDial() *dial {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.spare) == 0 {
+	if p.ctx.Err() != nil || p.open >= p.limit {
 		return nil
 	}
-	c := p.spare[len(p.spare)-1]
-	p.spare = p.spare[:len(p.spare)-1]
-	return c
+	p.open++
+	p.peak = max(p.peak, p.open)
+	p.dials.Add(1)
+	d := &dial{done: make(chan struct{})}
+	go p.finishDial(d)
+	return d
 }
 
-// dialReserved dials for a place that was counted already.
-func (p *pool) dialReserved(ctx context.Context) (*conn, error) {
-	raw, err := p.dialer.DialContext(ctx, "tcp", p.address)
+// finishDial dials for a place that was counted already.
+func (p *pool) finishDial(d *dial) {
+	defer p.dials.Done()
+	defer close(d.done)
+	raw, err := p.dialer.DialContext(p.ctx, "tcp", p.address)
 	if err != nil {
+		d.err = err
 		p.free()
-		return nil, err
+		return
+	}
+	p.put(newConn(raw, p.free))
+}
+
+// put keeps a connection for the next request, or closes it when there are too
+// many.
+func (p *pool) put(c *conn) {
+	p.mu.Lock()
+	keep := p.ctx.Err() == nil && p.open <= p.limit
+	if keep {
+		p.idle = append(p.idle, idleConn{conn: c, since: time.Now()})
+		p.notify()
+	}
+	p.mu.Unlock()
+	if !keep {
+		_ = c.Close()
 	}
-	return &conn{Conn: raw, onClose: p.free}, nil
 }
 
 // free returns a connection's place.
@@ -152,42 +169,42 @@
 	p.notify()
 }
 
-// notify wakes all waiting connects. The caller holds the lock.
+// notify wakes the waiting requests. The caller holds the lock.
 func (p *pool) notify() {
+	if p.waiting == 0 {
+		return
+	}
 	close(p.changed)
 	p.changed = make(chan struct{})
 }
 
-// warm opens up to n spare connections in the background, within the limit.
-func (p *pool) warm(n int) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.ctx.Err() != nil {
-		return
-	}
-	for ; n > 0 && p.open < p.limit; n-- {
-		p.reserve()
-		p.dials.Add(1)
-		go p.openSpare()
+// roundTrip sends the request on one connection. A connection that turns out to
+// be stale before any byte was written is replaced by the next one.
+func (p *pool) roundTrip(ctx context.Context, request []byte, limit int64) answer {
+	for {
+		c, err := p.connect(ctx)
+		if err != nil {
+			return answer{err: err}
+		}
+		a := c.roundTrip(ctx, request, limit)
+		if a.reusable {
+			p.put(c)
+			return a
+		}
+		_ = c.Close()
+		if errors.Is(a.err, errClosedIdle) && ctx.Err() == nil {
+			continue
+		}
+		if a.sent && a.err != nil {
+			p.warm(1)
+		}
+		return a
 	}
 }
 
-func (p *pool) openSpare() {
-	defer p.dials.Done()
-	c, err := p.dialReserved(p.ctx)
-	if err != nil {
-		return
-	}
-	c.spare = true
-	p.mu.Lock()
-	if p.ctx.Err() == nil && p.open <= p.limit {
-		p.spare = append(p.spare, c)
-		p.notify()
-		c = nil
-	}
-	p.mu.Unlock()
-	if c != nil {
-		_ = c.Close()
+// warm opens up to n connections in the background, within the limit.
+func (p *pool) warm(n int) {
+	for ; n > 0 && p.startDial() != nil; n-- {
 	}
 }
 
@@ -205,28 +222,34 @@
 	p.mu.Unlock()
 	p.requests.Resize(limit)
 	if excess {
-		p.closeIdle()
+		p.closeIdle(time.Time{})
 	}
 }
 
-func (p *pool) overLimit() bool {
+// closeIdle closes the idle connections that were used last before the given
+// time, all of them when it is zero.
+func (p *pool) closeIdle(before time.Time) {
 	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.open > p.limit
-}
-
-func (p *pool) closeIdle() {
-	p.transport.CloseIdleConnections()
-	for c := p.popSpare(); c != nil; c = p.popSpare() {
+	n := len(p.idle)
+	if !before.IsZero() {
+		for n = 0; n < len(p.idle) && p.idle[n].since.Before(before); {
+			n++
+		}
+	}
+	closing := append([]idleConn(nil), p.idle[:n]...)
+	kept := copy(p.idle, p.idle[n:])
+	clear(p.idle[kept:])
+	p.idle = p.idle[:kept]
+	p.mu.Unlock()
+	for _, c := range closing {
 		_ = c.Close()
 	}
 }
 
 func (p *pool) close() {
 	p.cancel()
-	p.closeIdle()
 	p.dials.Wait()
-	p.closeIdle()
+	p.closeIdle(time.Time{})
 }
 
 func (p *pool) openConnections() int {
--- a/pkg/adapter/upstreamhttp/wire.go
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"io"
+	"strconv"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -86,6 +87,28 @@
 	})
 }
 
+// appendPost appends a POST request with a JSON body.
+func appendPost(b []byte, host, path string, body []byte) []byte {
+	b = appendHead(b, "POST ", host, path)
+	b = append(b, "Content-Type: application/json\r\nContent-Length: "...)
+	b = strconv.AppendInt(b, int64(len(body)), 10)
+	b = append(b, "\r\n\r\n"...)
+	return append(b, body...)
+}
+
+// appendGet appends a GET request.
+func appendGet(b []byte, host, path string) []byte {
+	return append(appendHead(b, "GET ", host, path), "\r\n"...)
+}
+
+func appendHead(b []byte, method, host, path string) []byte {
+	b = append(b, method...)
+	b = append(b, path...)
+	b = append(b, " HTTP/1.1\r\nHost: "...)
+	b = append(b, host...)
+	return append(b, "\r\nUser-Agent: sardineturn\r\n"...)
+}
+
 // parseAnswer checks a complete answer body against its call. An answer that
 // breaks the interface leaves open whether the request ran.
 func parseAnswer(call port.UpstreamCall, body []byte) port.UpstreamReply {
--- a/pkg/standin/experiment/cost_memory.go
+++ b/pkg/standin/experiment/cost_memory.go
@@ -111,7 +111,7 @@
 		return 0, err
 	}
 	for line := range strings.Lines(string(content)) {
-		if value, ok := strings.CutPrefix(line, "sardineturn_requests "); ok {
+		if value, ok := strings.CutPrefix(line, "sardineturn_caller_requests_in_flight "); ok {
 			return strconv.ParseFloat(strings.TrimSpace(value), 64)
 		}
 	}
