--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -61,6 +61,7 @@
 	Seed        uint64    `default:"1" help:"Seed of the load and the service times."`
 	Against     string    `help:"Path of another version of the sardineturn binary, measured in turn with this one."`
 	Transport   bool      `help:"Measure the client of upstreams alone as well."`
+	Together    bool      `help:"Make the measurements of a round at the same time instead of in turn."`
 	Loads       []float64 `help:"Loads as fractions of the upstreams' capacity."`
 	Rounds      int       `default:"1" help:"Times that each load is measured."`
 	Profiles    string    `help:"Directory for a processor profile of the instance at each load."`
@@ -77,7 +78,7 @@
 	defer stop()
 	return experiment.Cost(ctx, experiment.CostOptions{
 		Options: experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed},
-		Against: c.Against, Transport: c.Transport, Loads: c.Loads, Rounds: c.Rounds,
+		Against: c.Against, Transport: c.Transport, Together: c.Together, Loads: c.Loads, Rounds: c.Rounds,
 		Profiles: c.Profiles, OpenQueries: c.OpenQueries,
 	}, os.Stdout)
 }
--- a/pkg/standin/experiment/cost.go
+++ b/pkg/standin/experiment/cost.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/standin/launch"
@@ -46,6 +47,9 @@
 	// Transport measures the client of upstreams alone as well, in turn with
 	// the product.
 	Transport bool
+	// Together makes the measurements of a round at the same time, so that other
+	// work on the machine affects all of them alike.
+	Together bool
 	// Loads are fractions of the upstreams' capacity; costLoads when empty.
 	Loads []float64
 	// Rounds is the number of times that each load is measured; 0 means 1.
@@ -96,67 +100,99 @@
 // costRound measures each program once, one after another.
 func costRound(ctx context.Context, o CostOptions, fraction float64, round int, w io.Writer) error {
 	dir := filepath.Join(o.Dir, fmt.Sprintf("cost-%g-%d", fraction, round))
+	var runs []func() (string, error)
 	if o.Against != "" {
 		against := o
 		against.Sardineturn, against.Profiles = o.Against, ""
-		if err := costAt(ctx, against, againstLabel, filepath.Join(dir, againstLabel), fraction, w); err != nil {
-			return err
-		}
+		runs = append(runs, func() (string, error) {
+			return costAt(ctx, against, againstLabel, filepath.Join(dir, againstLabel), fraction)
+		})
 	}
-	if err := costAt(ctx, o, productLabel, filepath.Join(dir, productLabel), fraction, w); err != nil {
-		return err
+	runs = append(runs, func() (string, error) {
+		return costAt(ctx, o, productLabel, filepath.Join(dir, productLabel), fraction)
+	})
+	if o.Transport {
+		runs = append(runs, func() (string, error) {
+			return transportAt(ctx, o, filepath.Join(dir, transportLabel), fraction)
+		})
 	}
-	if !o.Transport {
-		return nil
+	return costRuns(runs, o.Together, w)
+}
+
+// costRuns makes the runs in turn or at the same time and writes their rows.
+func costRuns(runs []func() (string, error), together bool, w io.Writer) error {
+	rows := make([]string, len(runs))
+	errs := make([]error, len(runs))
+	var wg sync.WaitGroup
+	for n, run := range runs {
+		wg.Go(func() { rows[n], errs[n] = run() })
+		if !together {
+			wg.Wait()
+		}
+	}
+	wg.Wait()
+	for _, row := range rows {
+		if _, err := io.WriteString(w, row); err != nil {
+			return err
+		}
 	}
-	return transportAt(ctx, o, filepath.Join(dir, transportLabel), fraction, w)
+	return errors.Join(errs...)
 }
 
-func costAt(ctx context.Context, o CostOptions, label, dir string, fraction float64, w io.Writer) error {
+func costAt(ctx context.Context, o CostOptions, label, dir string, fraction float64) (string, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
+		return "", err
 	}
 	service := costService()
 	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 1)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer func() { _ = d.fleet.Stop() }()
 	instance := d.fleet.Instances()[0]
 	before, err := processorTime(instance.PID())
 	if err != nil {
-		return err
+		return "", err
 	}
 	profile := startProfile(ctx, o, instance.Settings.OperatorAddress, dir)
 	report, err := load.Run(ctx, load.Config{
 		Seed:           o.Seed,
 		Instances:      load.Targets(d.fleet),
 		UpstreamAdmins: []string{d.host.Admin},
-		Streams:        load.Queries(service, fraction),
+		Streams:        costStreams(service, fraction),
 		Phases:         []load.Phase{{Name: phaseSteady, DurationMS: costPhaseMS}},
 	})
 	if err := errors.Join(err, <-profile); err != nil {
-		return err
+		return "", err
 	}
 	after, err := processorTime(instance.PID())
 	if err != nil {
-		return err
+		return "", err
 	}
 	memory, err := residentMemory(instance.PID())
 	if err != nil {
-		return err
+		return "", err
 	}
 	var out outcome
 	if err := d.readExecutions(ctx, &out); err != nil {
-		return err
+		return "", err
 	}
 	p := report.Phases[0]
 	seconds := float64(p.DurationMS) / 1000
 	busy := out.meanService.Seconds() * float64(p.Executions) / seconds / (costUpstreams * costSlots)
 	latency := p.Streams[0].LatencyAll
-	_, err = fmt.Fprintf(w, "%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\n", fraction, label, float64(p.Streams[0].Requests)/seconds,
-		float64(p.Executions)/seconds, (after-before)*1e6/float64(p.Executions), memory, latency.P50, latency.P99, busy)
-	return err
+	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\n", fraction, label, float64(p.Streams[0].Requests)/seconds,
+		float64(p.Executions)/seconds, (after-before)*1e6/float64(p.Executions), memory, latency.P50, latency.P99, busy), nil
+}
+
+// costStreams is a stream of the least urgent priority. Its long deadline keeps
+// queries from being refused when the machine is busy with other work, after
+// which the cost of the others would be spread over few calls.
+func costStreams(service launch.Service, fraction float64) []load.Stream {
+	streams := load.Queries(service, fraction)
+	last := service.Priorities[len(service.Priorities)-1]
+	streams[0].Priority, streams[0].DeadlineMS = last.Name, last.DeadlineMS
+	return streams
 }
 
 const (
--- a/pkg/standin/experiment/cost_memory.go
+++ b/pkg/standin/experiment/cost_memory.go
@@ -49,10 +49,9 @@
 	if err != nil {
 		return err
 	}
-	streams := load.Queries(service, 1)
+	streams := costStreams(service, 1)
 	streams[0].Rate = float64(o.OpenQueries) * 1000 / openPhaseMS
 	streams[0].DeadlineMS = openDeadlineMS
-	streams[0].Priority = service.Priorities[len(service.Priorities)-1].Name
 	finished := make(chan error, 1)
 	go func() {
 		_, err := load.Run(ctx, load.Config{
--- a/pkg/standin/experiment/cost_transport.go
+++ b/pkg/standin/experiment/cost_transport.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"os/exec"
@@ -119,14 +118,14 @@
 
 // transportAt runs the calls in a process of their own against upstreams of
 // their own, at the rate that the instance gets at the same load.
-func transportAt(ctx context.Context, o CostOptions, dir string, fraction float64, w io.Writer) error {
+func transportAt(ctx context.Context, o CostOptions, dir string, fraction float64) (string, error) {
 	if err := os.MkdirAll(dir, 0o755); err != nil {
-		return err
+		return "", err
 	}
 	service := costService()
 	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 0)
 	if err != nil {
-		return err
+		return "", err
 	}
 	defer func() { _ = d.fleet.Stop() }()
 	addresses := make([]string, 0, len(d.host.Upstreams))
@@ -138,18 +137,17 @@
 		"--rate", strconv.FormatFloat(fraction*service.Capacity(), 'g', -1, 64),
 		"--seed", strconv.FormatUint(o.Seed, 10)).Output()
 	if err != nil {
-		return fmt.Errorf("calls without decisions: %w", err)
+		return "", fmt.Errorf("calls without decisions: %w", err)
 	}
 	var r TransportResult
 	if err := json.Unmarshal(out, &r); err != nil {
-		return err
+		return "", err
 	}
 	if r.Failed > 0 {
-		return fmt.Errorf("%d of %d calls without decisions failed", r.Failed, r.Calls)
+		return "", fmt.Errorf("%d of %d calls without decisions failed", r.Failed, r.Calls)
 	}
-	_, err = fmt.Fprintf(w, "%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t-\t-\t-\n", fraction, transportLabel, float64(r.Calls)/costShards/r.Seconds,
-		float64(r.Calls)/r.Seconds, r.ProcessorSeconds*1e6/float64(r.Calls), r.MemoryMB)
-	return err
+	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t-\t-\t-\n", fraction, transportLabel, float64(r.Calls)/costShards/r.Seconds,
+		float64(r.Calls)/r.Seconds, r.ProcessorSeconds*1e6/float64(r.Calls), r.MemoryMB), nil
 }
 
 // DefaultTransportRun returns the run of the cost measurement at a rate of
