--- a/pkg/adapter/upstreamhttp/encode.go
+++ b/pkg/adapter/upstreamhttp/encode.go
@@ -76,9 +76,13 @@
 // plain reports whether the string is its own JSON form.
 func plain(s string) bool {
 	for i := range len(s) {
-		if c := s[i]; c < ' ' || c == '"' || c == '\\' || c >= utf8.RuneSelf {
+		if !plainByte(s[i]) {
 			return false
 		}
 	}
 	return true
 }
+
+func plainByte(c byte) bool {
+	return c >= ' ' && c != '"' && c != '\\' && c < utf8.RuneSelf
+}
--- a/pkg/adapter/upstreamhttp/wire.go
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -35,6 +35,13 @@
 	Snapshots []model.SnapshotID `json:"snapshots"`
 }
 
+// Values of answers that are used by name.
+const (
+	stateOK = "ok"
+	ranYes  = "ran"
+	ranNo   = "not_run"
+)
+
 // stateRule maps a state to a code for each value of "ran". A zero code means
 // that the state must not be combined with that value.
 type stateRule struct {
@@ -45,7 +52,7 @@
 // A shard that is missing from a loaded snapshot is handled like a missing
 // snapshot: the pinned shard map is out of date at this upstream.
 var stateRules = map[string]stateRule{
-	"ok":               {ran: result.OK},
+	stateOK:            {ran: result.OK},
 	"shed":             {notRun: result.UpstreamShed},
 	"draining":         {notRun: result.UpstreamDraining},
 	"snapshot_missing": {notRun: result.SnapshotMissing},
@@ -72,8 +79,8 @@
 // parseAnswer checks a complete answer body against its call. An answer that
 // breaks the interface leaves open whether the request ran.
 func parseAnswer(call port.UpstreamCall, body []byte) port.UpstreamReply {
-	var a executeAnswer
-	if err := json.Unmarshal(body, &a); err != nil {
+	a, err := decodeAnswer(body, string(call.Snapshot), string(call.Shard), stateOK, ranYes, ranNo)
+	if err != nil {
 		return port.UpstreamReply{Code: result.UpstreamFailed}
 	}
 	id, err := model.ParseAttemptID(a.Attempt)
@@ -98,11 +105,11 @@
 	switch {
 	case !known:
 		return result.UpstreamFailed, model.RunUnknown
-	case a.Ran == "not_run" && rule.notRun != 0:
+	case a.Ran == ranNo && rule.notRun != 0:
 		return rule.notRun, model.NotRun
-	case a.Ran == "ran" && rule.ran == result.OK && len(a.Result) == 0:
+	case a.Ran == ranYes && rule.ran == result.OK && len(a.Result) == 0:
 		return result.UpstreamFailed, model.RunUnknown
-	case a.Ran == "ran" && rule.ran != 0:
+	case a.Ran == ranYes && rule.ran != 0:
 		return rule.ran, model.Ran
 	default:
 		return result.UpstreamFailed, model.RunUnknown
