Compute the degraded state of upstreams once per step

Each step computed it up to three times for all upstreams, because it was cached together with whether the upstream is leaving, which every part of a step needs. The median of the latency factors reuses its buffer. The recorded decisions are the same (go test ./pkg/replay).

--- a/pkg/scheduler/replica.go
+++ b/pkg/scheduler/replica.go
@@ -200,7 +200,7 @@
 
 // refreshMedian recomputes the lower median of the upstreams' factors.
 func (s *Scheduler) refreshMedian() {
-	var factors []float64
+	factors := s.factors[:0]
 	for _, u := range s.order {
 		if u.samples > 0 && !u.leaving {
 			factors = append(factors, u.factor)
@@ -210,6 +210,7 @@
 		s.medianFactor = 1
 		return
 	}
+	s.factors = factors
 	slices.Sort(factors)
 	s.medianFactor = max(factors[(len(factors)-1)/2], 0.01)
 }
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -65,6 +65,8 @@
 	seqAtProbe   uint64
 	probeWasFast bool
 	orderBuffer  []*priority
+	// factors is the buffer of refreshMedian.
+	factors []float64
 }
 
 // replicaIndex maps the shards of each snapshot to the group's upstreams.
--- a/pkg/scheduler/servable.go
+++ b/pkg/scheduler/servable.go
@@ -13,6 +13,11 @@
 	if !s.availabilityChanged() {
 		return
 	}
+	// Ending a part may change an upstream's latency factor; the whole step uses
+	// the conditions from its start.
+	for _, u := range s.order {
+		_ = s.degraded(u)
+	}
 	for _, r := range s.sortedRequests() {
 		s.failUnservableParts(r)
 	}
--- a/pkg/scheduler/upstream.go
+++ b/pkg/scheduler/upstream.go
@@ -109,22 +109,18 @@
 }
 
 // condition is what the replica choice needs to know of an upstream. It is
-// computed once per step, because a step looks at it for every waiting shard.
+// computed at most once per step, because a step looks at it for every waiting
+// shard. The two parts are computed apart, because every step needs the first
+// for all upstreams and few need the second.
 type condition struct {
-	version  uint64
-	excluded bool
-	degraded bool
+	excluded cached
+	degraded cached
 }
 
-// conditionOf returns the upstream's condition in this step.
-func (s *Scheduler) conditionOf(u *upstream) *condition {
-	c := &u.condition
-	if c.version != s.version {
-		c.version = s.version
-		c.excluded = u.removed || u.leaving || s.draining(u)
-		c.degraded = s.computeDegraded(u)
-	}
-	return c
+// cached is a value that was computed at a version of the scheduler.
+type cached struct {
+	version uint64
+	value   bool
 }
 
 // changed makes conditions be computed again. It is called when time advances
@@ -132,10 +128,24 @@
 func (s *Scheduler) changed() { s.version++ }
 
 // excluded reports whether the upstream must not get new attempts.
-func (s *Scheduler) excluded(u *upstream) bool { return s.conditionOf(u).excluded }
+func (s *Scheduler) excluded(u *upstream) bool {
+	c := &u.condition.excluded
+	if c.version != s.version {
+		c.version = s.version
+		c.value = u.removed || u.leaving || s.draining(u)
+	}
+	return c.value
+}
 
 // degraded reports whether the upstream is much slower than the group.
-func (s *Scheduler) degraded(u *upstream) bool { return s.conditionOf(u).degraded }
+func (s *Scheduler) degraded(u *upstream) bool {
+	c := &u.condition.degraded
+	if c.version != s.version {
+		c.version = s.version
+		c.value = s.computeDegraded(u)
+	}
+	return c.value
+}
 
 // draining reports whether the upstream said that it is leaving. A draining
 // hint on every upstream of the group is taken for a wrong report; upstreams
