Keep copies of requests away in one place, and count refusals once

The claim table now holds an id until its request is answered, and not only until its deadline. The second check in homeGroup.run, which covered the time between, is gone. sardineturn_refusals_total counts a refused query at the instance that the caller asked; refusals by homes, which were counted there as well, are in sardineturn_group_refusals_total.

--- a/pkg/instance/claims.go
+++ b/pkg/instance/claims.go
@@ -7,12 +7,19 @@
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
-// claimTable holds the ids of all attempts that arrived, until their deadline.
-// A copy of a message that arrives after the first one was refused must not
-// run, because its requester was told that the attempt did not run.
+// claimTable holds the ids of all attempts that arrived, until their deadline
+// and until they have been answered. A copy of a message that arrives after the
+// first one was refused must not run, because its requester was told that the
+// attempt did not run. One that arrives earlier would take the answer of the
+// first.
 type claimTable struct {
 	mu  sync.Mutex
-	ids map[model.AttemptID]time.Time
+	ids map[model.AttemptID]claim
+}
+
+type claim struct {
+	deadline time.Time
+	answered bool
 }
 
 // claim reports whether the id arrives for the first time.
@@ -22,16 +29,26 @@
 	if _, known := t.ids[id]; known {
 		return false
 	}
-	t.ids[id] = deadline
+	t.ids[id] = claim{deadline: deadline}
 	return true
 }
 
-// expire drops ids after their deadline, when the scheduler refuses them.
+// answered allows the claim to be dropped after its deadline.
+func (t *claimTable) answered(id model.AttemptID) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	c := t.ids[id]
+	c.answered = true
+	t.ids[id] = c
+}
+
+// expire drops the ids of answered attempts after their deadline, when the
+// scheduler refuses them.
 func (t *claimTable) expire(now time.Time) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	for id, deadline := range t.ids {
-		if now.After(deadline) {
+	for id, c := range t.ids {
+		if c.answered && now.After(c.deadline) {
 			delete(t.ids, id)
 		}
 	}
--- a/pkg/instance/home.go
+++ b/pkg/instance/home.go
@@ -138,9 +138,10 @@
 	if !i.claims.claim(req.ID, req.Deadline) {
 		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}
 	}
+	defer i.claims.answered(req.ID)
 	doc, code := i.admitGroup(now, &req)
 	if code != result.OK {
-		i.ports.Metrics.Refused(code, req.Priority)
+		i.ports.Metrics.GroupRefused(code, req.Priority)
 		return model.GroupAnswer{ID: req.ID, Code: code, Snapshot: req.Snapshot}
 	}
 	// A second try finds a new group if the first was dropped as idle between
@@ -197,7 +198,8 @@
 }
 
 // run submits the request and waits for its answer. It returns false, and has
-// done nothing, if the group was stopped.
+// done nothing, if the group was stopped. The claim table keeps copies of the
+// request away.
 func (g *homeGroup) run(ctx context.Context, now time.Time, req model.GroupRequest) (model.GroupAnswer, bool) {
 	answer := make(chan model.GroupAnswer, 1)
 	now = g.awaitStatus(now)
@@ -207,10 +209,6 @@
 		return model.GroupAnswer{}, false
 	}
 	g.lastUsed = now
-	if _, duplicate := g.waiters[req.ID]; duplicate {
-		g.mu.Unlock()
-		return model.GroupAnswer{ID: req.ID, Code: result.DuplicateAttempt, Snapshot: req.Snapshot}, true
-	}
 	g.waiters[req.ID] = answer
 	g.apply(now, g.sched.Submit(now, req))
 	g.mu.Unlock()
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -173,7 +173,7 @@
 	i.reads.plan = catalog.NewFetchPlan(catalog.FetchConfig{Rand: ports.NewRand()})
 	i.reads.forgetPeers()
 	i.homes.groups = make(map[model.GroupKey]*homeGroup)
-	i.claims.ids = make(map[model.AttemptID]time.Time)
+	i.claims.ids = make(map[model.AttemptID]claim)
 	i.peers.calls = make(map[model.InstanceID]map[model.AttemptID]context.CancelCauseFunc)
 	i.hints.delays = make(map[hintKey]delayHint)
 	i.hints.missing = make(map[snapshotKey]time.Time)
--- a/pkg/instance/report.go
+++ b/pkg/instance/report.go
@@ -43,7 +43,7 @@
 	m := i.ports.Metrics
 	switch c.Name {
 	case scheduler.CountRefused:
-		m.Refused(result.FromName(c.Reason), c.Priority)
+		m.GroupRefused(result.FromName(c.Reason), c.Priority)
 	case scheduler.CountRetried:
 		m.Retried(result.FromName(c.Reason))
 	case scheduler.CountRetryDenied:
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -104,6 +104,7 @@
 type Metrics struct {
 	answers             *family[tally.Counter]
 	refusals            *family[tally.Counter]
+	groupRefusals       *family[tally.Counter]
 	orders              *family[tally.Counter]
 	attempts            *family[tally.Counter]
 	retries             *family[tally.Counter]
@@ -162,6 +163,7 @@
 	return &Metrics{
 		answers:             counters(nameAnswers, tagCode, tagPriority),
 		refusals:            counters(nameRefusals, tagCode, tagPriority),
+		groupRefusals:       counters(nameGroupRefusals, tagCode, tagPriority),
 		orders:              counters(nameOrders, tagCode, tagRan),
 		attempts:            counters(nameAttempts, tagKind),
 		retries:             counters(nameRetries, tagReason),
@@ -222,14 +224,22 @@
 	m.coverage.with(priority).RecordValue(coverage)
 }
 
-// Refused counts a request that was refused before it ran. The priority is a
-// name from a document, or empty if the request named none that exists.
+// Refused counts a caller's query that was refused before it ran. The priority
+// is a name from a document, or empty if the request named none that exists.
 func (m *Metrics) Refused(code result.Code, priority string) {
 	if m != nil {
 		m.refusals.with(code.String(), priority).Inc(1)
 	}
 }
 
+// GroupRefused counts a request of an entry or an order owner that was refused
+// at its home. It may be served by another home.
+func (m *Metrics) GroupRefused(code result.Code, priority string) {
+	if m != nil {
+		m.groupRefusals.with(code.String(), priority).Inc(1)
+	}
+}
+
 // OrderFinished counts an answer to an order.
 func (m *Metrics) OrderFinished(code result.Code, ran model.RunState) {
 	if m != nil {
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -18,6 +18,7 @@
 	m.Answered(result.PartialAnswer, "counter", 40*time.Millisecond, 0.5)
 	m.Refused(result.Overloaded, "archive")
 	m.Refused(result.UnknownPriority, "")
+	m.GroupRefused(result.Overloaded, "counter")
 	m.OrderFinished(result.OutcomeUnknown, model.RunUnknown)
 	m.AttemptSent(HedgeAttempt)
 	m.AttemptFinished(time.Millisecond)
@@ -59,6 +60,7 @@
 		`sardineturn_answers_total{code="partial_answer",priority="counter"} 1`,
 		`sardineturn_refusals_total{code="overloaded",priority="archive"} 1`,
 		`sardineturn_refusals_total{code="unknown_priority",priority="none"} 1`,
+		`sardineturn_group_refusals_total{code="overloaded",priority="counter"} 1`,
 		`sardineturn_orders_total{code="outcome_unknown",ran="unknown"} 1`,
 		`sardineturn_upstream_attempts_total{kind="hedge"} 1`,
 		`sardineturn_retries_total{reason="upstream_shed"} 1`,
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -7,6 +7,7 @@
 const (
 	nameAnswers             = "answers_total"
 	nameRefusals            = "refusals_total"
+	nameGroupRefusals       = "group_refusals_total"
 	nameOrders              = "orders_total"
 	nameAttempts            = "upstream_attempts_total"
 	nameRetries             = "retries_total"
