--- /dev/null
+++ b/pkg/adapter/upstreamhttp/pool_test.go
@@ -0,0 +1,129 @@
+package upstreamhttp
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+// TestStaleSpareConnection guards against the use of a connection that was
+// opened ahead of need and closed by the upstream since.
+func TestStaleSpareConnection(t *testing.T) {
+	u := startUpstream(t, func(*upstream.Behaviour) {})
+	c := newClient(t)
+	c.Warm(u.Address(), 2)
+	p := c.pool(u.Address(), 3)
+	p.dials.Wait()
+	waitFor(t, func() bool { return u.Counters().OpenConnections == 2 })
+	u.DropConnections()
+	reply := c.Execute(t.Context(), newCall(u.Address(), 1))
+	must.Eq(t, result.OK, reply.Code)
+}
+
+// TestWarmConnectionsAreUsed guards against warm connections that requests
+// leave aside, which would double the connections and save no time.
+func TestWarmConnectionsAreUsed(t *testing.T) {
+	u := startUpstream(t, func(*upstream.Behaviour) {})
+	c := newClient(t)
+	c.pool(u.Address(), 3)
+	c.Warm(u.Address(), 5)
+	c.pool(u.Address(), 3).dials.Wait()
+	must.Eq(t, 3, c.OpenConnections(u.Address()))
+	executeMany(t, c, u.Address(), 30, func(int) context.Context { return t.Context() })
+	must.Eq(t, 3, u.Counters().Accepted)
+}
+
+// TestCancelReplacesConnection guards against a cancelled attempt that counts
+// as a crash, and against the next attempt paying for a new connection.
+func TestCancelReplacesConnection(t *testing.T) {
+	s := startScripted(t, func(int) (bool, bool) { return false, true })
+	c := newClient(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	replies := make(chan port.UpstreamReply)
+	go func() { replies <- c.Execute(ctx, newCall(s.address, 1)) }()
+	<-s.received
+	cancel()
+	reply := <-replies
+	must.Eq(t, result.CancelledWhileRun, reply.Code)
+	must.Eq(t, model.RunUnknown, reply.Ran)
+	must.False(t, reply.ConnectionBroken)
+	<-s.closed
+	<-s.accepted
+	<-s.accepted
+	must.Eq(t, 0, len(s.received))
+}
+
+// TestConnectionLimitHolds guards against more connections than allowed while
+// attempts are cancelled, replaced and warmed at the same time.
+func TestConnectionLimitHolds(t *testing.T) {
+	u := startUpstream(t, func(b *upstream.Behaviour) {
+		b.Slots, b.Queue = 10, 100
+		b.Service = map[string]upstream.ServiceTime{"": {MedianMS: 2}}
+	})
+	c := newClient(t)
+	executeMany(t, c, u.Address(), 300, func(i int) context.Context {
+		ctx, cancel := context.WithCancel(t.Context())
+		t.Cleanup(cancel)
+		if i%3 == 0 {
+			time.AfterFunc(time.Duration(i%7)*time.Millisecond, cancel)
+		}
+		if i%10 == 0 {
+			c.Warm(u.Address(), 2)
+		}
+		return ctx
+	})
+	must.LessEq(t, 3, c.OpenConnections(u.Address()))
+	// The upstream notices a closed connection a moment after the client
+	// closed it, so its own peak may exceed the client's by those.
+	must.LessEq(t, 3, c.pool(u.Address(), 3).peak)
+}
+
+// TestAbandonedDialEnds guards against dials that keep waiting for a place after
+// their request has ended, which accumulate while an upstream is unreachable.
+func TestAbandonedDialEnds(t *testing.T) {
+	p := newPool("127.0.0.1:1", 0)
+	request, cancel := context.WithCancel(t.Context())
+	errs := make(chan error)
+	go func() {
+		_, err := p.connect(request)
+		errs <- err
+	}()
+	cancel()
+	must.ErrorIs(t, <-errs, context.Canceled)
+	p.close()
+}
+
+// TestSmallerLimit guards against a document change that leaves more
+// connections open than the new limit allows.
+func TestSmallerLimit(t *testing.T) {
+	u := startUpstream(t, func(*upstream.Behaviour) {})
+	c := newClient(t)
+	c.Warm(u.Address(), 3)
+	c.pool(u.Address(), 3).dials.Wait()
+	call := newCall(u.Address(), 1)
+	call.MaxConnections = 1
+	must.Eq(t, result.OK, c.Execute(t.Context(), call).Code)
+	must.LessEq(t, 1, c.OpenConnections(u.Address()))
+}
+
+func executeMany(t *testing.T, c *Client, address string, n int, ctx func(int) context.Context) {
+	var wg sync.WaitGroup
+	for i := range n {
+		ctx := ctx(i)
+		wg.Go(func() {
+			reply := c.Execute(ctx, newCall(address, byte(i)))
+			if ctx.Err() == nil && reply.Code != result.OK {
+				t.Errorf("attempt %d: %v", i, reply.Code)
+			}
+		})
+	}
+	wg.Wait()
+}
