Measure the idle time of slots under overload

The queries of the memory measurement are sent at once: sent over a second, the home refused most of them.

Tried and dropped: running the attempt that a reply makes possible in the goroutine of the replied one.

--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -62,6 +62,7 @@
 	Against     string    `help:"Path of another version of the sardineturn binary, measured in turn with this one."`
 	Transport   bool      `help:"Measure the client of upstreams alone as well."`
 	Together    bool      `help:"Make the measurements of a round at the same time instead of in turn."`
+	Small       bool      `help:"Use a service of three upstreams with three slots, to measure the use of slots at loads above 1."`
 	Loads       []float64 `help:"Loads as fractions of the upstreams' capacity."`
 	Rounds      int       `default:"1" help:"Times that each load is measured."`
 	Profiles    string    `help:"Directory for a processor profile of the instance at each load."`
@@ -76,9 +77,13 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
+	size := experiment.LargeCost
+	if c.Small {
+		size = experiment.SmallCost
+	}
 	return experiment.Cost(ctx, experiment.CostOptions{
 		Options: experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed},
-		Against: c.Against, Transport: c.Transport, Together: c.Together, Loads: c.Loads, Rounds: c.Rounds,
+		Against: c.Against, Transport: c.Transport, Together: c.Together, Size: size, Loads: c.Loads, Rounds: c.Rounds,
 		Profiles: c.Profiles, OpenQueries: c.OpenQueries,
 	}, os.Stdout)
 }
@@ -86,6 +91,7 @@
 type transportCommand struct {
 	Upstreams []string `required:"" help:"Addresses of the upstreams."`
 	Rate      float64  `default:"50" help:"Bursts of calls per second."`
+	Small     bool     `help:"Use the slots and the bursts of the small service."`
 	Seed      uint64   `default:"1" help:"Seed of the gaps between bursts."`
 }
 
@@ -93,7 +99,11 @@
 func (c *transportCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	r, err := experiment.RunTransport(ctx, experiment.DefaultTransportRun(c.Upstreams, c.Rate, c.Seed))
+	size := experiment.LargeCost
+	if c.Small {
+		size = experiment.SmallCost
+	}
+	r, err := experiment.RunTransport(ctx, experiment.NewTransportRun(size, c.Upstreams, c.Rate, c.Seed))
 	if err != nil {
 		return err
 	}
--- a/pkg/standin/experiment/cost.go
+++ b/pkg/standin/experiment/cost.go
@@ -18,12 +18,25 @@
 	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
 )
 
-// Size of the cost measurement: one instance through 30 upstreams.
+// CostSize is the size of the service of the cost measurement.
+type CostSize struct {
+	Upstreams int
+	// Slots and Connections are those of each upstream.
+	Slots       int
+	Connections int
+	Shards      int
+}
+
+// LargeCost is the size at which processor time is measured: one instance
+// through 30 upstreams. SmallCost is that of a service of today, at which the
+// use of the slots under overload is measured: the upstreams of the large size
+// would need more processors than a shared machine has.
+var (
+	LargeCost = CostSize{Upstreams: 30, Slots: 6, Connections: 110, Shards: 60}
+	SmallCost = CostSize{Upstreams: 3, Slots: 3, Connections: 30, Shards: 12}
+)
+
 const (
-	costUpstreams  = 30
-	costSlots      = 6
-	costConnection = 110
-	costShards     = 60
 	// clockTicks is the unit of processor time in the process status, per
 	// second; it is 100 on every Linux platform that Go supports.
 	clockTicks = 100
@@ -50,6 +63,8 @@
 	// Together makes the measurements of a round at the same time, so that other
 	// work on the machine affects all of them alike.
 	Together bool
+	// Size is the size of the service.
+	Size CostSize
 	// Loads are fractions of the upstreams' capacity; costLoads when empty.
 	Loads []float64
 	// Rounds is the number of times that each load is measured; 0 means 1.
@@ -62,15 +77,15 @@
 	OpenQueries int
 }
 
-func costService() launch.Service {
+func (c CostSize) service() launch.Service {
 	return launch.Service{
 		Name:            "cost",
 		Priorities:      launch.ShevitsaPriorities(),
-		Upstreams:       costUpstreams,
-		Slots:           costSlots,
-		ConnectionLimit: costConnection,
+		Upstreams:       c.Upstreams,
+		Slots:           c.Slots,
+		ConnectionLimit: c.Connections,
 		ConnectMS:       1,
-		Shards:          costShards,
+		Shards:          c.Shards,
 		Replicas:        2,
 		DataCentres:     launch.Shevitsa()[0].DataCentres,
 		Service:         map[string]upstream.ServiceTime{"": {MedianMS: 5, Sigma: 0.4}},
@@ -83,7 +98,7 @@
 	if len(o.Loads) == 0 {
 		o.Loads = costLoads
 	}
-	fmt.Fprintln(w, "load\tprogram\tqueries/s\tupstream calls/s\tCPU per upstream call (us)\tresident memory (MB)\tp50 (ms)\tp99 (ms)\tutilisation")
+	fmt.Fprintln(w, "load\tprogram\tqueries/s\tupstream calls/s\tCPU per upstream call (us)\tresident memory (MB)\tp50 (ms)\tp99 (ms)\tshare of slot time in service\tidle slot time per call (ms)")
 	for _, fraction := range o.Loads {
 		for round := range max(o.Rounds, 1) {
 			if err := costRound(ctx, o, fraction, round, w); err != nil {
@@ -143,7 +158,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return "", err
 	}
-	service := costService()
+	service := o.Size.service()
 	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 1)
 	if err != nil {
 		return "", err
@@ -173,16 +188,73 @@
 	if err != nil {
 		return "", err
 	}
-	var out outcome
-	if err := d.readExecutions(ctx, &out); err != nil {
+	use, err := d.slotUse(ctx)
+	if err != nil {
 		return "", err
 	}
 	p := report.Phases[0]
 	seconds := float64(p.DurationMS) / 1000
-	busy := out.meanService.Seconds() * float64(p.Executions) / seconds / (costUpstreams * costSlots)
+	callsPerSecond := float64(p.Executions) / seconds
 	latency := p.Streams[0].LatencyAll
-	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\n", fraction, label, float64(p.Streams[0].Requests)/seconds,
-		float64(p.Executions)/seconds, (after-before)*1e6/float64(p.Executions), memory, latency.P50, latency.P99, busy), nil
+	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t%.1f\t%.1f\t%.3f\t%s\n", fraction, label, float64(p.Streams[0].Requests)/seconds,
+		callsPerSecond, (after-before)*1e6/float64(p.Executions), memory, latency.P50, latency.P99, use.busy, use.idle(fraction)), nil
+}
+
+// Part of the phase in which the use of slots is measured: after the start, in
+// which upstreams are cold, and before the load ends.
+const (
+	slotUseFrom = 2 * time.Second
+	slotUseTo   = 8 * time.Second
+)
+
+// slotUse is how the upstreams' slots were used.
+type slotUse struct {
+	// busy is the share of the slots' time in which they ran a request.
+	busy float64
+	// idleMS is the time that a slot stood idle per request, in ms.
+	idleMS float64
+}
+
+// idle returns the idle time at a load. It means something only if work waits
+// all the time.
+func (u slotUse) idle(load float64) string {
+	if load <= 1 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f", u.idleMS)
+}
+
+// slotUse computes the use of the slots from the execution log.
+func (d *deployment) slotUse(ctx context.Context) (slotUse, error) {
+	var executions []upstream.Execution
+	first := time.Now()
+	err := d.eachExecution(ctx, func(e upstream.Execution) {
+		if e.Start.Before(first) {
+			first = e.Start
+		}
+		executions = append(executions, e)
+	})
+	from, to := first.Add(slotUseFrom), first.Add(slotUseTo)
+	busy, ended := time.Duration(0), 0
+	for _, e := range executions {
+		start, end := e.Start, e.End
+		if end.IsZero() || end.Before(from) || start.After(to) {
+			continue
+		}
+		if !end.After(to) {
+			ended++
+		}
+		if start.Before(from) {
+			start = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		busy += end.Sub(start)
+	}
+	total := time.Duration(d.service.Upstreams*d.service.Slots) * to.Sub(from)
+	idle := (total - busy) / time.Duration(max(ended, 1))
+	return slotUse{busy: busy.Seconds() / total.Seconds(), idleMS: idle.Seconds() * 1000}, err
 }
 
 // costStreams is a stream of the least urgent priority. Its long deadline keeps
--- a/pkg/standin/experiment/cost_memory.go
+++ b/pkg/standin/experiment/cost_memory.go
@@ -17,9 +17,10 @@
 	// openSlowdown makes the upstreams take longer than the measurement, so
 	// that no query ends before the memory is read.
 	openSlowdown = 2000
-	// openPhaseMS is the time in which the queries are sent, and openSettle the
-	// time until the memory is read after that.
-	openPhaseMS    = 1000
+	// openPhaseMS is the time in which the queries are sent. It is shorter than
+	// the time after which the home finds the upstreams stuck and refuses
+	// queries. openSettle is the time until the memory is read.
+	openPhaseMS    = 40
 	openSettle     = 1500 * time.Millisecond
 	openDeadlineMS = 5000
 )
@@ -35,7 +36,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return err
 	}
-	service := costService()
+	service := o.Size.service()
 	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 1)
 	if err != nil {
 		return err
@@ -74,7 +75,7 @@
 	if err := <-finished; err != nil {
 		return err
 	}
-	_, err = fmt.Fprintf(w, "open queries: %.0f, memory per open query of %d shards: %.1f KB\n", open, costShards, (during-before)/max(open, 1)/1024)
+	_, err = fmt.Fprintf(w, "open queries: %.0f, memory per open query of %d shards: %.1f KB\n", open, service.Shards, (during-before)/max(open, 1)/1024)
 	return err
 }
 
--- a/pkg/standin/experiment/cost_transport.go
+++ b/pkg/standin/experiment/cost_transport.go
@@ -27,6 +27,8 @@
 	// Upstreams are the addresses, "ip:port".
 	Upstreams []string
 	Slots     int
+	// Connections is the limit per upstream.
+	Connections int
 	// BurstsPerSecond is the mean rate of bursts, each of Calls calls in turn
 	// over the upstreams, with exponential gaps.
 	BurstsPerSecond float64
@@ -47,7 +49,7 @@
 
 // transportDeadline is the time that each call may take. It is long enough for the
 // backlog of a busy machine, so that every call is made.
-const transportDeadline = 10 * time.Second
+const transportDeadline = time.Minute
 
 // RunTransport makes the calls in this process and measures its cost.
 func RunTransport(ctx context.Context, r TransportRun) (TransportResult, error) {
@@ -106,13 +108,13 @@
 		Attempt:        id,
 		Upstream:       r.Upstreams[n],
 		Address:        r.Upstreams[n],
-		Service:        costService().Name,
+		Service:        "cost",
 		Operation:      launch.OperationSearch,
 		Snapshot:       "v1",
 		Shard:          model.ShardID(fmt.Sprintf("shard-%03d", number%r.Calls)),
 		Payload:        payload,
 		Deadline:       time.Now().Add(transportDeadline),
-		MaxConnections: costConnection / maxInstances,
+		MaxConnections: r.Connections,
 	}
 }
 
@@ -122,7 +124,7 @@
 	if err := os.MkdirAll(dir, 0o755); err != nil {
 		return "", err
 	}
-	service := costService()
+	service := o.Size.service()
 	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 0)
 	if err != nil {
 		return "", err
@@ -132,10 +134,16 @@
 	for _, u := range d.host.Upstreams {
 		addresses = append(addresses, u.Address)
 	}
-	out, err := exec.CommandContext(ctx, o.Standin, "transport",
+	args := []string{
+		"transport",
 		"--upstreams", strings.Join(addresses, ","),
 		"--rate", strconv.FormatFloat(fraction*service.Capacity(), 'g', -1, 64),
-		"--seed", strconv.FormatUint(o.Seed, 10)).Output()
+		"--seed", strconv.FormatUint(o.Seed, 10),
+	}
+	if o.Size == SmallCost {
+		args = append(args, "--small")
+	}
+	out, err := exec.CommandContext(ctx, o.Standin, args...).Output()
 	if err != nil {
 		return "", fmt.Errorf("calls without decisions: %w", err)
 	}
@@ -146,15 +154,19 @@
 	if r.Failed > 0 {
 		return "", fmt.Errorf("%d of %d calls without decisions failed", r.Failed, r.Calls)
 	}
-	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t-\t-\t-\n", fraction, transportLabel, float64(r.Calls)/costShards/r.Seconds,
-		float64(r.Calls)/r.Seconds, r.ProcessorSeconds*1e6/float64(r.Calls), r.MemoryMB), nil
+	use, err := d.slotUse(ctx)
+	if err != nil {
+		return "", err
+	}
+	return fmt.Sprintf("%g\t%s\t%.0f\t%.0f\t%.1f\t%.1f\t-\t-\t%.3f\t%s\n", fraction, transportLabel, float64(r.Calls)/float64(service.Shards)/r.Seconds,
+		float64(r.Calls)/r.Seconds, r.ProcessorSeconds*1e6/float64(r.Calls), r.MemoryMB, use.busy, use.idle(fraction)), nil
 }
 
-// DefaultTransportRun returns the run of the cost measurement at a rate of
-// bursts.
-func DefaultTransportRun(upstreams []string, rate float64, seed uint64) TransportRun {
+// NewTransportRun returns the run of the cost measurement at a rate of bursts.
+func NewTransportRun(size CostSize, upstreams []string, rate float64, seed uint64) TransportRun {
 	return TransportRun{
-		Upstreams: upstreams, Slots: costSlots, BurstsPerSecond: rate, Calls: costShards,
+		Upstreams: upstreams, Slots: size.Slots, Connections: size.Connections / maxInstances,
+		BurstsPerSecond: rate, Calls: size.Shards,
 		Duration: costPhaseMS * time.Millisecond, Seed: seed,
 	}
 }
