--- a/pkg/standin/experiment/cost_memory.go
+++ b/pkg/standin/experiment/cost_memory.go
@@ -19,9 +19,10 @@
 	openSlowdown = 2000
 	// openPhaseMS is the time in which the queries are sent. It is shorter than
 	// the time after which the home finds the upstreams stuck and refuses
-	// queries. openSettle is the time until the memory is read.
+	// queries. openSettle is the time until the memory is read; it covers the
+	// interval in which the number of open requests is reported.
 	openPhaseMS    = 40
-	openSettle     = 1500 * time.Millisecond
+	openSettle     = 3 * time.Second
 	openDeadlineMS = 5000
 )
 
