--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"os"
 	"os/signal"
@@ -57,7 +58,15 @@
 
 type costCommand struct {
 	programs
-	Seed uint64 `default:"1" help:"Seed of the load and the service times."`
+	Seed        uint64    `default:"1" help:"Seed of the load and the service times."`
+	Against     string    `help:"Path of another version of the sardineturn binary, measured in turn with this one."`
+	Transport   bool      `help:"Measure the client of upstreams alone as well."`
+	Together    bool      `help:"Make the measurements of a round at the same time instead of in turn."`
+	Small       bool      `help:"Use a service of three upstreams with three slots, to measure the use of slots at loads above 1."`
+	Loads       []float64 `help:"Loads as fractions of the upstreams' capacity."`
+	Rounds      int       `default:"1" help:"Times that each load is measured."`
+	Profiles    string    `help:"Directory for a processor profile of the instance at each load."`
+	OpenQueries int       `help:"Measure the memory per open query with this many of them."`
 }
 
 // Run implements the command.
@@ -68,5 +77,35 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	return experiment.Cost(ctx, experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed}, os.Stdout)
+	size := experiment.LargeCost
+	if c.Small {
+		size = experiment.SmallCost
+	}
+	return experiment.Cost(ctx, experiment.CostOptions{
+		Options: experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed},
+		Against: c.Against, Transport: c.Transport, Together: c.Together, Size: size, Loads: c.Loads, Rounds: c.Rounds,
+		Profiles: c.Profiles, OpenQueries: c.OpenQueries,
+	}, os.Stdout)
+}
+
+type transportCommand struct {
+	Upstreams []string `required:"" help:"Addresses of the upstreams."`
+	Rate      float64  `default:"50" help:"Bursts of calls per second."`
+	Small     bool     `help:"Use the slots and the bursts of the small service."`
+	Seed      uint64   `default:"1" help:"Seed of the gaps between bursts."`
+}
+
+// Run implements the command.
+func (c *transportCommand) Run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	size := experiment.LargeCost
+	if c.Small {
+		size = experiment.SmallCost
+	}
+	r, err := experiment.RunTransport(ctx, experiment.NewTransportRun(size, c.Upstreams, c.Rate, c.Seed))
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(r)
 }
