Return to encoding/json and net/http for messages to upstreams

Reverts the hand-written encoding of requests, the reading of usual response heads and of usual answers. The interface is simple and the gain is not worth code that the libraries supply.

The head of a request is now written by http.Request.Write into one message.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -140,7 +140,11 @@
 	if left < time.Millisecond {
 		return port.UpstreamReply{Code: result.DeadlineExceeded, Ran: model.NotRun}
 	}
-	a := p.roundTrip(ctx, call.Deadline, encodeExecute(p.address, &call, left), MaxAnswerBytes)
+	request, err := executeMessage(p.address, call, left)
+	if err != nil {
+		return port.UpstreamReply{Code: result.BadRequest, Ran: model.NotRun}
+	}
+	a := p.roundTrip(ctx, call.Deadline, request, MaxAnswerBytes)
 	if a.err != nil {
 		return failed(c.ended(ctx, call.Deadline), a)
 	}
@@ -170,7 +174,11 @@
 }
 
 func (p *pool) get(ctx context.Context, deadline time.Time, path string) ([]byte, error) {
-	a := p.roundTrip(ctx, deadline, appendGet(nil, p.address, path), maxStatusBytes)
+	request, err := requestMessage(http.MethodGet, p.address, path, nil)
+	if err != nil {
+		return nil, result.Wrap(result.Internal, err)
+	}
+	a := p.roundTrip(ctx, deadline, request, maxStatusBytes)
 	if a.err != nil {
 		return nil, result.Wrap(result.ConnectFailed, a.err)
 	}
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -74,8 +74,10 @@
 func TestUpstreamDeadlineIsEarlier(t *testing.T) {
 	call := newCall("", 1)
 	left := time.Until(call.Deadline)
+	body, err := encodeRequest(call, left-hopAllowance)
+	must.NoError(t, err)
 	var req executeRequest
-	must.NoError(t, json.Unmarshal(appendExecute(nil, &call, left-hopAllowance), &req))
+	must.NoError(t, json.Unmarshal(body, &req))
 	must.Less(t, left.Milliseconds(), req.DeadlineMS)
 	must.Less(t, call.Deadline.UnixMilli(), req.DeadlineUnixMS)
 }
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -110,11 +110,6 @@
 
 // receive reads one response and reports whether the connection can be kept.
 func (c *conn) receive(limit int64) (int, []byte, bool, error) {
-	c.limited.left = maxHeaderBytes
-	if status, length, ok := c.usualHead(); ok {
-		body, err := c.readLength(length, limit)
-		return status, body, err == nil, err
-	}
 	for range maxInformational + 1 {
 		c.limited.left = maxHeaderBytes
 		resp, err := http.ReadResponse(c.reader, nil)
@@ -135,31 +130,6 @@
 	return 0, nil, false, errProtocolSwitch
 }
 
-// usualHead waits for a response and consumes its head if all of it arrived at
-// once in the usual form.
-func (c *conn) usualHead() (status int, length int64, ok bool) {
-	if _, err := c.reader.Peek(1); err != nil {
-		return 0, 0, false
-	}
-	b, _ := c.reader.Peek(c.reader.Buffered())
-	h, size, ok := parseHead(b)
-	if ok {
-		_, _ = c.reader.Discard(size)
-	}
-	return h.status, h.length, ok
-}
-
-// readLength reads a body of a known length.
-func (c *conn) readLength(n, limit int64) ([]byte, error) {
-	if n > limit {
-		return nil, errAnswerTooLarge
-	}
-	c.limited.left = n
-	body := make([]byte, n)
-	_, err := io.ReadFull(c.reader, body)
-	return body, err
-}
-
 func readAll(resp *http.Response, limit int64) ([]byte, error) {
 	if n := resp.ContentLength; n > limit {
 		return nil, errAnswerTooLarge
--- a/pkg/adapter/upstreamhttp/wire.go
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -1,7 +1,11 @@
 package upstreamhttp
 
 import (
+	"bytes"
 	"encoding/json"
+	"io"
+	"net/http"
+	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
@@ -14,6 +18,18 @@
 // maxStatusBytes is the size limit of a health or load answer.
 const maxStatusBytes = 64 << 10
 
+type executeRequest struct {
+	Attempt        string           `json:"attempt"`
+	Service        string           `json:"service"`
+	Operation      string           `json:"operation"`
+	Snapshot       model.SnapshotID `json:"snapshot"`
+	Shard          model.ShardID    `json:"shard"`
+	Payload        json.RawMessage  `json:"payload,omitempty"`
+	OrderKey       string           `json:"order_key,omitempty"`
+	DeadlineMS     int64            `json:"deadline_ms"`
+	DeadlineUnixMS int64            `json:"deadline_unix_ms"`
+}
+
 type executeAnswer struct {
 	Attempt  string           `json:"attempt"`
 	Snapshot model.SnapshotID `json:"snapshot"`
@@ -35,13 +51,6 @@
 	Snapshots []model.SnapshotID `json:"snapshots"`
 }
 
-// Values of answers that are used by name.
-const (
-	stateOK = "ok"
-	ranYes  = "ran"
-	ranNo   = "not_run"
-)
-
 // stateRule maps a state to a code for each value of "ran". A zero code means
 // that the state must not be combined with that value.
 type stateRule struct {
@@ -52,7 +61,7 @@
 // A shard that is missing from a loaded snapshot is handled like a missing
 // snapshot: the pinned shard map is out of date at this upstream.
 var stateRules = map[string]stateRule{
-	stateOK:            {ran: result.OK},
+	"ok":               {ran: result.OK},
 	"shed":             {notRun: result.UpstreamShed},
 	"draining":         {notRun: result.UpstreamDraining},
 	"snapshot_missing": {notRun: result.SnapshotMissing},
@@ -63,24 +72,52 @@
 	"failed":           {notRun: result.UpstreamFailed, ran: result.UpstreamFailed},
 }
 
-// appendGet appends a GET request.
-func appendGet(b []byte, host, path string) []byte {
-	return append(appendHead(b, "GET ", host, path), "\r\n"...)
+// encodeRequest encodes a call with the time that is left for the upstream.
+func encodeRequest(call port.UpstreamCall, left time.Duration) ([]byte, error) {
+	return json.Marshal(executeRequest{
+		Attempt:        call.Attempt.String(),
+		Service:        call.Service,
+		Operation:      call.Operation,
+		Snapshot:       call.Snapshot,
+		Shard:          call.Shard,
+		Payload:        call.Payload,
+		OrderKey:       call.OrderKey,
+		DeadlineMS:     left.Milliseconds(),
+		DeadlineUnixMS: call.Deadline.Add(-hopAllowance).UnixMilli(),
+	})
 }
 
-func appendHead(b []byte, method, host, path string) []byte {
-	b = append(b, method...)
-	b = append(b, path...)
-	b = append(b, " HTTP/1.1\r\nHost: "...)
-	b = append(b, host...)
-	return append(b, "\r\nUser-Agent: sardineturn\r\n"...)
+// executeMessage is the whole HTTP request of a call.
+func executeMessage(address string, call port.UpstreamCall, left time.Duration) ([]byte, error) {
+	body, err := encodeRequest(call, left)
+	if err != nil {
+		return nil, err
+	}
+	return requestMessage(http.MethodPost, address, executePath, body)
+}
+
+// requestMessage encodes an HTTP request as one message, so that it is written
+// at once and what left the process is known.
+func requestMessage(method, address, path string, body []byte) ([]byte, error) {
+	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	if method == http.MethodPost {
+		req.Header.Set("Content-Type", "application/json")
+	}
+	var message bytes.Buffer
+	if err := req.Write(&message); err != nil {
+		return nil, err
+	}
+	return message.Bytes(), nil
 }
 
 // parseAnswer checks a complete answer body against its call. An answer that
 // breaks the interface leaves open whether the request ran.
 func parseAnswer(call port.UpstreamCall, body []byte) port.UpstreamReply {
-	a, err := decodeAnswer(body, string(call.Snapshot), string(call.Shard), stateOK, ranYes, ranNo)
-	if err != nil {
+	var a executeAnswer
+	if err := decodeOne(body, &a); err != nil {
 		return port.UpstreamReply{Code: result.UpstreamFailed}
 	}
 	id, err := model.ParseAttemptID(a.Attempt)
@@ -105,11 +142,11 @@
 	switch {
 	case !known:
 		return result.UpstreamFailed, model.RunUnknown
-	case a.Ran == ranNo && rule.notRun != 0:
+	case a.Ran == "not_run" && rule.notRun != 0:
 		return rule.notRun, model.NotRun
-	case a.Ran == ranYes && rule.ran == result.OK && len(a.Result) == 0:
+	case a.Ran == "ran" && rule.ran == result.OK && len(a.Result) == 0:
 		return result.UpstreamFailed, model.RunUnknown
-	case a.Ran == ranYes && rule.ran != 0:
+	case a.Ran == "ran" && rule.ran != 0:
 		return rule.ran, model.Ran
 	default:
 		return result.UpstreamFailed, model.RunUnknown
@@ -118,11 +155,11 @@
 
 func parseStatus(health, load []byte) (port.UpstreamStatus, error) {
 	var h healthAnswer
-	if err := json.Unmarshal(health, &h); err != nil {
+	if err := decodeOne(health, &h); err != nil {
 		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
 	}
 	var l loadAnswer
-	if err := json.Unmarshal(load, &l); err != nil {
+	if err := decodeOne(load, &l); err != nil {
 		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
 	}
 	if h.Healthy == nil || l.InFlight == nil || l.Slots == nil || *l.InFlight < 0 || *l.Slots < 0 {
@@ -136,3 +173,15 @@
 		Snapshots: l.Snapshots,
 	}, nil
 }
+
+// decodeOne decodes exactly one JSON value and refuses anything after it.
+func decodeOne(body []byte, v any) error {
+	dec := json.NewDecoder(bytes.NewReader(body))
+	if err := dec.Decode(v); err != nil {
+		return err
+	}
+	if _, err := dec.Token(); err != io.EOF {
+		return result.Errorf(result.UpstreamFailed, "data after the JSON value")
+	}
+	return nil
+}
