Compare the decisions with rival ways in virtual time

standin compare runs pkg/query, pkg/placement and pkg/scheduler against modelled upstreams at the sizes of both customers, with the same arrivals and service times for each way. scheduler.Rules replaces single decisions, so that a rival differs in nothing else; instances use the zero value.

--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test lint demo soak faults experiments capacity generate traces
+.PHONY: all build test lint demo soak faults experiments capacity compare generate traces
 
 all: build test
 
@@ -48,6 +48,10 @@
 	$(GO) test -run '^$$' -bench Memory -benchtime 2x ./pkg/membership >> $(BIN)/membership-bench.txt
 	$(BIN)/standin capacity
 
+# Compares the decisions with rival ways in virtual time.
+compare: build
+	$(BIN)/standin compare --seed $(SEED) --seeds 3 --out docs/measurements/decisions.txt
+
 generate:
 	protoc --go_out=. --go_opt=module=github.com/sardineturn/sardineturn \
 		--go-grpc_out=. --go-grpc_opt=module=github.com/sardineturn/sardineturn pkg/wire/peer.proto
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -27,6 +27,7 @@
 	Serve      serveCommand      `cmd:"" help:"Run an instance of the baseline that experiments compare with."`
 	Experiment experimentCommand `cmd:"" help:"Run load and faults against the product and the baseline, and compare with the aims."`
 	Capacity   capacityCommand   `cmd:"" help:"Measure what the parts cost at growing sizes and fill the tables of docs/CAPACITY.md."`
+	Compare    compareCommand    `cmd:"" help:"Compare the decisions of the product with rival ways in virtual time."`
 	Cost       costCommand       `cmd:"" help:"Measure the processor time per upstream call and the memory of one instance."`
 	Demo       demoCommand       `cmd:"" help:"Start a small deployment, send some requests and stop it."`
 }
--- a/pkg/scheduler/credits.go
+++ b/pkg/scheduler/credits.go
@@ -1,7 +1,9 @@
 package scheduler
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"time"
 )
 
@@ -98,6 +100,12 @@
 // first those with credit, then the others, each by urgency.
 func (s *Scheduler) pickOrder() []*priority {
 	order := s.orderBuffer[:0]
+	if s.cfg.Rules.SharesOnly {
+		order = append(order, s.priorities...)
+		slices.SortStableFunc(order, func(a, b *priority) int { return cmp.Compare(b.credit, a.credit) })
+		s.orderBuffer = order
+		return order
+	}
 	for _, p := range s.priorities {
 		if p.credit > 0 {
 			order = append(order, p)
--- a/pkg/scheduler/dispatch.go
+++ b/pkg/scheduler/dispatch.go
@@ -179,7 +179,7 @@
 	s.emit(Start{Call: s.call(a, p), Hedge: a.hedge, Retry: p.retry, Reason: reason})
 	p.retry = false
 	if !r.req.NonIdempotent && !a.alone && !a.hedge {
-		s.timers.add(timer{at: s.now.Add(a.op.hedgeDelay()), attempt: a})
+		s.timers.add(timer{at: s.now.Add(s.hedgeDelay(a.op)), attempt: a})
 	}
 	return a
 }
--- a/pkg/scheduler/finish.go
+++ b/pkg/scheduler/finish.go
@@ -220,6 +220,9 @@
 // retry after a draining reply is a redirection and is allowed while the
 // priority sheds load.
 func (s *Scheduler) retryDenied(p *part, reply port.UpstreamReply) string {
+	if n := s.cfg.Rules.Retries; n != 0 {
+		return fixedRetryDenied(p, n)
+	}
 	draining := reply.Draining || reply.Code == result.UpstreamDraining
 	if !draining && s.shedding(p.request.prio) {
 		return "shedding"
@@ -230,6 +233,14 @@
 	return ""
 }
 
+// fixedRetryDenied is the rule of a fixed number of retries.
+func fixedRetryDenied(p *part, retries int) string {
+	if p.attempts > retries {
+		return "fixed"
+	}
+	return ""
+}
+
 // shedding reports whether the group has lately refused work of this priority
 // or a more urgent one for overload. Refusals of less urgent work do not
 // count, or a flood of it would take the retries from urgent work.
--- a/pkg/scheduler/hedge.go
+++ b/pkg/scheduler/hedge.go
@@ -1,5 +1,7 @@
 package scheduler
 
+import "time"
+
 // hedge starts second attempts for overdue ones, as far as free slots and the
 // budgets allow. It runs after dispatch, so that a slot that is still free is
 // one that no waiting part can use.
@@ -17,6 +19,13 @@
 	s.overdue = kept
 }
 
+func (s *Scheduler) hedgeDelay(o *operation) time.Duration {
+	if s.cfg.Rules.HedgeDelay > 0 {
+		return s.cfg.Rules.HedgeDelay
+	}
+	return o.hedgeDelay()
+}
+
 // wantsHedge reports whether the attempt is still the only one of its part. An
 // attempt from before a pause is not hedged, because its reply may only wait
 // to be delivered.
--- a/pkg/scheduler/reconfigure.go
+++ b/pkg/scheduler/reconfigure.go
@@ -62,6 +62,7 @@
 		u := old[du.Name]
 		if u == nil || u.address != du.Address {
 			u = newUpstream(du, s.cfg.MaxInstances)
+			s.applyRamp(u)
 		}
 		u.configure(du, s.cfg.MaxInstances)
 		s.upstreams[du.Name] = u
--- a/pkg/scheduler/replica.go
+++ b/pkg/scheduler/replica.go
@@ -89,11 +89,11 @@
 func (s *Scheduler) cheapest(p *part, level fitness) *upstream {
 	var best *upstream
 	least := 0.0
-	for _, u := range p.replicas {
-		if !u.free() || s.fitness(p, u) != level {
+	for i, u := range p.replicas {
+		if !u.free() || s.fitness(p, u) != level || !s.usableByRule(p, u, i) {
 			continue
 		}
-		cost := s.expectedSeconds(p.request.op, u)
+		cost := s.replicaCost(p, u, i)
 		if best == nil || cost < least {
 			best, least = u, cost
 		}
@@ -101,6 +101,13 @@
 	return best
 }
 
+func (s *Scheduler) replicaCost(p *part, u *upstream, index int) float64 {
+	if s.cfg.Rules.ReplicaCost != nil {
+		return s.ruleCost(p, u, index)
+	}
+	return s.expectedSeconds(p.request.op, u)
+}
+
 // expectedSeconds estimates the time to completion on the upstream. The load
 // term spreads attempts over equal replicas, and the random term breaks ties.
 func (s *Scheduler) expectedSeconds(o *operation, u *upstream) float64 {
@@ -154,7 +161,7 @@
 
 // computeDegraded compares the upstream's latency with the group's.
 func (s *Scheduler) computeDegraded(u *upstream) bool {
-	if len(s.order) < 2 {
+	if len(s.order) < 2 || s.cfg.Rules.ReplicaCost != nil {
 		return false
 	}
 	if u.factor > degradedFactor*s.medianFactor {
--- /dev/null
+++ b/pkg/scheduler/rules.go
@@ -0,0 +1,66 @@
+package scheduler
+
+import (
+	"math"
+	"time"
+)
+
+// Rules replaces single decisions, so that a measurement can run the scheduler
+// beside a rival that differs in nothing else (pkg/standin/compare). Instances
+// use the zero value.
+type Rules struct {
+	// ReplicaCost orders the replicas with a free slot, the least cost first. A
+	// replica of infinite cost is not used. It replaces the expected completion
+	// time and the avoidance of degraded upstreams.
+	ReplicaCost func(Candidate) float64
+	// HedgeDelay replaces the delay from the observed latencies.
+	HedgeDelay time.Duration
+	// Retries replaces the budget and the rule about load shedding by a fixed
+	// number of retries; a negative number means none.
+	Retries int
+	// NoRamp lets cold upstreams use all their slots at once.
+	NoRamp bool
+	// NoAdmission queues work that is not expected to end in time.
+	NoAdmission bool
+	// SharesOnly orders priorities by credit alone.
+	SharesOnly bool
+}
+
+// Candidate is a replica that a part may use, as seen by Rules.ReplicaCost.
+type Candidate struct {
+	Upstream string
+	// Turn counts requests, so that a rule can take replicas in turn.
+	Turn uint64
+	// Index is the place of the replica among Replicas ones of the shard.
+	Index, Replicas int
+	InFlight        int
+	// LatencyFactor is the mean ratio of the upstream's latency to the median
+	// of the operation.
+	LatencyFactor float64
+	Tried         bool
+}
+
+func (s *Scheduler) applyRamp(u *upstream) {
+	if s.cfg.Rules.NoRamp {
+		u.initial = float64(u.ceiling)
+		u.limit = u.initial
+	}
+}
+
+func (s *Scheduler) ruleCost(p *part, u *upstream, index int) float64 {
+	return s.cfg.Rules.ReplicaCost(Candidate{
+		Upstream:      u.name,
+		Turn:          p.request.seq,
+		Index:         index,
+		Replicas:      len(p.replicas),
+		InFlight:      u.inFlight(),
+		LatencyFactor: u.factor,
+		Tried:         p.wasTried(u),
+	})
+}
+
+// usableByRule reports whether the rule in place of the expected completion
+// time allows the replica.
+func (s *Scheduler) usableByRule(p *part, u *upstream, index int) bool {
+	return s.cfg.Rules.ReplicaCost == nil || !math.IsInf(s.ruleCost(p, u, index), 1)
+}
--- a/pkg/scheduler/upstream.go
+++ b/pkg/scheduler/upstream.go
@@ -42,8 +42,10 @@
 	limit float64
 	// threshold ends the steep part of the ramp.
 	threshold float64
-	running   []*attempt
-	breaker   breaker
+	// initial is the limit while the upstream is cold.
+	initial float64
+	running []*attempt
+	breaker breaker
 	// factor is the mean ratio of the upstream's latency to the median of the
 	// operation; samples counts the latencies in it.
 	factor  float64
@@ -77,6 +79,7 @@
 	u := &upstream{
 		name:     d.Name,
 		limit:    coldLimit,
+		initial:  coldLimit,
 		factor:   1,
 		reported: StateCold,
 		missing:  make(map[model.SnapshotID]time.Time),
@@ -188,7 +191,7 @@
 
 // chill restarts the ramp after the upstream was out of use.
 func (u *upstream) chill() {
-	u.limit = coldLimit
+	u.limit = u.initial
 	u.threshold = float64(u.ceiling)
 	u.factor = 1
 	u.samples = 0
--- /dev/null
+++ b/pkg/standin/compare/size.go
@@ -0,0 +1,88 @@
+package compare
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
+	"github.com/sardineturn/sardineturn/pkg/standin/upstream"
+)
+
+// size is a kind of service of a customer and the fleet in front of it.
+type size struct {
+	name      string
+	service   launch.Service
+	instances int
+	snapshot  model.SnapshotID
+}
+
+// sizes returns the smallest and the largest kind of service of each customer.
+func sizes() []size {
+	return []size{
+		newSize("shevitsa", launch.Shevitsa(), "fitting-desk-1", 9),
+		newSize("shevitsa", launch.Shevitsa(), "restore-log-1", 9),
+		newSize("scalai", launch.Scalai(), "sportello-1", 8),
+		newSize("scalai", launch.Scalai(), "officina-1", 8),
+	}
+}
+
+func newSize(customer string, services []launch.Service, name string, instances int) size {
+	for _, s := range services {
+		if s.Name == name {
+			label := fmt.Sprintf("%s %dx%d", customer, s.Upstreams, s.Slots)
+			return size{name: label, service: s, instances: instances, snapshot: "v1"}
+		}
+	}
+	panic("no service " + name)
+}
+
+// document returns the service's document for upstreams that nobody listens on.
+func (s size) document() *document.Document {
+	var listed []upstream.Listed
+	for i := range s.service.Upstreams {
+		listed = append(listed, upstream.Listed{Name: fmt.Sprintf("u%d", i), Address: fmt.Sprintf("127.0.0.1:%d", 9000+i)})
+	}
+	d := s.service.Document(1, s.snapshot, listed)
+	return &d
+}
+
+func (s size) dataCentre(instance int) model.DataCentre {
+	return s.service.DataCentres[instance%len(s.service.DataCentres)]
+}
+
+func (s size) connectTime() time.Duration {
+	return time.Duration(s.service.ConnectMS * float64(time.Millisecond))
+}
+
+// capacity is the number of queries per second that the slots can serve when
+// each is idle for one round trip from the first instance between two calls.
+func (s size) capacity() float64 {
+	service := s.service.Service[""]
+	busy := service.MedianMS / 1000 * math.Exp(service.Sigma*service.Sigma/2)
+	perSecond := 0.0
+	for i := range s.service.Upstreams {
+		trip := 2 * delay(s.dataCentre(0), s.dataCentre(i)).Seconds()
+		perSecond += float64(s.service.Slots) / (busy + trip)
+	}
+	return perSecond / float64(s.service.Shards)
+}
+
+const (
+	// farDelay and nearDelay are the one-way latencies between two data centres
+	// and within one.
+	farDelay  = 500 * time.Microsecond
+	nearDelay = 50 * time.Microsecond
+)
+
+func delay(a, b model.DataCentre) time.Duration {
+	if a == b {
+		return nearDelay
+	}
+	return farDelay
+}
+
+func (s size) matches(only string) bool { return only == "" || strings.Contains(s.name, only) }
