Redirect rare refusals instead of lowering the limit

Cause: each shedding reply multiplied the upstream's limit by 0.7 and held the upstream for a latency, and no attempt was repeated while the priority shed. Upstreams that refuse 10% of the calls at random lost most of their slots, admission refused work, and the refusals in turn forbade retries.

Change: an upstream counts as overloaded when it refused over 25% of its recent replies. Below that a refused attempt is repeated elsewhere, within the budget of retries and hedges, also while the priority sheds load.

Ruled out: redirections without a budget serve everything (13.6% extra), but break the limit of 10%, which TestRandomFaults checks; a threshold of 15% gives 62, 37 and 85% of the most urgent work in that flood (3x3, 7x6, 11x2).

Cost: with differing member lists, a flood of the least urgent and upstreams without a queue, the most urgent have 73% in target instead of 98% (3x3) and 59% instead of 85% (7x6), because two homes overshoot for longer.

--- a/pkg/scheduler/finish.go
+++ b/pkg/scheduler/finish.go
@@ -85,9 +85,10 @@
 	case result.OK:
 		s.observeSuccess(a, elapsed)
 	case result.UpstreamShed, result.ConcurrencyLimit, result.ConnectionLimit:
-		u.shed(s.now, a.op.median)
-		u.hold(s.now, a.op.median)
-		s.wakeAt(u.heldUntil)
+		u.refused(s.now, a.op.median)
+		if u.held {
+			s.wakeAt(u.heldUntil)
+		}
 		s.alive(u)
 	case result.SnapshotMissing:
 		u.missing[a.part.request.req.Snapshot] = s.now.Add(missingHold)
@@ -182,18 +183,24 @@
 		s.finishPart(p, result.OK)
 	case len(p.running) > 0:
 		return
-	case !s.requeue(p, reply):
+	case !s.requeue(p, reply, s.redirected(a, reply)):
 		s.finishPart(p, reply.Code)
 	}
 	s.finishIfComplete(p.request)
 }
 
 // requeue makes a failed part wait for another attempt if one is allowed.
-func (s *Scheduler) requeue(p *part, reply port.UpstreamReply) bool {
+func (s *Scheduler) requeue(p *part, reply port.UpstreamReply, redirected bool) bool {
 	if !s.retryable(p, reply) {
 		return false
 	}
-	if denied := s.retryDenied(p, reply); denied != "" {
+	denied := ""
+	if redirected {
+		denied = s.budgetDenied()
+	} else {
+		denied = s.retryDenied(p, reply)
+	}
+	if denied != "" {
 		s.count(CountRetryDenied, p.request.prio, denied)
 		return false
 	}
@@ -227,12 +234,27 @@
 	if !draining && s.shedding(p.request.prio) {
 		return "shedding"
 	}
+	return s.budgetDenied()
+}
+
+// budgetDenied takes a retry from the budget.
+func (s *Scheduler) budgetDenied() string {
 	if !s.budgets.takeRetry() {
 		return "budget"
 	}
 	return ""
 }
 
+// redirected reports whether an upstream that is not overloaded refused the
+// attempt. Another attempt then replaces it and adds nothing to an overload.
+func (s *Scheduler) redirected(a *attempt, reply port.UpstreamReply) bool {
+	return s.cfg.Rules.Retries == 0 && shedCode(reply.Code) && reply.Ran == model.NotRun && !a.upstream.overloaded()
+}
+
+func shedCode(c result.Code) bool {
+	return c == result.UpstreamShed || c == result.ConcurrencyLimit || c == result.ConnectionLimit
+}
+
 // fixedRetryDenied is the rule of a fixed number of retries.
 func fixedRetryDenied(p *part, retries int) string {
 	if p.attempts > retries {
--- a/pkg/scheduler/isolation.go
+++ b/pkg/scheduler/isolation.go
@@ -235,7 +235,7 @@
 		}
 		s.detachAll(p)
 		reply := port.UpstreamReply{Code: result.IsolationPending}
-		if !s.requeue(p, reply) {
+		if !s.requeue(p, reply, false) {
 			s.finishPart(p, result.IsolationPending)
 		}
 	}
--- a/pkg/scheduler/upstream.go
+++ b/pkg/scheduler/upstream.go
@@ -14,6 +14,13 @@
 	// above the threshold of the last shedding.
 	coldStep = 0.5
 	warmStep = 0.05
+	// overloadShare is the share of recent replies that shed from which an
+	// upstream counts as overloaded. Fewer refusals are only redirected: while
+	// each of them lowered the limit, 10% random refusals at 40% load left the
+	// most urgent priority 46% of its answers (docs/design.md).
+	overloadShare = 0.25
+	// shedWeight is the weight of a reply in that share.
+	shedWeight = 0.05
 	// shedFactor multiplies the limit when the upstream sheds.
 	shedFactor = 0.7
 	// maxShedHold bounds the time without new attempts after shedding.
@@ -52,6 +59,8 @@
 	samples int
 	// shedAt is the time of the last accepted lowering of the limit.
 	shedAt time.Time
+	// shedShare is the share of recent replies that shed.
+	shedShare float64
 	// sheds counts shedding replies since the last success; until heldUntil
 	// the upstream gets no new attempts.
 	sheds     int
@@ -162,6 +171,7 @@
 // succeeded records an attempt that the upstream completed.
 func (u *upstream) succeeded() {
 	u.sheds = 0
+	u.shedShare -= shedWeight * u.shedShare
 	step := warmStep
 	if u.limit < u.threshold {
 		step = coldStep
@@ -169,6 +179,19 @@
 	u.limit = min(u.limit+step, float64(u.ceiling))
 }
 
+// overloaded reports whether the upstream refuses more than now and then.
+func (u *upstream) overloaded() bool { return u.shedShare > overloadShare }
+
+// refused records that the upstream shed a call.
+func (u *upstream) refused(now time.Time, latency time.Duration) {
+	u.sheds++
+	u.shedShare += shedWeight * (1 - u.shedShare)
+	if u.overloaded() {
+		u.shed(now, latency)
+		u.hold(now, latency)
+	}
+}
+
 // shed lowers the limit, at most once per interval, since the replies to one
 // burst say the same thing.
 func (u *upstream) shed(now time.Time, interval time.Duration) {
@@ -184,7 +207,6 @@
 // twice as long after each further shedding. Lowering the limit alone does not
 // help when other instances have taken all slots.
 func (u *upstream) hold(now time.Time, latency time.Duration) {
-	u.sheds++
 	u.held = true
 	u.heldUntil = now.Add(min(latency<<min(u.sheds-1, 10), maxShedHold))
 }
--- a/pkg/standin/compare/compare_test.go
+++ b/pkg/standin/compare/compare_test.go
@@ -4,10 +4,59 @@
 	"testing"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/document"
 )
 
 const testSeed = 20261204
 
+// worseBy is how much the product may be behind a rival in useful work.
+const worseBy = 0.03
+
+// budgetTolerance is what the burst of the budget adds to it in a short run. A
+// rival above it pays for its answers with load that the budget forbids.
+const budgetTolerance = 0.01
+
+// TestProductIsNotBehind guards against a rule that costs more useful work than
+// it saves, in every scenario at the smallest size of a customer. A rival that
+// serves fewer of the most urgent queries instead is no better way.
+func TestProductIsNotBehind(t *testing.T) {
+	for _, d := range decisions() {
+		for _, sc := range d.scenarios {
+			t.Run(d.key+" "+sc.name, func(t *testing.T) {
+				t.Parallel()
+				checkNotBehind(t, d, sc)
+			})
+		}
+	}
+}
+
+func checkNotBehind(t *testing.T, d decision, sc scenario) {
+	s := sizes()[0]
+	built, broken := run(s, asBuilt, sc, testSeed)
+	must.SliceEmpty(t, broken)
+	for _, v := range d.ways[1:] {
+		f, _ := run(s, v, sc, testSeed)
+		overBudget := f.extra > document.DefaultExtraFraction+budgetTolerance
+		lessUrgent := f.priorities[0].useful < built.priorities[0].useful-worseBy
+		if overBudget || lessUrgent {
+			continue
+		}
+		must.GreaterEq(t, f.goodput-worseBy, built.goodput, must.Sprint(v.name))
+	}
+}
+
+// TestRareRefusals guards against upstreams that refuse one call in twenty and
+// lose their place in the schedule for it, at every size.
+func TestRareRefusals(t *testing.T) {
+	for _, s := range sizes() {
+		f, _ := run(s, asBuilt, scenario{load: lightLoad, fault: shedding(0.05)}, testSeed)
+		for _, p := range f.priorities {
+			must.GreaterEq(t, 0.98, p.inTarget, must.Sprint(s.name))
+		}
+	}
+}
+
 // TestRunsRepeat guards against figures that depend on anything but the seed.
 func TestRunsRepeat(t *testing.T) {
 	for _, v := range schedulingWays {
--- a/pkg/standin/compare/scenario.go
+++ b/pkg/standin/compare/scenario.go
@@ -76,6 +76,7 @@
 			{name: "slow replica and flood of the least urgent", load: lateFlood, fault: slowReplica},
 		}},
 		{"f", "retries", retryWays, []scenario{
+			{name: "upstreams shed 5%, 40% load", load: lightLoad, fault: shedding(0.05)},
 			{name: "upstreams shed 10%, 40% load", load: lightLoad, fault: shedding(0.1)},
 			{name: "upstreams shed 10%, flood of the least urgent", load: lateFlood, fault: shedding(0.1)},
 			{name: "upstreams shed 60%, 40% load", load: lightLoad, fault: shedding(0.6)},
