Let debts of slot time lapse while nothing waits

Cause: priorities also paid for slots that nobody waited for. A priority whose part of a light load exceeds its share entered a sudden flood with up to a second of debt and lost its guaranteed share until it was paid.

--- a/pkg/scheduler/credits.go
+++ b/pkg/scheduler/credits.go
@@ -23,8 +23,8 @@
 
 // accrue moves credit for the time since the last call. Every priority earns
 // its share of the slot time that was consumed and pays for its own, so that
-// the sum stays constant. What a priority cannot keep goes to the most urgent
-// priority with work.
+// the sum stays constant, except that a debt lapses while nothing
+// waits. What a priority cannot keep goes to the most urgent priority with work.
 func (s *Scheduler) accrue(now time.Time) {
 	elapsed := min(max(now.Sub(s.accruedAt), 0), maxAccrual).Seconds()
 	s.accruedAt = now
@@ -40,16 +40,27 @@
 	spare := consumed
 	capacity := s.nominalSlots()
 	decay := math.Exp(-elapsed / usageWindow.Seconds())
+	idle := !s.anyWaits()
 	for _, p := range s.priorities {
 		earned := p.share * consumed
 		spare -= earned
 		p.credit += earned - float64(p.inFlight)*elapsed
 		p.usage = p.usage*decay + float64(p.inFlight)*(1-decay)
 		spare += p.takeExcess(capacity)
+		// Slots that nobody waits for cost nothing. Otherwise a priority
+		// that uses free slots would enter a flood with a debt.
+		if idle && p.credit < 0 {
+			p.credit = 0
+		}
 	}
 	s.passOn(spare, capacity)
 }
 
+// anyWaits reports whether work waits for a slot.
+func (s *Scheduler) anyWaits() bool {
+	return slices.ContainsFunc(s.priorities, func(p *priority) bool { return p.waitingParts > 0 })
+}
+
 // observeConcurrency follows the number of slots that are in use while work
 // waits. It is below the number of slots when the waiting shards have too few
 // replicas to use them all.
--- a/pkg/standin/compare/compare_test.go
+++ b/pkg/standin/compare/compare_test.go
@@ -57,6 +57,25 @@
 	}
 }
 
+// steadyFlood is the flood of the objectives: 3 times capacity of the least
+// urgent work over the steady load of the others.
+var steadyFlood = [3]float64{0.18, 0.14, 3}
+
+// TestFloodObjectives guards against a flood that takes the other priorities'
+// shares or the goodput, at every size.
+func TestFloodObjectives(t *testing.T) {
+	for _, s := range sizes() {
+		f, _ := run(s, asBuilt, scenario{load: urgentFlood}, testSeed)
+		must.GreaterEq(t, 0.9, f.goodput, must.Sprint(s.name))
+		for _, p := range f.priorities[1:] {
+			must.GreaterEq(t, 0.95, p.kept, must.Sprint(s.name))
+		}
+		f, _ = run(s, asBuilt, scenario{load: steadyFlood}, testSeed)
+		must.GreaterEq(t, 0.99, f.priorities[0].inTarget, must.Sprint(s.name))
+		must.GreaterEq(t, 0.95, f.priorities[1].kept, must.Sprint(s.name))
+	}
+}
+
 // TestRunsRepeat guards against figures that depend on anything but the seed.
 func TestRunsRepeat(t *testing.T) {
 	for _, v := range schedulingWays {
