--- a/pkg/standin/experiment/cost_memory.go
+++ b/pkg/standin/experiment/cost_memory.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/standin/launch"
 	"github.com/sardineturn/sardineturn/pkg/standin/load"
 )
 
--- a/pkg/standin/experiment/cost_transport.go
+++ b/pkg/standin/experiment/cost_transport.go
@@ -125,7 +125,7 @@
 		return "", err
 	}
 	service := o.Size.service()
-	d, err := deploySized(ctx, o.Options, o.Sardineturn, dir, service, 0)
+	d, err := deploy(ctx, o.Options, o.Sardineturn, dir, size{services: []launch.Service{service}, instances: 0})
 	if err != nil {
 		return "", err
 	}
