--- a/pkg/standin/experiment/recorded.go
+++ b/pkg/standin/experiment/recorded.go
@@ -51,11 +51,14 @@
 	keep func(*recording, *replay.Cutter, []string) error
 }
 
-// selected returns the scenarios of a series. Recorded scenarios without aims
-// of their own only run to record a trace.
+// selected returns the scenarios of a series. The recorded scenarios only run to
+// record a trace; then no phase is long, because the traces must stay small.
 func (o Options) selected() []scenario {
 	all := scenarios()
 	if o.Trace {
+		for n := range all {
+			all[n].lengthMS = min(all[n].lengthMS, phaseMS)
+		}
 		for _, s := range recordedScenarios() {
 			all = append(all, s.scenario)
 		}
