Move the policy comparison to the comparison tool's tests

TestProductIsNotBehind replaces TestPolicyComparison: the same bound of 3% on the goodput of FIFO, round robin and no hedges in its five scenarios, and the rivals of all decisions besides. It exempts a rival that serves over 3 points fewer of the most urgent queries or exceeds the budget of extra attempts. The baseline in pkg/scheduler goes, and its TestMain and that of pkg/quarantine give way to internal/testseed, with the same seed and checks.

--- a/internal/testseed/testseed.go
+++ b/internal/testseed/testseed.go
@@ -1,6 +1,7 @@
 // Package testseed gives random tests a fixed seed, so that CI gets the same
 // verdict on every run. Tests import it for its side effect; the flag
-// -rapid.seed overrides the seed for long runs.
+// -rapid.seed overrides the seed for long runs. No files of failures are written,
+// because a fixed seed repeats them.
 package testseed
 
 import (
@@ -13,7 +14,12 @@
 const seed = "20261204"
 
 func init() {
-	if err := flag.Set("rapid.seed", seed); err != nil {
+	set("rapid.seed", seed)
+	set("rapid.nofailfile", "true")
+}
+
+func set(name, value string) {
+	if err := flag.Set(name, value); err != nil {
 		panic(err)
 	}
 }
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -7,6 +7,7 @@
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
 
+	_ "github.com/sardineturn/sardineturn/internal/testseed"
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
--- a/pkg/scheduler/main_test.go
+++ b/pkg/scheduler/main_test.go
@@ -2,17 +2,16 @@
 
 import (
 	"flag"
-	"os"
-	"testing"
+
+	_ "github.com/sardineturn/sardineturn/internal/testseed"
 )
 
-// TestMain gives random tests a fixed seed unless the command line names one.
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
-		_ = flag.Set("rapid.seed", "20261204")
-		_ = flag.Set("rapid.nofailfile", "true")
-		_ = flag.Set("rapid.checks", "3000")
+// checks is the number of random runs per test; the flag -rapid.checks
+// overrides it.
+const checks = "3000"
+
+func init() {
+	if err := flag.Set("rapid.checks", checks); err != nil {
+		panic(err)
 	}
-	os.Exit(m.Run())
 }
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -14,14 +14,6 @@
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
-// policy is what the model drives: the scheduler or a baseline.
-type policy interface {
-	Submit(now time.Time, req model.GroupRequest) []Action
-	Finish(now time.Time, id model.AttemptID, reply port.UpstreamReply) []Action
-	Tick(now time.Time) []Action
-	NextWake() (time.Time, bool)
-}
-
 var epoch = time.Unix(1_700_000_000, 0)
 
 // network is the one-way latency between the home and an upstream.
@@ -87,14 +79,14 @@
 	crashing bool
 }
 
-// world runs a policy against fake upstreams and checks the invariants.
+// world runs a scheduler against fake upstreams and checks the invariants.
 type world struct {
 	now time.Time
 	rng *rand.Rand
-	// load draws the arrivals, so that they are equal for all policies.
+	// load draws the arrivals.
 	load      *rand.Rand
 	doc       *document.Document
-	policy    policy
+	sched     *Scheduler
 	events    eventQueue
 	seq       int
 	upstreams map[string]*fakeUpstream
@@ -113,7 +105,7 @@
 	// ended with a useful answer in time.
 	slotTime    map[string]time.Duration
 	quarantined map[model.Fingerprint]bool
-	// paused holds back everything that would reach the policy.
+	// paused holds back everything that would reach the scheduler.
 	paused   bool
 	deferred []func()
 	wake     time.Time
@@ -197,7 +189,7 @@
 // useScheduler makes the world drive the scheduler itself.
 func (w *world) useScheduler(seed uint64) *Scheduler {
 	s := New(w.config(seed), w.now)
-	w.policy = s
+	w.sched = s
 	return s
 }
 
@@ -220,7 +212,7 @@
 func (w *world) run(d time.Duration) {
 	end := w.now.Add(d)
 	for {
-		next, ok := w.policy.NextWake()
+		next, ok := w.sched.NextWake()
 		wakes := ok && !w.paused && !next.After(end)
 		if len(w.events) > 0 && !w.events[0].at.After(end) && !(wakes && next.Before(w.events[0].at)) {
 			e := heap.Pop(&w.events).(event)
@@ -234,8 +226,8 @@
 		if next.After(w.now) {
 			w.now = next
 		}
-		w.apply(w.policy.Tick(w.now))
-		if again, ok := w.policy.NextWake(); ok && !again.After(w.now) {
+		w.apply(w.sched.Tick(w.now))
+		if again, ok := w.sched.NextWake(); ok && !again.After(w.now) {
 			w.fault("NextWake is not after the Tick")
 			return
 		}
@@ -285,7 +277,7 @@
 	w.subs[req.ID] = sub
 	w.byPayload[string(req.Payload)] = sub
 	w.all = append(w.all, sub)
-	w.deliver(func() { w.apply(w.policy.Submit(w.now, req)) })
+	w.deliver(func() { w.apply(w.sched.Submit(w.now, req)) })
 	return sub
 }
 
@@ -427,7 +419,7 @@
 	return out
 }
 
-// stop is the cancellation of a call by the policy.
+// stop is the cancellation of a call by the scheduler.
 func (w *world) stop(id model.AttemptID) {
 	c := w.calls[id]
 	if c == nil || c.over {
@@ -461,7 +453,7 @@
 			c.host.flights--
 			c.owner.inFlight--
 			c.owner.maybeRan = c.owner.maybeRan || ran != model.NotRun
-			w.apply(w.policy.Finish(w.now, c.call.Attempt, r))
+			w.apply(w.sched.Finish(w.now, c.call.Attempt, r))
 		})
 	})
 }
@@ -511,15 +503,13 @@
 
 func (w *world) resumed() bool { return w.wake.Equal(w.now) }
 
-// pause stops the policy for d, as when its process is stopped.
+// pause stops the scheduler for d, as when its process is stopped.
 func (w *world) pause(d time.Duration) {
 	w.paused = true
 	w.after(d, func() {
 		w.paused = false
 		w.wake = w.now
-		if s, ok := w.policy.(*Scheduler); ok {
-			w.apply(s.Resume(w.now, d))
-		}
+		w.apply(w.sched.Resume(w.now, d))
 		held := w.deferred
 		w.deferred = nil
 		for _, f := range held {
--- a/pkg/standin/compare/compare_test.go
+++ b/pkg/standin/compare/compare_test.go
@@ -1,6 +1,7 @@
 package compare
 
 import (
+	"slices"
 	"testing"
 
 	"github.com/shoenig/test/must"
@@ -17,11 +18,30 @@
 // rival above it pays for its answers with load that the budget forbids.
 const budgetTolerance = 0.01
 
+// simpleTiers crosses the simplest ways with load and faults.
+var simpleTiers = decision{"simple", "simple ways", []way{asBuilt, priorityWays[1], replicaWays[1], hedgeWays[1]}, []scenario{
+	{name: "60% load", load: mediumLoad},
+	{name: "flood of the least urgent", load: lateFlood},
+	{name: "flood of the most urgent", load: urgentFlood},
+	{name: "slow replica", load: lightLoad, fault: slowReplica},
+	{name: "lost shard", load: mediumLoad, fault: shardLostHalfNeeded},
+}}
+
+// shardLostHalfNeeded loses a shard while half of the shards make an answer
+// useful.
+func shardLostHalfNeeded(w *world) {
+	w.doc.Priorities = slices.Clone(w.doc.Priorities)
+	for i := range w.doc.Priorities {
+		w.doc.Priorities[i].LeastCoverage = 0.5
+	}
+	shardLost(w)
+}
+
 // TestProductIsNotBehind guards against a rule that costs more useful work than
 // it saves, in every scenario at the smallest size of a customer. A rival that
 // serves fewer of the most urgent queries instead is no better way.
 func TestProductIsNotBehind(t *testing.T) {
-	for _, d := range decisions() {
+	for _, d := range append(decisions(), simpleTiers) {
 		for _, sc := range d.scenarios {
 			t.Run(d.key+" "+sc.name, func(t *testing.T) {
 				t.Parallel()
