Keep homes in data centres that hold upstreams of the group

Cause: only a data centre with the majority of a group's upstreams was preferred.

Ruled out: a region in settings and documents. Instances know only their data centre, and the upstreams' data centres say what is near.

Change: instances of the other data centres that hold upstreams come second. Today, with every data centre holding upstreams, nothing changes. TestHomesNearUpstreams fails without the second tier.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -82,36 +82,50 @@
 	return xxhash.Sum64(s.buf)
 }
 
+// Tiers of homes by the data centre of the instance.
+const (
+	tierMajority = iota
+	tierWithUpstreams
+	tierOther
+)
+
 // Homes returns the first limit candidates in the group's rendezvous order; the
 // first one is the home. If one data centre holds more than half of the group's
-// upstreams, its instances come first. The time is linear in the candidates, so
-// callers keep the result until the candidates or the document change.
+// upstreams, its instances come first, and then those of the other data centres
+// that hold any. A home elsewhere may be in another region, where each call
+// holds its connection for the round trip between the regions. The time is
+// linear in the candidates, so callers keep the result until the candidates or
+// the document change.
 func Homes(group document.Group, candidates []membership.Member, limit int) []model.InstanceID {
-	preferred := majority(group)
+	tiers := dataCentreTiers(group)
 	s := newScorer(homeSalt, group.Key.String())
 	t := top{limit: max(limit, 0)}
 	for i := range candidates {
 		c := &candidates[i]
-		r := ranked{id: c.ID, score: s.score(c.ID)}
-		if preferred != "" && c.DataCentre != preferred {
-			r.tier = 1
+		tier, ok := tiers[c.DataCentre]
+		if !ok {
+			tier = tierOther
 		}
-		t.add(r)
+		t.add(ranked{id: c.ID, tier: tier, score: s.score(c.ID)})
 	}
 	return t.ids()
 }
 
-// majority returns the data centre that holds more than half of the group's
-// upstreams, or "".
-func majority(group document.Group) model.DataCentre {
+// dataCentreTiers returns the tier of each data centre that holds upstreams of
+// the group.
+func dataCentreTiers(group document.Group) map[model.DataCentre]int {
 	counts := make(map[model.DataCentre]int)
 	for _, u := range group.Upstreams {
 		counts[u.DataCentre]++
-		if 2*counts[u.DataCentre] > len(group.Upstreams) {
-			return u.DataCentre
+	}
+	tiers := make(map[model.DataCentre]int, len(counts))
+	for dc, n := range counts {
+		tiers[dc] = tierWithUpstreams
+		if 2*n > len(group.Upstreams) {
+			tiers[dc] = tierMajority
 		}
 	}
-	return ""
+	return tiers
 }
 
 // Readers returns the n instances of a data centre that read the platform's
--- a/pkg/placement/placement_test.go
+++ b/pkg/placement/placement_test.go
@@ -59,7 +59,23 @@
 		g := group(i, "dc2", "dc1", "dc2")
 		must.Eq(t, Homes(g, local, 10), Homes(g, members, 10))
 	}
-	must.Eq(t, "", majority(group(0, "dc1", "dc2")))
+	must.Eq(t, Homes(group(0), fleet(30, 2), 30), Homes(group(0, "dc0", "dc1"), fleet(30, 2), 30))
+}
+
+// TestHomesNearUpstreams guards against a home in a data centre without
+// upstreams of the group, perhaps in another region, while there are instances
+// in one that has some: with replicas spread evenly and after the loss of the
+// data centre with the majority.
+func TestHomesNearUpstreams(t *testing.T) {
+	members := fleet(60, 6)
+	near := func(dcs ...model.DataCentre) []membership.Member {
+		return slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return !slices.Contains(dcs, m.DataCentre) })
+	}
+	lost := slices.DeleteFunc(slices.Clone(members), func(m membership.Member) bool { return m.DataCentre == "dc2" })
+	for i := range 50 {
+		must.Eq(t, Homes(group(i), near("dc0", "dc1"), 10), Homes(group(i, "dc0", "dc1"), members, 10))
+		must.Eq(t, Homes(group(i), near("dc1"), 10), Homes(group(i, "dc2", "dc1", "dc2"), lost, 10))
+	}
 }
 
 // TestHomesSpread guards against a hash that loads few instances.
