Bound the bytes of membership by token buckets

A listed member that became known through others was pinged only in the usual order, so that Confirmed took 107 s, and until then 60 lost members were pinged in each round. These pings carried news, which counted as sent: 121 of 195,111 pairs never heard of a death and found it by their own pings. - Two regions 25 ms apart: the indirect ack came 50 ms too late. Now three pings and their acks are always sent, and the rest is paid from buckets. Suspicions and deaths are sent short, and a death takes over the transmissions of its suspicion. - Half a minute after a loss, halves apart: lost members were pinged with full datagrams of news. They get none now.

--- a/pkg/membership/codec.go
+++ b/pkg/membership/codec.go
@@ -94,6 +94,14 @@
 	return encode(&wire.Control{Members: []*wire.Member{toWire(r)}})
 }
 
+// encodeShortMember leaves out what the members that know the process know
+// already. Suspicions and deaths take this form, which halves them.
+func encodeShortMember(r Member) []byte {
+	r.ControlAddress = ""
+	r.DataCentre = ""
+	return encodeMember(r)
+}
+
 func encodeDocument(v port.DocumentVersion) []byte {
 	return encode(&wire.Control{Documents: []*wire.DocumentVersion{{Service: v.Service, Revision: v.Revision, Digest: v.Digest}}})
 }
@@ -177,19 +185,33 @@
 	if msg.bare {
 		return Send{Address: address, Datagram: b}
 	}
+	// What makes a ping or an ack longer than the usual one counts as news.
+	m.news.spend(max(0, len(b)-len(m.shortPrefix)-usualFields))
+	return Send{Address: address, Datagram: m.appendNews(now, b, msg.full)}
+}
+
+// appendNews adds what the buckets allow.
+func (m *Membership) appendNews(now time.Time, b []byte, full bool) []byte {
 	limit := retransmits(len(m.live.items) + 1)
-	b = m.fillQuarantines(now, b, limit)
-	b = m.documents.fill(b, min(documentBudget, MaxDatagram-len(b)), limit, nil)
-	b = m.updates.fill(b, MaxDatagram-len(b), limit, nil)
-	if msg.full {
-		b = m.appendQuarantines(now, b)
-		b = m.appendMembers(b)
-	}
-	return Send{Address: address, Datagram: b}
+	own := len(b)
+	room := min(MaxDatagram-own, max(m.news.tokens, 0))
+	b = m.fillQuarantines(now, b, limit, room)
+	b = m.updates.fill(b, own+room-len(b), limit, nil)
+	m.news.spend(len(b) - own)
+	own = len(b)
+	b = m.documents.fill(b, min(documentBudget, m.announcing.tokens, MaxDatagram-own), limit, nil)
+	m.announcing.spend(len(b) - own)
+	if full && (m.small() || m.filling.tokens > 0) {
+		own = len(b)
+		b = m.appendQuarantines(now, b, MaxDatagram-len(b))
+		b = m.appendMembers(b, MaxDatagram-len(b))
+		m.filling.spend(len(b) - own)
+	}
+	return b
 }
 
 // appendMembers uses the free space for records from a random place on.
-func (m *Membership) appendMembers(b []byte) []byte {
+func (m *Membership) appendMembers(b []byte, room int) []byte {
 	count := len(m.live.items)
 	if count == 0 {
 		return b
@@ -197,9 +219,10 @@
 	start := m.cfg.Rand.IntN(count)
 	for i := range count {
 		r := encodeMember(m.live.items[(start+i)%count].Member)
-		if len(b)+len(r) > MaxDatagram {
+		if len(r) > room {
 			break
 		}
+		room -= len(r)
 		b = append(b, r...)
 	}
 	return b
@@ -207,7 +230,7 @@
 
 // fillQuarantines encodes entries when they are sent, since they carry the time
 // left.
-func (m *Membership) fillQuarantines(now time.Time, b []byte, limit int) []byte {
+func (m *Membership) fillQuarantines(now time.Time, b []byte, limit, room int) []byte {
 	render := func(key string) []byte {
 		q := m.quarantined[parseQuarantineKey(key)]
 		if !q.Until.After(now) {
@@ -215,16 +238,16 @@
 		}
 		return encodeQuarantine(q, now)
 	}
-	return m.quarantines.fill(b, min(quarantineBudget, MaxDatagram-len(b)), limit, render)
+	return m.quarantines.fill(b, min(quarantineBudget, room), limit, render)
 }
 
 // appendQuarantines adds the known entries for a new member.
-func (m *Membership) appendQuarantines(now time.Time, b []byte) []byte {
-	budget := quarantineBudget
+func (m *Membership) appendQuarantines(now time.Time, b []byte, room int) []byte {
+	budget := min(quarantineBudget, room)
 	for _, f := range slices.Sorted(maps.Keys(m.quarantined)) {
 		q := m.quarantined[f]
 		data := encodeQuarantine(q, now)
-		if !q.Until.After(now) || len(data) > budget || len(b)+len(data) > MaxDatagram {
+		if !q.Until.After(now) || len(data) > budget {
 			continue
 		}
 		budget -= len(data)
@@ -317,7 +340,7 @@
 		if err != nil {
 			return nil, Member{}, nil, err
 		}
-		if r.ControlAddress == "" {
+		if r.ControlAddress == "" && (r.State == Alive || r.State == Leaving) {
 			return nil, Member{}, nil, fmt.Errorf("%w: member record without an address", ErrMalformed)
 		}
 		members = append(members, r)
@@ -351,7 +374,7 @@
 func (m *Membership) answer(now time.Time, from string, c *wire.Control, n *node) []Send {
 	switch c.GetKind() {
 	case kindPing:
-		full := now.Sub(n.joinedAt) < joinWindow && n.State != Dead
+		full := m.fillsAck(now, n)
 		msg := message{kind: kindAck, sequence: c.GetSequence(), about: m.aboutSender(n, c), short: m.knownBy(n), full: full}
 		return []Send{m.send(now, from, msg)}
 	case kindIndirect:
@@ -364,6 +387,16 @@
 	}
 }
 
+// fillsAck reports whether an ack to the member is filled up with member records.
+// Only a new process needs them, and not from every member of a large fleet: it
+// pings all listed members itself, and each answers with its own record.
+func (m *Membership) fillsAck(now time.Time, n *node) bool {
+	if n.State == Dead || now.Sub(n.bootAt) >= joinWindow {
+		return false
+	}
+	return m.cfg.Rand.IntN(len(m.live.items)+1) < filledAcks
+}
+
 // aboutSender also tells a process with an outdated boot id of the one known.
 func (m *Membership) aboutSender(n *node, c *wire.Control) []byte {
 	if uint64(n.Boot) != c.GetSender().GetBoot() {
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -70,6 +70,9 @@
 	// joinWindow is the time after a join in which acks to the new member are
 	// filled up with member records and quarantine entries.
 	joinWindow = 10 * time.Second
+	// filledAcks is the number of members in the mean whose acks to a new
+	// member are filled up in a round of all.
+	filledAcks = 64
 	// leaveFanout is the number of members that are told of a leave directly.
 	leaveFanout = 128
 	// maxEvents bounds the events kept until TakeEvents.
@@ -129,6 +132,8 @@
 	Pause      time.Duration
 	Tombstone  time.Duration
 	Fanout     int
+	// SmallFleet is the size below which more bytes may be spent.
+	SmallFleet int
 }
 
 func (c *Config) setDefaults() {
@@ -138,6 +143,7 @@
 	setDefault(&c.Pause, DefaultPause)
 	setDefault(&c.Tombstone, DefaultTombstone)
 	setDefault(&c.Fanout, DefaultFanout)
+	setDefault(&c.SmallFleet, DefaultSmallFleet)
 }
 
 func setDefault[T comparable](v *T, d T) {
@@ -232,11 +238,18 @@
 	probes   []*probe
 	relays   []relay
 	sequence uint64
+	trips    roundTrips
+	// The token buckets of budget.go.
+	probing, announcing, news, filling bucket
+	// sinceLost counts the rounds since a lost member was pinged.
+	sinceLost int
 
 	nextRound time.Time
 	lastRun   time.Time
 
-	listed      []*node
+	listed []*node
+	// nextListed is the place in listed that bootstrap has reached.
+	nextListed  int
 	listSeen    bool
 	confirmed   bool
 	answeredAny bool
@@ -277,6 +290,11 @@
 		epoch:       1,
 		version:     1,
 		quarantined: make(map[model.Fingerprint]Quarantine),
+		trips:       make(roundTrips),
+		probing:     bucket{tokens: probeBurst},
+		announcing:  bucket{tokens: documentBurst},
+		news:        bucket{tokens: newsBurst},
+		filling:     bucket{tokens: fillBurst},
 	}
 	m.self.State = Alive
 	m.selfChanged()
@@ -392,10 +410,7 @@
 	if !m.listSeen && !m.answeredAny {
 		return false
 	}
-	attempts := unreachableAttempts
-	if !m.answeredAny {
-		attempts = aloneAttempts
-	}
+	attempts := m.bootstrapAttempts()
 	for _, n := range m.listed {
 		if !n.listedLeaving && !n.settled(attempts, m.answeredAny) {
 			return false
@@ -404,6 +419,15 @@
 	return true
 }
 
+// bootstrapAttempts is the number of unanswered pings after which bootstrap
+// does not wait for a member any more.
+func (m *Membership) bootstrapAttempts() int {
+	if m.answeredAny {
+		return unreachableAttempts
+	}
+	return aloneAttempts
+}
+
 // Leave announces that this instance is leaving. It cannot be taken back.
 func (m *Membership) Leave(now time.Time) []Send {
 	if m.self.State == Leaving {
--- a/pkg/membership/merge.go
+++ b/pkg/membership/merge.go
@@ -39,6 +39,9 @@
 	if !supersedes(r, n.Member) {
 		return
 	}
+	if n.ControlAddress == "" && r.ControlAddress == "" && r.State != Dead {
+		return
+	}
 	if n.wasLeaver && n.Boot == r.Boot && r.State != Dead {
 		r.State = Leaving
 	}
@@ -48,6 +51,9 @@
 // applyUnknown adds a member. The death of an unknown member is remembered
 // against late datagrams but not passed on.
 func (m *Membership) applyUnknown(now time.Time, r Member) {
+	if r.State != Dead && r.ControlAddress == "" {
+		return
+	}
 	n := m.addNode(r.ID)
 	if n == nil {
 		return
@@ -55,7 +61,7 @@
 	if r.State == Dead {
 		n.Member = r
 		n.retryAt = now.Add(lostBackoff)
-		m.lost.add(n)
+		m.settleLost(n)
 		m.bury(now, n)
 		return
 	}
@@ -112,7 +118,8 @@
 	} else {
 		n.wasLeaver = false
 		n.missed = 0
-		n.joinedAt = now
+		n.helpedAt = time.Time{}
+		n.bootAt = now
 		n.answered = false
 		n.told = 0
 	}
@@ -124,7 +131,7 @@
 	case r.State == Dead:
 		m.setDead(now, n)
 	case old.State == Dead:
-		m.setLive(now, n)
+		m.setLive(n)
 	}
 	if r.State == Suspect {
 		m.startSuspicion(now, n)
@@ -133,8 +140,23 @@
 	m.report(old, r)
 	if m.confirmed || old.Boot != 0 || r.State != Alive {
 		// What a starting process learns is news only to itself.
-		m.updates.put(string(r.ID), encodeMember(r))
+		m.spread(n, old)
+	}
+}
+
+// spread passes a changed record on. A death that follows from a suspicion which
+// has been passed on takes over its count of transmissions: who knows the
+// suspicion finds the death without being told.
+func (m *Membership) spread(n *node, old Member) {
+	data := encodeMember(n.Member)
+	if n.State == Suspect || n.State == Dead {
+		data = encodeShortMember(n.Member)
+	}
+	if n.State == Dead && old.State == Suspect && old.Boot == n.Boot && !m.small() {
+		m.updates.replace(string(n.ID), data, retransmits(len(m.live.items)+1)/2)
+		return
 	}
+	m.updates.put(string(n.ID), data)
 }
 
 func (m *Membership) setDead(now time.Time, n *node) {
@@ -151,7 +173,7 @@
 // settleLost keeps a dead member among those that are pinged. A leaver is
 // pinged only while it is listed, since most leavers are replaced for good.
 func (m *Membership) settleLost(n *node) {
-	wanted := n.State == Dead && (n.listed || n.Boot != 0 && !n.wasLeaver)
+	wanted := n.State == Dead && n.ControlAddress != "" && (n.listed || n.Boot != 0 && !n.wasLeaver)
 	switch {
 	case wanted && !m.lost.contains(n):
 		m.lost.add(n)
@@ -160,11 +182,10 @@
 	}
 }
 
-func (m *Membership) setLive(now time.Time, n *node) {
+func (m *Membership) setLive(n *node) {
 	m.lost.remove(n)
 	m.live.add(n)
 	n.attempts = 0
-	n.joinedAt = now
 }
 
 // settleUrgent removes a member from the urgent list if nothing keeps it there.
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -27,7 +27,9 @@
 	// the full record.
 	told uint32
 	// missed counts direct acks missed in a row while indirect ones arrived.
-	missed    int
+	missed int
+	// helpedAt is when a helper last reached the member.
+	helpedAt  time.Time
 	avoided   bool
 	avoidedAt time.Time
 	// pending is true while a suspicion runs. A leaving member keeps its
@@ -35,8 +37,9 @@
 	pending  bool
 	deadline time.Time
 	// extended is the sum of extensions of deadline after late ticks.
-	extended  time.Duration
-	joinedAt  time.Time
+	extended time.Duration
+	// bootAt is when the member's process was first heard of.
+	bootAt    time.Time
 	diedAt    time.Time
 	wasLeaver bool
 }
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -1,7 +1,10 @@
 package membership
 
 import (
+	"slices"
 	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
 // probe is a ping in flight.
@@ -19,6 +22,8 @@
 	told uint32
 	// viaHelper is true once a helper reported an ack.
 	viaHelper bool
+	// helpers is the number of members that were asked for an indirect ping.
+	helpers int
 }
 
 // relay is a ping that this instance sent on behalf of another one.
@@ -34,6 +39,11 @@
 	relayLifetime = time.Second
 	// lostScan bounds how many lost members are looked at in a round.
 	lostScan = 16
+	// helperDraws bounds how many members are looked at to find helpers.
+	helperDraws = 24
+	// helpedTime is how long a member that a helper has reached counts as
+	// reached by helpers. Others that reach it find its death.
+	helpedTime = 3 * time.Second
 )
 
 // Tick sends due pings and ends due waits.
@@ -147,23 +157,28 @@
 // order, and lost ones that are due.
 func (m *Membership) round(now time.Time, out []Send) []Send {
 	m.Confirmed(now)
+	m.refill()
 	out = m.pingUrgent(now, out)
 	for range m.cfg.Fanout {
 		if n := m.pickLive(); n != nil {
 			out = m.ping(now, n, out)
 		}
 	}
+	out = m.pingListed(now, out)
 	return m.pingLost(now, out)
 }
 
 func (m *Membership) pingUrgent(now time.Time, out []Send) []Send {
 	count := min(m.cfg.Fanout, len(m.urgent))
 	for range count {
+		if !m.mayPingUrgent() {
+			break
+		}
 		n := m.urgent[0]
 		copy(m.urgent, m.urgent[1:])
 		m.urgent[len(m.urgent)-1] = n
 		if !n.inFlight {
-			out = m.ping(now, n, out)
+			out = m.pingMore(now, n, out)
 		}
 	}
 	return out
@@ -179,25 +194,60 @@
 	return nil
 }
 
-func (m *Membership) pingLost(now time.Time, out []Send) []Send {
-	budget, scan := m.cfg.Fanout, lostScan
-	if !m.confirmed {
-		budget, scan = bootstrapFanout, 4*bootstrapFanout
+// pingListed pings the listed members that bootstrap waits for. Those that are
+// known to be alive through others are among them: in their shuffled order they
+// would take minutes in a large fleet.
+func (m *Membership) pingListed(now time.Time, out []Send) []Send {
+	if m.confirmed {
+		return out
+	}
+	attempts := m.bootstrapAttempts()
+	budget := bootstrapFanout
+	for range len(m.listed) {
+		if budget == 0 {
+			break
+		}
+		m.nextListed = (m.nextListed + 1) % len(m.listed)
+		n := m.listed[m.nextListed]
+		if !n.inFlight && !n.settled(attempts, m.answeredAny) {
+			out = m.ping(now, n, out)
+			budget--
+		}
 	}
-	for range min(scan, len(m.lost.items)) {
+	return out
+}
+
+func (m *Membership) pingLost(now time.Time, out []Send) []Send {
+	budget := m.cfg.Fanout
+	m.sinceLost++
+	for range min(lostScan, len(m.lost.items)) {
+		if budget == 0 || !m.mayPingLost() && m.sinceLost < lostRounds {
+			break
+		}
 		n := m.lost.pick(m.cfg.Rand)
 		if n.inFlight || now.Before(n.retryAt) {
 			continue
 		}
-		out = m.ping(now, n, out)
-		if budget--; budget == 0 {
-			break
-		}
+		out = m.pingMore(now, n, out)
+		m.sinceLost = 0
+		budget--
 	}
 	return out
 }
 
+// ping sends one of the round's usual pings.
 func (m *Membership) ping(now time.Time, n *node, out []Send) []Send {
+	return append(out, m.send(now, n.ControlAddress, m.newProbe(now, n)))
+}
+
+// pingMore sends a ping that the bucket for probes pays, with the ack.
+func (m *Membership) pingMore(now time.Time, n *node, out []Send) []Send {
+	return append(out, m.sendProbe(now, n.ControlAddress, m.newProbe(now, n), replyBytes))
+}
+
+// newProbe records a ping in flight. Pings of members that may be dead carry no
+// news, which would count as sent.
+func (m *Membership) newProbe(now time.Time, n *node) message {
 	m.sequence++
 	p := &probe{
 		sequence: m.sequence,
@@ -205,15 +255,15 @@
 		sentAt:   now,
 		ackBy:    now.Add(m.cfg.AckTimeout),
 		failBy:   m.nextRound,
-		asked:    n.State == Dead,
+		asked:    n.State == Dead || n.pending,
 	}
 	n.inFlight = true
 	m.probes = append(m.probes, p)
-	msg := message{kind: kindPing, sequence: p.sequence, about: m.about(n), short: m.knownBy(n)}
+	msg := message{kind: kindPing, sequence: p.sequence, about: m.about(n), short: m.knownBy(n), bare: n.State == Dead || n.urgent}
 	if !msg.short {
 		p.told = m.epoch
 	}
-	return append(out, m.send(now, n.ControlAddress, msg))
+	return msg
 }
 
 // knownBy reports whether the member's process has this process's full record.
@@ -225,7 +275,7 @@
 	if n.Boot == 0 || n.State == Alive || n.State == Leaving {
 		return nil
 	}
-	return encodeMember(n.Member)
+	return encodeShortMember(n.Member)
 }
 
 func (m *Membership) advanceProbes(now time.Time, out []Send) []Send {
@@ -239,6 +289,9 @@
 		kept = append(kept, p)
 		if !p.asked && !now.Before(p.ackBy) {
 			p.asked = true
+			if wait := m.indirectWait(); wait > m.cfg.Interval-m.cfg.AckTimeout {
+				p.failBy = now.Add(wait)
+			}
 			out = m.askHelpers(now, p, out)
 		}
 	}
@@ -251,20 +304,51 @@
 	return out
 }
 
+// askHelpers asks for indirect pings of a member that has not acked. A member
+// under suspicion is not pinged through helpers again: it refutes the record
+// that the suspicion spreads.
 func (m *Membership) askHelpers(now time.Time, p *probe, out []Send) []Send {
-	count := m.cfg.Fanout
-	for range min(2*m.cfg.Fanout, len(m.live.items)) {
-		h := m.live.items[m.cfg.Rand.IntN(len(m.live.items))]
-		if h == p.node || h.State != Alive || h.avoided {
+	if now.Sub(p.node.helpedAt) < helpedTime {
+		p.viaHelper = true
+		return out
+	}
+	if !m.mayAsk() {
+		return out
+	}
+	for _, h := range m.helpers(p.node) {
+		msg := message{kind: kindIndirect, sequence: p.sequence, target: p.node.ControlAddress, short: m.knownBy(h), bare: true}
+		out = append(out, m.sendProbe(now, h.ControlAddress, msg, relayBytes))
+		p.helpers++
+	}
+	return out
+}
+
+// helpers picks members for indirect pings of the target: each in another data
+// centre, and none in this one or the target's. A link that is cut between two
+// data centres, or between two regions of two data centres, then leaves at least
+// one helper that reaches both ends. If there are too few such data centres,
+// other members fill up.
+func (m *Membership) helpers(target *node) []*node {
+	count := len(m.live.items)
+	var picked, rest []*node
+	used := map[model.DataCentre]bool{m.self.DataCentre: true, target.DataCentre: true}
+	for range min(helperDraws, 2*count) {
+		h := m.live.items[m.cfg.Rand.IntN(count)]
+		if h == target || h.State != Alive || h.avoided || slices.Contains(rest, h) || slices.Contains(picked, h) {
 			continue
 		}
-		msg := message{kind: kindIndirect, sequence: p.sequence, target: p.node.ControlAddress, short: m.knownBy(h), bare: true}
-		out = append(out, m.send(now, h.ControlAddress, msg))
-		if count--; count == 0 {
-			break
+		if used[h.DataCentre] {
+			rest = append(rest, h)
+			continue
+		}
+		used[h.DataCentre] = true
+		picked = append(picked, h)
+		if len(picked) == m.cfg.Fanout {
+			return picked
 		}
 	}
-	return out
+	missing := min(m.cfg.Fanout-len(picked), len(rest))
+	return append(picked, rest[:missing]...)
 }
 
 // probeFailed handles a ping without a direct ack. A member that a helper
@@ -278,9 +362,6 @@
 	case n.State == Dead:
 		n.attempts++
 		backoff := m.cfg.Interval << min(n.attempts-1, 10)
-		if !m.confirmed {
-			backoff = 0
-		}
 		n.retryAt = now.Add(min(backoff, lostBackoff))
 	case p.viaHelper:
 		n.missed++
@@ -288,6 +369,11 @@
 		if n.missed > 1 {
 			m.avoid(now, n)
 		}
+	case n.State == Alive && p.helpers == 0 && len(m.live.items) > 1:
+		// Without the evidence of a helper, the member is avoided here and
+		// pinged again, but nobody else is told.
+		n.missed++
+		m.avoid(now, n)
 	case n.State == Alive:
 		m.avoid(now, n)
 		r := n.Member
@@ -306,6 +392,7 @@
 		}
 		if p.node != sender {
 			p.viaHelper = true
+			p.node.helpedAt = now
 			return
 		}
 		m.probes = append(m.probes[:i], m.probes[i+1:]...)
@@ -313,6 +400,7 @@
 		if p.told != 0 {
 			sender.told = p.told
 		}
+		m.trips.observe(sender.DataCentre, now.Sub(p.sentAt)-p.extended)
 		m.answered(p, sender)
 		return
 	}
--- a/pkg/membership/queue.go
+++ b/pkg/membership/queue.go
@@ -47,6 +47,21 @@
 	q.link(u)
 }
 
+// replace changes the data of an update but not its count of transmissions. An
+// update that is not there any more is added as one sent the given number of
+// times.
+func (q *queue) replace(key string, data []byte, sent int) {
+	if u := q.byKey[key]; u != nil {
+		u.data = data
+		return
+	}
+	q.put(key, data)
+	u := q.byKey[key]
+	q.unlink(u)
+	u.sent = sent
+	q.link(u)
+}
+
 func (q *queue) link(u *update) {
 	for len(q.levels) <= u.sent {
 		q.levels = append(q.levels, nil)
--- a/pkg/membership/queue_test.go
+++ b/pkg/membership/queue_test.go
@@ -9,6 +9,9 @@
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
 )
 
 // TestQueue guards against updates that are sent too often or not often enough,
@@ -76,8 +79,156 @@
 	successor.Boot++
 	b.apply(now, successor)
 	b.updates = queue{}
-	b.nodes[a.self.ID].joinedAt = time.Time{}
+	b.nodes[a.self.ID].bootAt = time.Time{}
 	exchange()
 	must.True(t, a.superseded)
 	must.Len(t, 1, a.Candidates(now))
 }
+
+// TestReplacedUpdate guards against a death that is sent as often again as the
+// suspicion it follows from.
+func TestReplacedUpdate(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var q queue
+		limit := rapid.IntRange(2, 12).Draw(t, "limit")
+		before := rapid.IntRange(0, 2*limit).Draw(t, "sent before")
+		q.put("a", []byte("old"))
+		for range before {
+			q.fill(nil, 10, limit, nil)
+		}
+		q.replace("a", []byte("new"), limit/2)
+		sent := 0
+		for range 2 * limit {
+			if string(q.fill(nil, 10, limit, nil)) == "new" {
+				sent++
+			}
+		}
+		want := limit - before
+		if want <= 0 {
+			want = limit - limit/2
+		}
+		must.Eq(t, want, sent)
+	})
+}
+
+// TestHelpersAreElsewhere guards against helpers that a cut between two data
+// centres separates from either end.
+func TestHelpersAreElsewhere(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		m := New(Config{Self: benchMember(0), Cluster: "c", Rand: r}, now)
+		dcs := rapid.IntRange(1, 8).Draw(t, "data centres")
+		for i := 1; i <= 4*dcs; i++ {
+			other := benchMember(i)
+			other.DataCentre = model.DataCentre(fmt.Sprint(i % dcs))
+			m.apply(now, other)
+		}
+		target := m.nodes[benchMember(rapid.IntRange(1, 4*dcs).Draw(t, "target")).ID]
+		helpers := m.helpers(target)
+		seen := make(map[model.DataCentre]int)
+		elsewhere := 0
+		for _, h := range helpers {
+			must.True(t, h != target)
+			seen[h.DataCentre]++
+			if h.DataCentre != target.DataCentre {
+				elsewhere++
+			}
+		}
+		// The draws may miss a data centre, but hardly all but one.
+		must.LessEq(t, DefaultFanout, len(helpers))
+		if dcs >= 6 {
+			must.Eq(t, 3, elsewhere)
+			must.Eq(t, 3, len(seen))
+		}
+	})
+}
+
+// TestShortRecords guards against short records that lose what is known of a
+// member, or that make an unknown one without an address live or pinged.
+func TestShortRecords(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		m := New(Config{Self: benchMember(0), Cluster: "c", Rand: rand.New(rand.NewPCG(1, 2))}, now)
+		known := rapid.Bool().Draw(t, "known")
+		full := benchMember(1)
+		if known {
+			m.apply(now, full)
+		}
+		short := full
+		short.ControlAddress, short.DataCentre = "", ""
+		short.State = rapid.SampledFrom([]State{Suspect, Dead}).Draw(t, "state")
+		m.apply(now, short)
+		n := m.nodes[full.ID]
+		if !known {
+			must.Len(t, 1, m.Members())
+			must.Len(t, 0, m.lost.items)
+			full.Incarnation++
+			m.apply(now, full)
+			must.Len(t, 2, m.Members())
+			return
+		}
+		must.Eq(t, full.ControlAddress, n.ControlAddress)
+		must.Eq(t, full.DataCentre, n.DataCentre)
+		must.Eq(t, short.State, n.State)
+	})
+}
+
+// TestBudget guards against probes, news or documents that are sent beyond their
+// buckets by an instance of a large fleet, whatever part of it does not answer.
+func TestBudget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		now := time.Unix(1_700_000_000, 0)
+		r := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
+		m := New(Config{Self: benchMember(0), Cluster: "c", Rand: r}, now)
+		m.confirmed = true
+		n := rapid.IntRange(DefaultSmallFleet, 300).Draw(t, "members")
+		for i := 1; i <= n; i++ {
+			m.apply(now, benchMember(i))
+		}
+		flood := rapid.SampledFrom([]string{"none", "members", "documents"}).Draw(t, "flood")
+		const rounds = 100
+		sent := 0
+		for i := range rounds {
+			for k := range 40 {
+				switch flood {
+				case "members":
+					other := benchMember(1 + (40*i+k)%n)
+					other.Incarnation = uint32(i + 1)
+					m.apply(now, other)
+				case "documents":
+					m.AnnounceDocument(port.DocumentVersion{Service: fmt.Sprint(k), Revision: uint64(i)})
+				}
+			}
+			for range 4 {
+				for _, s := range m.Tick(now) {
+					sent += len(s.Datagram) + datagramHeader
+				}
+				now = now.Add(DefaultInterval / 4)
+			}
+		}
+		usual := DefaultFanout * (len(m.prefix) + usualFields + datagramHeader)
+		buckets := probeBytes + documentBytes + newsBytes
+		bursts := probeBurst + documentBurst + newsBurst + 2*maxDebt
+		must.LessEq(t, rounds*(usual+buckets)+bursts, sent)
+	})
+}
+
+// TestLostMembersArePinged guards against a split fleet that does not find itself
+// again because other probes use up the bucket.
+func TestLostMembersArePinged(t *testing.T) {
+	now := time.Unix(1_700_000_000, 0)
+	m := New(Config{Self: benchMember(0), Cluster: "c", Rand: rand.New(rand.NewPCG(1, 2))}, now)
+	m.confirmed = true
+	dead := benchMember(1)
+	m.apply(now, dead)
+	dead.State = Dead
+	m.apply(now, dead)
+	pings := 0
+	for range 3 * lostRounds {
+		m.probing.tokens = -maxDebt
+		pings += len(m.Tick(now))
+		now = now.Add(DefaultInterval)
+	}
+	must.GreaterEq(t, 2, pings)
+}
--- a/pkg/membership/sim_test.go
+++ b/pkg/membership/sim_test.go
@@ -84,11 +84,21 @@
 	// unchecked turns off the assertions after every step, which are
 	// quadratic in the fleet.
 	unchecked bool
+	// smallFleet is passed to the processes; 1 makes the bounds of a large
+	// fleet hold in a small one.
+	smallFleet int
+	datagrams  int
+	suspicions int
 }
 
 func newSim(t must.T, seed uint64, n, dcs int) *sim {
+	return newSimBounded(t, seed, n, dcs, 0)
+}
+
+func newSimBounded(t must.T, seed uint64, n, dcs, smallFleet int) *sim {
 	s := &sim{
-		t: t, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), dcs: dcs,
+		smallFleet: smallFleet,
+		t:          t, now: time.Unix(1_700_000_000, 0), rng: rand.New(rand.NewPCG(seed, 1)), dcs: dcs,
 		procs: make([]*process, n), paused: make([]time.Time, n), left: make([]bool, n),
 		cut: make(map[[2]int]bool), platformCut: make(map[int]bool), documents: make(map[string]uint64),
 		delay: 2 * time.Millisecond, index: make(map[string]int),
@@ -113,7 +123,7 @@
 	boot := membership.NewBootID(s.now, r)
 	self := membership.Member{ID: simID(i), ControlAddress: simAddress(i), DataCentre: s.dc(i), Boot: boot}
 	s.procs[i] = &process{
-		m:         membership.New(membership.Config{Self: self, Cluster: "test", Rand: r}, s.now),
+		m:         membership.New(membership.Config{Self: self, Cluster: "test", Rand: r, SmallFleet: s.smallFleet}, s.now),
 		catalog:   catalog.New(parseTest),
 		reader:    catalog.NewReader(catalog.ReaderConfig{Rand: r}),
 		plan:      catalog.NewFetchPlan(catalog.FetchConfig{Rand: r}),
@@ -198,6 +208,7 @@
 	for _, d := range sends {
 		must.LessEq(s.t, membership.MaxDatagram, len(d.Datagram))
 		s.bytes += len(d.Datagram)
+		s.datagrams++
 		to := s.index[d.Address]
 		copies := 1
 		if s.rng.Float64() < s.dup {
@@ -298,6 +309,9 @@
 	must.True(s.t, self.State == membership.Alive || self.State == membership.Leaving)
 	for _, e := range p.m.TakeEvents() {
 		must.False(s.t, e.Kind == membership.EventDead && e.Member.ID == self.ID)
+		if e.Kind == membership.EventSuspect {
+			s.suspicions++
+		}
 	}
 	for _, r := range p.m.Members() {
 		k := boots{r.ID, r.Boot}
