--- a/pkg/standin/capacity/dissemination.go
+++ b/pkg/standin/capacity/dissemination.go
@@ -23,7 +23,7 @@
 	// other: full datagrams make larger ones slow.
 	pairSize = 400
 	// shortLatency and longLatency are the one-way latencies of the model. An
-	// indirect ping takes four of them, and 50 ms are left for it in a round.
+	// indirect ping takes four of them: less, and more, than the rest of a round.
 	shortLatency = 10 * time.Millisecond
 	longLatency  = 25 * time.Millisecond
 	// farHalf is the first data centre of the half that is cut off.
