Skip the score of instances that cannot be among a group's homes

Cause: looking up the tier of each instance in a map made the order of homes slower: 98 us for 3,100 instances, against 83 us before the second tier.

Change: the few tiers are searched in a list, and once the list of homes is full, instances of a lower tier are passed over before they are hashed. 37 us in the same benchmark (3,100 instances of 12 data centres, 10 homes, machine otherwise quiet). TestHomesOrder and the others check the same order.

--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -54,6 +54,12 @@
 	}
 }
 
+// admits reports whether an instance of the tier can be among the first, so
+// that the score of the others need not be computed.
+func (t *top) admits(tier int) bool {
+	return len(t.items) < t.limit || t.limit > 0 && tier <= t.items[t.limit-1].tier
+}
+
 func (t *top) ids() []model.InstanceID {
 	out := make([]model.InstanceID, len(t.items))
 	for i, r := range t.items {
@@ -102,28 +108,44 @@
 	t := top{limit: max(limit, 0)}
 	for i := range candidates {
 		c := &candidates[i]
-		tier, ok := tiers[c.DataCentre]
-		if !ok {
-			tier = tierOther
+		tier := tiers.of(c.DataCentre)
+		if t.admits(tier) {
+			t.add(ranked{id: c.ID, tier: tier, score: s.score(c.ID)})
 		}
-		t.add(ranked{id: c.ID, tier: tier, score: s.score(c.ID)})
 	}
 	return t.ids()
 }
 
-// dataCentreTiers returns the tier of each data centre that holds upstreams of
-// the group.
-func dataCentreTiers(group document.Group) map[model.DataCentre]int {
+// tierList holds the tiers of the data centres with upstreams of a group, of
+// which there are few, so that a search is faster than a map.
+type tierList []dataCentreTier
+
+type dataCentreTier struct {
+	dc   model.DataCentre
+	tier int
+}
+
+func (l tierList) of(dc model.DataCentre) int {
+	for i := range l {
+		if l[i].dc == dc {
+			return l[i].tier
+		}
+	}
+	return tierOther
+}
+
+func dataCentreTiers(group document.Group) tierList {
 	counts := make(map[model.DataCentre]int)
 	for _, u := range group.Upstreams {
 		counts[u.DataCentre]++
 	}
-	tiers := make(map[model.DataCentre]int, len(counts))
+	var tiers tierList
 	for dc, n := range counts {
-		tiers[dc] = tierWithUpstreams
+		tier := tierWithUpstreams
 		if 2*n > len(group.Upstreams) {
-			tiers[dc] = tierMajority
+			tier = tierMajority
 		}
+		tiers = append(tiers, dataCentreTier{dc: dc, tier: tier})
 	}
 	return tiers
 }
