Split membership.go by job

Configuration, member records, events and the bootstrap have files of their own; declarations are moved unchanged. cmp.Or replaces the two copies of setDefault in pkg/membership and pkg/catalog.

--- a/pkg/catalog/fetch.go
+++ b/pkg/catalog/fetch.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -46,11 +47,11 @@
 }
 
 func (c *FetchConfig) setDefaults() {
-	setDefault(&c.HashGrace, DefaultHashGrace)
-	setDefault(&c.FetchInterval, DefaultFetchInterval)
-	setDefault(&c.MaxFetches, DefaultMaxFetches)
-	setDefault(&c.FetchBackoff, DefaultFetchBackoff)
-	setDefault(&c.MaxFetchBackoff, DefaultMaxFetchBackoff)
+	c.HashGrace = cmp.Or(c.HashGrace, DefaultHashGrace)
+	c.FetchInterval = cmp.Or(c.FetchInterval, DefaultFetchInterval)
+	c.MaxFetches = cmp.Or(c.MaxFetches, DefaultMaxFetches)
+	c.FetchBackoff = cmp.Or(c.FetchBackoff, DefaultFetchBackoff)
+	c.MaxFetchBackoff = cmp.Or(c.MaxFetchBackoff, DefaultMaxFetchBackoff)
 }
 
 // otherHash is a catalog hash that differs from the local one. Hashes rather
--- a/pkg/catalog/reader.go
+++ b/pkg/catalog/reader.go
@@ -1,6 +1,7 @@
 package catalog
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"time"
 )
@@ -36,19 +37,12 @@
 }
 
 func (c *ReaderConfig) setDefaults() {
-	setDefault(&c.WatchWait, DefaultWatchWait)
-	setDefault(&c.MinInterval, DefaultMinInterval)
-	setDefault(&c.MinBackoff, DefaultMinBackoff)
-	setDefault(&c.MaxBackoff, DefaultMaxBackoff)
-	setDefault(&c.UnreachableFailures, DefaultUnreachableFailures)
-	setDefault(&c.TrialInterval, DefaultTrialInterval)
-}
-
-func setDefault[T comparable](v *T, d T) {
-	var zero T
-	if *v == zero {
-		*v = d
-	}
+	c.WatchWait = cmp.Or(c.WatchWait, DefaultWatchWait)
+	c.MinInterval = cmp.Or(c.MinInterval, DefaultMinInterval)
+	c.MinBackoff = cmp.Or(c.MinBackoff, DefaultMinBackoff)
+	c.MaxBackoff = cmp.Or(c.MaxBackoff, DefaultMaxBackoff)
+	c.UnreachableFailures = cmp.Or(c.UnreachableFailures, DefaultUnreachableFailures)
+	c.TrialInterval = cmp.Or(c.TrialInterval, DefaultTrialInterval)
 }
 
 // Read is a read of the platform's configuration service to start.
--- a/pkg/standin/capacity/capacity_test.go
+++ b/pkg/standin/capacity/capacity_test.go
@@ -57,7 +57,7 @@
 		{"pkg/settings/settings.go", `DefaultMaxInstances += 10\n`},
 		{"pkg/settings/settings.go", `DefaultMaxTickets += 20_000\n`},
 		{"pkg/order/order.go", `DefaultValidity = 30 \* time\.Second\n`},
-		{"pkg/membership/membership.go", `maxTombstones = 4096\n`},
+		{"pkg/membership/config.go", `maxTombstones = 4096\n`},
 	} {
 		source, err := os.ReadFile(filepath.Join(root, c.path))
 		must.NoError(t, err)
