Stop a paused process only after it has resumed in the random runs

The driver called Leave and Drain on the paused process, whose requests waited at its ports, so that it seemed to have none. A process that is paused handles no signal.

Change: the driver waits until the process runs.

--- a/pkg/instance/soak_faults_test.go
+++ b/pkg/instance/soak_faults_test.go
@@ -227,7 +227,8 @@
 	d.restarts <- struct{}{}
 	defer func() { <-d.restarts }()
 	p := n.current()
-	if p == nil {
+	// A paused process handles the signal after it has resumed.
+	if p == nil || !p.gate() {
 		return
 	}
 	pauses := p.pauses()
