Use one typed heap for timers, tickets and virtual time

Four heap.Interface implementations stood side by side: the scheduler's timers, the order book's expiry and the events of two clocks in virtual time. They are now internal/minheap on top of container/heap, with the same order of equal items. The test of stale timers builds its queue with the constructor and checks the same.

--- a/pkg/order/order.go
+++ b/pkg/order/order.go
@@ -98,7 +98,7 @@
 
 // NewBook returns an empty book.
 func NewBook(cfg Config) *Book {
-	return &Book{cfg: cfg, records: make(map[model.AttemptID]*record)}
+	return &Book{cfg: cfg, records: make(map[model.AttemptID]*record), expiry: newExpiryQueue()}
 }
 
 // Len returns the number of tickets in memory.
--- a/pkg/scheduler/model_test.go
+++ b/pkg/scheduler/model_test.go
@@ -1,13 +1,13 @@
 package scheduler
 
 import (
-	"container/heap"
 	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"slices"
 	"time"
 
+	"github.com/sardineturn/sardineturn/internal/minheap"
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
@@ -25,19 +25,8 @@
 	do  func()
 }
 
-type eventQueue []event
-
-func (q eventQueue) Len() int { return len(q) }
-func (q eventQueue) Less(i, j int) bool {
-	return q[i].at.Before(q[j].at) || q[i].at.Equal(q[j].at) && q[i].seq < q[j].seq
-}
-func (q eventQueue) Swap(i, j int) { q[i], q[j] = q[j], q[i] }
-func (q *eventQueue) Push(x any)   { *q = append(*q, x.(event)) }
-func (q *eventQueue) Pop() any {
-	old := *q
-	e := old[len(old)-1]
-	*q = old[:len(old)-1]
-	return e
+func (e event) before(other event) bool {
+	return e.at.Before(other.at) || e.at.Equal(other.at) && e.seq < other.seq
 }
 
 // fakeUpstream is an upstream in virtual time.
@@ -87,7 +76,7 @@
 	load      *rand.Rand
 	doc       *document.Document
 	sched     *Scheduler
-	events    eventQueue
+	events    minheap.Heap[event]
 	seq       int
 	upstreams map[string]*fakeUpstream
 	calls     map[model.AttemptID]*fakeCall
@@ -154,6 +143,7 @@
 func newWorld(seed uint64, doc *document.Document) *world {
 	w := &world{
 		now:         epoch,
+		events:      minheap.New(event.before),
 		rng:         rand.New(rand.NewPCG(seed, 1)),
 		load:        rand.New(rand.NewPCG(seed, 3)),
 		doc:         doc,
@@ -205,7 +195,7 @@
 
 func (w *world) after(d time.Duration, do func()) {
 	w.seq++
-	heap.Push(&w.events, event{at: w.now.Add(max(d, 0)), seq: w.seq, do: do})
+	w.events.Push(event{at: w.now.Add(max(d, 0)), seq: w.seq, do: do})
 }
 
 // run advances virtual time by d.
@@ -214,8 +204,8 @@
 	for {
 		next, ok := w.sched.NextWake()
 		wakes := ok && !w.paused && !next.After(end)
-		if len(w.events) > 0 && !w.events[0].at.After(end) && !(wakes && next.Before(w.events[0].at)) {
-			e := heap.Pop(&w.events).(event)
+		if w.events.Len() > 0 && !w.events.Min().at.After(end) && !(wakes && next.Before(w.events.Min().at)) {
+			e := w.events.Pop()
 			w.now = e.at
 			e.do()
 			continue
--- a/pkg/scheduler/scheduler.go
+++ b/pkg/scheduler/scheduler.go
@@ -90,6 +90,7 @@
 		sweptAt:      now,
 		accruedAt:    now,
 		probedAt:     now,
+		timers:       newTimerQueue(),
 		budgets:      newBudgets(cfg.Document.Budgets),
 		isolation:    newIsolation(),
 		medianFactor: 1,
--- a/pkg/scheduler/timers.go
+++ b/pkg/scheduler/timers.go
@@ -1,9 +1,9 @@
 package scheduler
 
 import (
-	"container/heap"
-	"slices"
 	"time"
+
+	"github.com/sardineturn/sardineturn/internal/minheap"
 )
 
 // timer is an instant at which something is due: the deadline of a request,
@@ -26,26 +26,6 @@
 	}
 }
 
-// timerHeap implements heap.Interface.
-type timerHeap []timer
-
-func (h timerHeap) Len() int           { return len(h) }
-func (h timerHeap) Less(i, j int) bool { return h[i].at.Before(h[j].at) }
-func (h timerHeap) Swap(i, j int)      { h[i], h[j] = h[j], h[i] }
-
-// Push implements heap.Interface.
-func (h *timerHeap) Push(x any) { *h = append(*h, x.(timer)) }
-
-// Pop implements heap.Interface.
-func (h *timerHeap) Pop() any {
-	old := *h
-	last := len(old) - 1
-	t := old[last]
-	old[last] = timer{}
-	*h = old[:last]
-	return t
-}
-
 // minCompaction is the least number of timers at which stale ones are removed.
 const minCompaction = 64
 
@@ -54,32 +34,35 @@
 // stay in memory until their deadlines, 38 MB in a busy group at the target
 // size.
 type timerQueue struct {
-	timers    timerHeap
+	timers    minheap.Heap[timer]
 	compactAt int
 }
 
+func newTimerQueue() timerQueue {
+	return timerQueue{timers: minheap.New(func(a, b timer) bool { return a.at.Before(b.at) })}
+}
+
 func (q *timerQueue) add(t timer) {
-	if len(q.timers) >= max(q.compactAt, minCompaction) {
+	if q.timers.Len() >= max(q.compactAt, minCompaction) {
 		q.compact()
 	}
-	heap.Push(&q.timers, t)
+	q.timers.Push(t)
 }
 
 func (q *timerQueue) compact() {
-	q.timers = slices.DeleteFunc(q.timers, timer.stale)
-	heap.Init(&q.timers)
-	q.compactAt = 2 * len(q.timers)
+	q.timers.DeleteFunc(timer.stale)
+	q.compactAt = 2 * q.timers.Len()
 }
 
 // next returns the earliest time of a timer that is not stale.
 func (q *timerQueue) next() (time.Time, bool) {
-	for len(q.timers) > 0 && q.timers[0].stale() {
-		heap.Pop(&q.timers)
+	for q.timers.Len() > 0 && q.timers.Min().stale() {
+		q.timers.Pop()
 	}
-	if len(q.timers) == 0 {
+	if q.timers.Len() == 0 {
 		return time.Time{}, false
 	}
-	return q.timers[0].at, true
+	return q.timers.Min().at, true
 }
 
 // due removes and returns the earliest timer at or before now.
@@ -88,5 +71,5 @@
 	if !ok || at.After(now) {
 		return timer{}, false
 	}
-	return heap.Pop(&q.timers).(timer), true
+	return q.timers.Pop(), true
 }
--- a/pkg/scheduler/timers_test.go
+++ b/pkg/scheduler/timers_test.go
@@ -10,14 +10,14 @@
 // TestStaleTimersAreReleased guards against answered requests that stay in
 // memory until their deadlines.
 func TestStaleTimersAreReleased(t *testing.T) {
-	var q timerQueue
+	q := newTimerQueue()
 	start := time.Unix(0, 0)
 	live := &request{}
 	q.add(timer{at: start.Add(time.Hour), request: live})
 	for n := range 10_000 {
 		q.add(timer{at: start.Add(time.Hour + time.Duration(n)), request: &request{done: true}})
 	}
-	must.LessEq(t, 2*minCompaction, len(q.timers))
+	must.LessEq(t, 2*minCompaction, q.timers.Len())
 	at, ok := q.next()
 	must.True(t, ok)
 	must.Eq(t, start.Add(time.Hour), at)
--- a/pkg/standin/compare/tier.go
+++ b/pkg/standin/compare/tier.go
@@ -89,7 +89,7 @@
 
 func newWorld(s size, v way, seed uint64) *world {
 	w := &world{
-		clock: clock{now: epoch},
+		clock: newClock(),
 		size:  s, way: v, seed: seed,
 		doc:     s.document(),
 		homeDoc: s.document(),
