Play order books and schedulers beside their recorders

They were the oldest parts and still had their own seed, lookup and error texts, and stood in player.go. They now use what the later parts share, and the lookup of an opened object is one function for all. Order books are told apart by process, as all other objects. The two test faults after a pause share their loop.

--- a/pkg/replay/catalog.go
+++ b/pkg/replay/catalog.go
@@ -104,9 +104,9 @@
 		p.catalogs[l.object()] = catalog.New(document.Parse)
 		return nil, nil
 	}
-	c := p.catalogs[l.object()]
-	if c == nil {
-		return nil, notOpen(l)
+	c, err := opened(p.catalogs, l)
+	if err != nil {
+		return nil, err
 	}
 	ref, err := decode[contentRef](l.Args)
 	if err != nil {
@@ -180,9 +180,9 @@
 		p.plans[l.object()] = catalog.NewFetchPlan(catalog.FetchConfig{Rand: rand.New(open.Seed.source())})
 		return nil, err
 	}
-	plan := p.plans[l.object()]
-	if plan == nil {
-		return nil, notOpen(l)
+	plan, err := opened(p.plans, l)
+	if err != nil {
+		return nil, err
 	}
 	switch l.Call {
 	case "hash":
@@ -264,9 +264,9 @@
 		p.readers[l.object()] = catalog.NewReader(catalog.ReaderConfig{Rand: rand.New(open.Seed.source())})
 		return nil, err
 	}
-	r := p.readers[l.object()]
-	if r == nil {
-		return nil, notOpen(l)
+	r, err := opened(p.readers, l)
+	if err != nil {
+		return nil, err
 	}
 	switch l.Call {
 	case "role":
--- a/pkg/replay/check_test.go
+++ b/pkg/replay/check_test.go
@@ -143,29 +143,27 @@
 
 // neverConfirmed keeps a process in the phase after a pause.
 func neverConfirmed() func(line, any) any {
-	paused := false
-	return func(_ line, out any) any {
-		switch r := out.(type) {
-		case observeResult:
-			paused = paused || r.Paused
-		case phaseResult:
-			r.Done = r.Done && !paused
-			return r
-		}
-		return out
-	}
+	return sincePause(func(paused *bool, r *phaseResult) { r.Done = r.Done && !*paused })
 }
 
 // confirmedAtOnce makes a process ready at the first chance after a pause.
 func confirmedAtOnce() func(line, any) any {
+	return sincePause(func(paused *bool, r *phaseResult) {
+		r.Done = r.Done || *paused
+		*paused = false
+	})
+}
+
+// sincePause changes the results of the phase machine, given whether the
+// process was paused before.
+func sincePause(f func(paused *bool, r *phaseResult)) func(line, any) any {
 	paused := false
 	return func(_ line, out any) any {
 		switch r := out.(type) {
 		case observeResult:
 			paused = paused || r.Paused
 		case phaseResult:
-			r.Done = r.Done || paused
-			paused = false
+			f(&paused, &r)
 			return r
 		}
 		return out
--- a/pkg/replay/membership.go
+++ b/pkg/replay/membership.go
@@ -222,9 +222,9 @@
 		p.members[l.object()] = &playedMembership{Membership: open.membership(l.Time)}
 		return nil, nil
 	}
-	m := p.members[l.object()]
-	if m == nil {
-		return nil, notOpen(l)
+	m, err := opened(p.members, l)
+	if err != nil {
+		return nil, err
 	}
 	r, err := m.call(l)
 	if err != nil {
--- a/pkg/replay/orders.go
+++ b/pkg/replay/orders.go
@@ -45,12 +45,8 @@
 // NewBook returns a recorded order book. The shard tells apart the books of
 // one process.
 func (t *Trace) NewBook(cfg order.Config, shard int) *Book {
-	b := &Book{object: object{
-		trace:     t,
-		component: componentOrders,
-		key:       fmt.Sprintf("%x/%d", uint64(cfg.Boot), shard),
-		newID:     cfg.NewID,
-	}}
+	b := &Book{object: t.object(componentOrders, fmt.Sprintf("%x/%d", uint64(cfg.Boot), shard))}
+	b.newID = cfg.NewID
 	cfg.NewID = b.drawID
 	b.Book = order.NewBook(cfg)
 	b.record("open", time.Time{}, bookOpen{Owner: cfg.Owner, Boot: cfg.Boot, Capacity: cfg.Capacity}, nil)
@@ -95,3 +91,63 @@
 	b.Book.Expire(now)
 	b.record("expire", now, nil, nil)
 }
+
+// playedBook is an order book under replay.
+type playedBook struct {
+	*order.Book
+	ids ids
+}
+
+func (p *player) playOrders(l line) (any, error) {
+	if l.Call == "open" {
+		open, err := decode[bookOpen](l.Args)
+		if err != nil {
+			return nil, err
+		}
+		b := &playedBook{}
+		b.Book = order.NewBook(order.Config{Owner: open.Owner, Boot: open.Boot, Capacity: open.Capacity, NewID: b.ids.next})
+		p.books[l.object()] = b
+		return nil, nil
+	}
+	b, err := opened(p.books, l)
+	if err != nil {
+		return nil, err
+	}
+	b.ids.queue = l.IDs
+	return b.call(l)
+}
+
+func (b *playedBook) call(l line) (any, error) {
+	switch l.Call {
+	case "issue":
+		spec, err := decode[order.Spec](l.Args)
+		if err != nil {
+			return nil, err
+		}
+		return newIssueResult(b.Issue(l.Time, spec)), nil
+	case "submit":
+		a, err := decode[orderSubmitArgs](l.Args)
+		if err != nil {
+			return nil, err
+		}
+		ticket, err := order.ParseTicket(a.Ticket)
+		if err != nil {
+			return nil, err
+		}
+		a.Submission.Payload = normalise(a.Submission.Payload)
+		return b.Submit(l.Time, ticket, a.Submission), nil
+	case "finish":
+		a, err := decode[orderFinishArgs](l.Args)
+		if err != nil {
+			return nil, err
+		}
+		a.Outcome.Result = normalise(a.Outcome.Result)
+		next, answer := b.Finish(l.Time, a.Ticket, a.Attempt, a.Outcome)
+		return orderFinishResult{Next: next, Answer: answer}, nil
+	case "expire":
+		b.Expire(l.Time)
+		return nil, nil
+	default:
+		return nil, unknownCall(l)
+	}
+}
--- a/pkg/replay/phase.go
+++ b/pkg/replay/phase.go
@@ -105,9 +105,9 @@
 		p.phases[l.object()] = phase.New(l.Time)
 		return nil, nil
 	}
-	m := p.phases[l.object()]
-	if m == nil {
-		return nil, notOpen(l)
+	m, err := opened(p.phases, l)
+	if err != nil {
+		return nil, err
 	}
 	done := true
 	switch l.Call {
--- a/pkg/replay/player.go
+++ b/pkg/replay/player.go
@@ -6,16 +6,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"math/rand/v2"
 	"strings"
-	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/catalog"
 	"github.com/sardineturn/sardineturn/pkg/document"
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/order"
 	"github.com/sardineturn/sardineturn/pkg/phase"
-	"github.com/sardineturn/sardineturn/pkg/scheduler"
 )
 
 const (
@@ -157,7 +153,14 @@
 	return err
 }
 
-func notOpen(l line) error { return fmt.Errorf("%s %q is not open", l.Component, l.Key) }
+// opened returns the object of a line from those that the trace has opened.
+func opened[T any](objects map[string]*T, l line) (*T, error) {
+	o := objects[l.object()]
+	if o == nil {
+		return nil, fmt.Errorf("%s %q is not open", l.Component, l.Key)
+	}
+	return o, nil
+}
 
 func unknownCall(l line) error { return fmt.Errorf("unknown call %q of %s", l.Call, l.Component) }
 
@@ -236,105 +239,6 @@
 	return s
 }
 
-// playedScheduler is a scheduler under replay.
-type playedScheduler struct {
-	*scheduler.Scheduler
-	ids     ids
-	blocked *blockedOnce
-}
-
-func (p *player) playScheduler(l line) (any, error) {
-	if l.Call == "open" {
-		return nil, p.openScheduler(l)
-	}
-	s := p.schedulers[l.object()]
-	if s == nil {
-		return nil, notOpen(l)
-	}
-	var w withBlocked
-	if err := json.Unmarshal(l.Args, &w); err != nil {
-		return nil, err
-	}
-	s.ids.queue = l.IDs
-	s.blocked.answer = w.Blocked
-	actions, err := s.call(l.Call, l.Time, w.Args)
-	return typedActions(actions), err
-}
-
-func (p *player) openScheduler(l line) error {
-	var open schedulerOpen
-	if err := json.Unmarshal(l.Args, &open); err != nil {
-		return err
-	}
-	group, err := groupOf(open)
-	if err != nil {
-		return err
-	}
-	s := &playedScheduler{ids: ids{queue: l.IDs}, blocked: &blockedOnce{}}
-	s.Scheduler = scheduler.New(scheduler.Config{
-		Document:        open.Document,
-		Group:           group,
-		LocalDataCentre: open.DataCentre,
-		MaxInstances:    open.MaxInstances,
-		NewID:           s.ids.next,
-		Rand:            rand.New(rand.NewPCG(open.Seed[0], open.Seed[1])),
-		Quarantine:      s.blocked,
-	}, l.Time)
-	p.schedulers[l.object()] = s
-	return nil
-}
-
-func groupOf(open schedulerOpen) (document.Group, error) {
-	if open.Document == nil {
-		return document.Group{}, fmt.Errorf("the document is missing")
-	}
-	groups := open.Document.Groups()
-	if open.Group < 0 || open.Group >= len(groups) {
-		return document.Group{}, fmt.Errorf("the document has no group %d", open.Group)
-	}
-	return groups[open.Group], nil
-}
-
-// call decodes the arguments and makes the call.
-func (s *playedScheduler) call(name string, now time.Time, args json.RawMessage) ([]scheduler.Action, error) {
-	switch name {
-	case "submit":
-		req, err := decode[model.GroupRequest](args)
-		req.Payload = normalise(req.Payload)
-		return s.Submit(now, req), err
-	case "cancel":
-		id, err := decode[model.AttemptID](args)
-		return s.Cancel(now, id), err
-	case "finish":
-		a, err := decode[finishArgs](args)
-		a.Reply.Result = normalise(a.Reply.Result)
-		return s.Finish(now, a.Attempt, a.Reply), err
-	case "tick":
-		return s.Tick(now), nil
-	case "document":
-		a, err := decode[schedulerOpen](args)
-		if err != nil {
-			return nil, err
-		}
-		group, err := groupOf(a)
-		if err != nil {
-			return nil, err
-		}
-		return s.SetDocument(now, a.Document, group), nil
-	case "hint":
-		a, err := decode[hintArgs](args)
-		return s.Hint(now, a.Upstream, a.Status), err
-	case "leaving":
-		a, err := decode[leavingArgs](args)
-		return s.SetUpstreamLeaving(now, a.Upstream, a.Leaving), err
-	case "resume":
-		gap, err := decode[time.Duration](args)
-		return s.Resume(now, gap), err
-	default:
-		return nil, fmt.Errorf("unknown scheduler call %q", name)
-	}
-}
-
 func decode[T any](raw json.RawMessage) (T, error) {
 	var v T
 	err := json.Unmarshal(raw, &v)
@@ -349,65 +253,5 @@
 	return raw
 }
 
-// playedBook is an order book under replay.
-type playedBook struct {
-	*order.Book
-	ids ids
-}
-
-func (p *player) playOrders(l line) (any, error) {
-	if l.Call == "open" {
-		open, err := decode[bookOpen](l.Args)
-		if err != nil {
-			return nil, err
-		}
-		b := &playedBook{}
-		b.Book = order.NewBook(order.Config{Owner: open.Owner, Boot: open.Boot, Capacity: open.Capacity, NewID: b.ids.next})
-		p.books[l.Key] = b
-		return nil, nil
-	}
-	b := p.books[l.Key]
-	if b == nil {
-		return nil, fmt.Errorf("order book %q is not open", l.Key)
-	}
-	b.ids.queue = l.IDs
-	return b.call(l)
-}
-
-func (b *playedBook) call(l line) (any, error) {
-	switch l.Call {
-	case "issue":
-		spec, err := decode[order.Spec](l.Args)
-		if err != nil {
-			return nil, err
-		}
-		return newIssueResult(b.Issue(l.Time, spec)), nil
-	case "submit":
-		a, err := decode[orderSubmitArgs](l.Args)
-		if err != nil {
-			return nil, err
-		}
-		ticket, err := order.ParseTicket(a.Ticket)
-		if err != nil {
-			return nil, err
-		}
-		a.Submission.Payload = normalise(a.Submission.Payload)
-		return b.Submit(l.Time, ticket, a.Submission), nil
-	case "finish":
-		a, err := decode[orderFinishArgs](l.Args)
-		if err != nil {
-			return nil, err
-		}
-		a.Outcome.Result = normalise(a.Outcome.Result)
-		next, answer := b.Finish(l.Time, a.Ticket, a.Attempt, a.Outcome)
-		return orderFinishResult{Next: next, Answer: answer}, nil
-	case "expire":
-		b.Expire(l.Time)
-		return nil, nil
-	default:
-		return nil, fmt.Errorf("unknown order call %q", l.Call)
-	}
-}
-
 // actionName strips the package from a recorded type.
 func actionName(t string) string { return strings.TrimPrefix(t, "scheduler.") }
--- a/pkg/replay/query.go
+++ b/pkg/replay/query.go
@@ -157,9 +157,9 @@
 	if l.Call == "open" {
 		return p.openQuery(l)
 	}
-	q := p.queries[l.object()]
-	if q == nil {
-		return nil, notOpen(l)
+	q, err := opened(p.queries, l)
+	if err != nil {
+		return nil, err
 	}
 	q.ids.queue = l.IDs
 	actions, err := q.call(l)
--- a/pkg/replay/scheduler.go
+++ b/pkg/replay/scheduler.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"math/rand/v2"
 	"time"
 
@@ -18,7 +19,7 @@
 		Group        int                `json:"group"`
 		DataCentre   model.DataCentre   `json:"data_centre"`
 		MaxInstances int                `json:"max_instances"`
-		Seed         [2]uint64          `json:"seed"`
+		Seed         seed               `json:"seed"`
 	}
 	finishArgs struct {
 		Attempt model.AttemptID    `json:"attempt"`
@@ -64,13 +65,14 @@
 		Group:        cfg.Group.Key.Index,
 		DataCentre:   cfg.LocalDataCentre,
 		MaxInstances: cfg.MaxInstances,
-		Seed:         [2]uint64{cfg.Rand.Uint64(), cfg.Rand.Uint64()},
+		Seed:         drawSeed(cfg.Rand),
 	}
 	s := &Scheduler{
-		object:  object{trace: t, component: componentScheduler, key: cfg.Group.Key.String() + "@" + now.Format(time.RFC3339Nano), newID: cfg.NewID},
+		object:  t.object(componentScheduler, cfg.Group.Key.String()+"@"+now.Format(time.RFC3339Nano)),
 		blocked: &blockedOnce{ask: cfg.Quarantine, answer: make(map[model.Fingerprint]bool)},
 	}
-	cfg.Rand = rand.New(rand.NewPCG(open.Seed[0], open.Seed[1]))
+	s.newID = cfg.NewID
+	cfg.Rand = rand.New(open.Seed.source())
 	cfg.NewID = s.drawID
 	cfg.Quarantine = s.blocked
 	s.Scheduler = scheduler.New(cfg, now)
@@ -146,3 +148,103 @@
 	now = wall(now)
 	return s.recordActions("resume", now, gap, s.Scheduler.Resume(now, gap))
 }
+
+// playedScheduler is a scheduler under replay.
+type playedScheduler struct {
+	*scheduler.Scheduler
+	ids     ids
+	blocked *blockedOnce
+}
+
+func (p *player) playScheduler(l line) (any, error) {
+	if l.Call == "open" {
+		return nil, p.openScheduler(l)
+	}
+	s, err := opened(p.schedulers, l)
+	if err != nil {
+		return nil, err
+	}
+	var w withBlocked
+	if err := json.Unmarshal(l.Args, &w); err != nil {
+		return nil, err
+	}
+	s.ids.queue = l.IDs
+	s.blocked.answer = w.Blocked
+	actions, err := s.call(l, w.Args)
+	return typedActions(actions), err
+}
+
+func (p *player) openScheduler(l line) error {
+	var open schedulerOpen
+	if err := json.Unmarshal(l.Args, &open); err != nil {
+		return err
+	}
+	group, err := groupOf(open)
+	if err != nil {
+		return err
+	}
+	s := &playedScheduler{ids: ids{queue: l.IDs}, blocked: &blockedOnce{}}
+	s.Scheduler = scheduler.New(scheduler.Config{
+		Document:        open.Document,
+		Group:           group,
+		LocalDataCentre: open.DataCentre,
+		MaxInstances:    open.MaxInstances,
+		NewID:           s.ids.next,
+		Rand:            rand.New(open.Seed.source()),
+		Quarantine:      s.blocked,
+	}, l.Time)
+	p.schedulers[l.object()] = s
+	return nil
+}
+
+func groupOf(open schedulerOpen) (document.Group, error) {
+	if open.Document == nil {
+		return document.Group{}, fmt.Errorf("the document is missing")
+	}
+	groups := open.Document.Groups()
+	if open.Group < 0 || open.Group >= len(groups) {
+		return document.Group{}, fmt.Errorf("the document has no group %d", open.Group)
+	}
+	return groups[open.Group], nil
+}
+
+// call decodes the arguments and makes the call.
+func (s *playedScheduler) call(l line, args json.RawMessage) ([]scheduler.Action, error) {
+	now := l.Time
+	switch l.Call {
+	case "submit":
+		req, err := decode[model.GroupRequest](args)
+		req.Payload = normalise(req.Payload)
+		return s.Submit(now, req), err
+	case "cancel":
+		id, err := decode[model.AttemptID](args)
+		return s.Cancel(now, id), err
+	case "finish":
+		a, err := decode[finishArgs](args)
+		a.Reply.Result = normalise(a.Reply.Result)
+		return s.Finish(now, a.Attempt, a.Reply), err
+	case "tick":
+		return s.Tick(now), nil
+	case "document":
+		a, err := decode[schedulerOpen](args)
+		if err != nil {
+			return nil, err
+		}
+		group, err := groupOf(a)
+		if err != nil {
+			return nil, err
+		}
+		return s.SetDocument(now, a.Document, group), nil
+	case "hint":
+		a, err := decode[hintArgs](args)
+		return s.Hint(now, a.Upstream, a.Status), err
+	case "leaving":
+		a, err := decode[leavingArgs](args)
+		return s.SetUpstreamLeaving(now, a.Upstream, a.Leaving), err
+	case "resume":
+		gap, err := decode[time.Duration](args)
+		return s.Resume(now, gap), err
+	default:
+		return nil, unknownCall(l)
+	}
+}
