Drop repeated work and copies in adapters, queries and experiments

json.Unmarshal refuses data after a value by itself, so that both copies of decodeOne go. A query computes its fingerprint once instead of once per group: the payload may have a megabyte and a query of the target size 50 groups. closeIdle uses the slices package. Two aims and two choices of a size are written once.

--- a/cmd/standin/experiment.go
+++ b/cmd/standin/experiment.go
@@ -77,17 +77,20 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	size := experiment.LargeCost
-	if c.Small {
-		size = experiment.SmallCost
-	}
 	return experiment.Cost(ctx, experiment.CostOptions{
 		Options: experiment.Options{Sardineturn: c.Sardineturn, Standin: self, Dir: c.Dir, Seed: c.Seed},
-		Against: c.Against, Transport: c.Transport, Together: c.Together, Size: size, Loads: c.Loads, Rounds: c.Rounds,
+		Against: c.Against, Transport: c.Transport, Together: c.Together, Size: costSize(c.Small), Loads: c.Loads, Rounds: c.Rounds,
 		Profiles: c.Profiles, OpenQueries: c.OpenQueries,
 	}, os.Stdout)
 }
 
+func costSize(small bool) experiment.CostSize {
+	if small {
+		return experiment.SmallCost
+	}
+	return experiment.LargeCost
+}
+
 type transportCommand struct {
 	Upstreams []string `required:"" help:"Addresses of the upstreams."`
 	Rate      float64  `default:"50" help:"Bursts of calls per second."`
@@ -99,11 +102,7 @@
 func (c *transportCommand) Run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	size := experiment.LargeCost
-	if c.Small {
-		size = experiment.SmallCost
-	}
-	r, err := experiment.RunTransport(ctx, experiment.NewTransportRun(size, c.Upstreams, c.Rate, c.Seed))
+	r, err := experiment.RunTransport(ctx, experiment.NewTransportRun(costSize(c.Small), c.Upstreams, c.Rate, c.Seed))
 	if err != nil {
 		return err
 	}
--- a/pkg/adapter/platformhttp/client.go
+++ b/pkg/adapter/platformhttp/client.go
@@ -4,7 +4,6 @@
 package platformhttp
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -136,8 +135,8 @@
 
 func parseDocuments(body []byte) (port.DocumentBatch, error) {
 	var a documentsAnswer
-	if err := decodeOne(body, &a); err != nil {
-		return port.DocumentBatch{}, err
+	if err := json.Unmarshal(body, &a); err != nil {
+		return port.DocumentBatch{}, result.Wrap(result.Internal, err)
 	}
 	if a.Version == nil {
 		return port.DocumentBatch{}, result.Errorf(result.Internal, "platform answer has no version")
@@ -159,8 +158,8 @@
 
 func parseInstances(body []byte) (port.InstanceList, error) {
 	var a instancesAnswer
-	if err := decodeOne(body, &a); err != nil {
-		return port.InstanceList{}, err
+	if err := json.Unmarshal(body, &a); err != nil {
+		return port.InstanceList{}, result.Wrap(result.Internal, err)
 	}
 	if a.Instances == nil {
 		return port.InstanceList{}, result.Errorf(result.Internal, "platform answer has no instance list")
@@ -180,15 +179,3 @@
 	}
 	return list, nil
 }
-
-// decodeOne decodes exactly one JSON value and refuses anything after it.
-func decodeOne(body []byte, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if err := dec.Decode(v); err != nil {
-		return result.Wrap(result.Internal, err)
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return result.Errorf(result.Internal, "data after the JSON value")
-	}
-	return nil
-}
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -275,10 +276,8 @@
 			n++
 		}
 	}
-	closing := append([]idleConn(nil), p.idle[:n]...)
-	kept := copy(p.idle, p.idle[n:])
-	clear(p.idle[kept:])
-	p.idle = p.idle[:kept]
+	closing := slices.Clone(p.idle[:n])
+	p.idle = slices.Delete(p.idle, 0, n)
 	p.mu.Unlock()
 	for _, c := range closing {
 		_ = c.Close()
--- a/pkg/adapter/upstreamhttp/wire.go
+++ b/pkg/adapter/upstreamhttp/wire.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"encoding/json"
-	"io"
 	"net/http"
 	"time"
 
@@ -117,7 +116,7 @@
 // breaks the interface leaves open whether the request ran.
 func parseAnswer(call port.UpstreamCall, body []byte) port.UpstreamReply {
 	var a executeAnswer
-	if err := decodeOne(body, &a); err != nil {
+	if err := json.Unmarshal(body, &a); err != nil {
 		return port.UpstreamReply{Code: result.UpstreamFailed}
 	}
 	id, err := model.ParseAttemptID(a.Attempt)
@@ -155,11 +154,11 @@
 
 func parseStatus(health, load []byte) (port.UpstreamStatus, error) {
 	var h healthAnswer
-	if err := decodeOne(health, &h); err != nil {
+	if err := json.Unmarshal(health, &h); err != nil {
 		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
 	}
 	var l loadAnswer
-	if err := decodeOne(load, &l); err != nil {
+	if err := json.Unmarshal(load, &l); err != nil {
 		return port.UpstreamStatus{}, result.Wrap(result.UpstreamFailed, err)
 	}
 	if h.Healthy == nil || l.InFlight == nil || l.Slots == nil || *l.InFlight < 0 || *l.Slots < 0 {
@@ -173,15 +172,3 @@
 		Snapshots: l.Snapshots,
 	}, nil
 }
-
-// decodeOne decodes exactly one JSON value and refuses anything after it.
-func decodeOne(body []byte, v any) error {
-	dec := json.NewDecoder(bytes.NewReader(body))
-	if err := dec.Decode(v); err != nil {
-		return err
-	}
-	if _, err := dec.Token(); err != io.EOF {
-		return result.Errorf(result.UpstreamFailed, "data after the JSON value")
-	}
-	return nil
-}
--- a/pkg/query/query.go
+++ b/pkg/query/query.go
@@ -84,6 +84,9 @@
 	doc      *document.Document
 	started  time.Time
 	deadline time.Time
+	// fingerprint is computed once, since the payload may be large and each
+	// group's request carries it.
+	fingerprint model.Fingerprint
 
 	snapshot *document.Snapshot
 	least    int
@@ -126,7 +129,10 @@
 	if !q.Deadline.After(now.Add(answerMargin)) {
 		return nil, nil, result.Errorf(result.DeadlineTooShort, "the deadline leaves no time to run the query")
 	}
-	s := &Query{cfg: cfg, query: q, doc: doc, started: now, deadline: q.Deadline.Add(-answerMargin)}
+	s := &Query{
+		cfg: cfg, query: q, doc: doc, started: now, deadline: q.Deadline.Add(-answerMargin),
+		fingerprint: quarantine.Fingerprint(doc.Service, q.Operation, q.Payload),
+	}
 	actions, err := s.start(now, s.pickSnapshot(nil))
 	if err != nil {
 		return nil, nil, err
@@ -230,7 +236,7 @@
 		Priority:    s.query.Priority,
 		Caller:      s.query.Caller,
 		Payload:     s.query.Payload,
-		Fingerprint: quarantine.Fingerprint(s.doc.Service, s.query.Operation, s.query.Payload),
+		Fingerprint: s.fingerprint,
 		Snapshot:    s.snapshot.ID,
 		Deadline:    s.deadline,
 	}
--- a/pkg/standin/experiment/scenario.go
+++ b/pkg/standin/experiment/scenario.go
@@ -135,13 +135,17 @@
 				return ratio(o.stream(phaseFault, 0).LatencyAll.P99, o.stream(phaseSteady, 0).LatencyAll.P99)
 			}},
 			{text: "extra upstream executions per request", limit: 0.05, measure: extraLoad},
-			{text: "mean coverage of the most urgent", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
-				return o.stream(phaseFault, 0).MeanCoverage
-			}},
+			meanCoverage(),
 		},
 	}
 }
 
+func meanCoverage() aim {
+	return aim{text: "mean coverage of the most urgent", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
+		return o.stream(phaseFault, 0).MeanCoverage
+	}}
+}
+
 // extraLoad is the growth of executions per requested shard in the fault phase
 // relative to the steady phase, minus one.
 func extraLoad(o *outcome) float64 {
@@ -249,9 +253,7 @@
 			{text: "executions on the leaving upstream from 3 s after the first sign", limit: 0, measure: func(o *outcome) float64 {
 				return float64(o.lateExecutions)
 			}},
-			{text: "mean coverage of the most urgent", limit: 0.99, atLeast: true, measure: func(o *outcome) float64 {
-				return o.stream(phaseFault, 0).MeanCoverage
-			}},
+			meanCoverage(),
 		},
 	}
 }
