--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -29,7 +29,6 @@
 	DocumentAdopted  ID = 300
 	DocumentInvalid  ID = 301
 	DocumentConflict ID = 302
-	DocumentOlder    ID = 303
 	PlatformFailed   ID = 304
 	PlatformRestored ID = 305
 	ReaderRoleGained ID = 306
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -37,8 +37,6 @@
 const (
 	// HedgeLatency: the attempt took longer than the operation's p95.
 	HedgeLatency HedgeReason = "latency"
-	// HedgeDegraded: the replica that runs the attempt became degraded.
-	HedgeDegraded HedgeReason = "degraded_replica"
 )
 
 // SuppressReason says why a retry or a hedge that was due was not sent.
@@ -46,13 +44,9 @@
 
 // Reasons against retries and hedges.
 const (
-	SuppressBudget    SuppressReason = "budget"
-	SuppressShedding  SuppressReason = "shedding"
-	SuppressDeadline  SuppressReason = "deadline"
-	SuppressNoReplica SuppressReason = "no_free_replica"
-	SuppressQueue     SuppressReason = "queue_not_empty"
-	SuppressUnsafe    SuppressReason = "may_have_run"
-	SuppressSuspect   SuppressReason = "suspect_request"
+	SuppressBudget   SuppressReason = "budget"
+	SuppressShedding SuppressReason = "shedding"
+	SuppressQueue    SuppressReason = "queue_not_empty"
 )
 
 // DropReason says why an answer was dropped.
@@ -60,10 +54,8 @@
 
 // Reasons to drop an answer.
 const (
-	DropAttempt  DropReason = "attempt_mismatch"
-	DropSnapshot DropReason = "snapshot_mismatch"
-	DropShard    DropReason = "shard_mismatch"
-	DropLate     DropReason = "late"
+	DropAttempt DropReason = "attempt_mismatch"
+	DropLate    DropReason = "late"
 )
 
 // Verdict is the decision about a received document.
@@ -96,8 +88,6 @@
 const (
 	Sent     Direction = "sent"
 	Received Direction = "received"
-	// Discarded: received, but of another cluster or not readable.
-	Discarded Direction = "discarded"
 )
 
 // Metrics holds the counters, gauges and histograms of one process.
