--- a/cmd/sardineturn/main.go
+++ b/cmd/sardineturn/main.go
@@ -10,6 +10,6 @@
 )
 
 func main() {
-	program := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr, Serve: app.Serve}
+	program := &cli.Program{Stdout: os.Stdout, Stderr: os.Stderr, Serve: app.Serve, Gateway: app.ServeGateway}
 	os.Exit(program.Run(context.Background(), os.Args[1:]))
 }
--- /dev/null
+++ b/pkg/adapter/peergrpc/feed.go
@@ -0,0 +1,74 @@
+package peergrpc
+
+import (
+	"context"
+	"net"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/wire"
+)
+
+// maxFeedWait bounds the time for which a call for changes is held.
+const maxFeedWait = 30 * time.Second
+
+// FeedServer serves the published keys to other instances.
+type FeedServer struct {
+	wire.UnimplementedPeerServer
+	handler port.FeedHandler
+	grpc    *grpc.Server
+}
+
+// NewFeedServer returns a server that reads from handler.
+func NewFeedServer(handler port.FeedHandler) *FeedServer {
+	s := &FeedServer{handler: handler}
+	s.grpc = grpc.NewServer(
+		grpc.MaxSendMsgSize(maxMessageBytes),
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTimeout, PermitWithoutStream: true}),
+	)
+	wire.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// Serve blocks until the listener fails or the server is stopped.
+func (s *FeedServer) Serve(l net.Listener) error { return s.grpc.Serve(l) }
+
+// Stop closes all connections at once.
+func (s *FeedServer) Stop() { s.grpc.Stop() }
+
+// FetchChanges implements wire.PeerServer.
+func (s *FeedServer) FetchChanges(ctx context.Context, w *wire.FetchChangesRequest) (*wire.FetchChangesReply, error) {
+	wait := min(time.Duration(w.GetWaitMs())*time.Millisecond, maxFeedWait)
+	delta, age, ok := s.handler.HandleFetchChanges(ctx, w.GetAfter(), wait)
+	if !ok {
+		return nil, status.Error(codes.Unavailable, "no published keys are known yet")
+	}
+	reply := &wire.FetchChangesReply{Revision: delta.Revision, Full: delta.Full, AgeMs: age.Milliseconds()}
+	for _, c := range delta.Changes {
+		reply.Changes = append(reply.Changes, &wire.Change{Key: c.Key, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted, Lapsed: c.Lapsed})
+	}
+	return reply, nil
+}
+
+// FetchChanges implements port.FeedPeers.
+func (c *Client) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
+	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.FetchChangesReply, error) {
+		return peer.FetchChanges(ctx, &wire.FetchChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+	})
+	if err != nil {
+		return feed.Delta{}, 0, err
+	}
+	delta := feed.Delta{Revision: reply.GetRevision(), Full: reply.GetFull()}
+	for _, w := range reply.GetChanges() {
+		delta.Changes = append(delta.Changes, feed.Change{Key: w.GetKey(), Revision: w.GetRevision(), Value: w.GetValue(), Deleted: w.GetDeleted(), Lapsed: w.GetLapsed()})
+	}
+	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
+}
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -161,7 +161,7 @@
 	must.NoError(t, err)
 	must.NoError(t, peer.Close())
 
-	a := newConn(raw, func() {}).roundTrip(t.Context(), time.Now().Add(farDeadline), []byte("x"), 1)
+	a := newConn(raw, func() {}).roundTrip(t.Context(), time.Now().Add(farDeadline), message{text: []byte("x"), limit: 1})
 	must.ErrorIs(t, a.err, errClosedIdle)
 	must.False(t, a.sent)
 	must.False(t, a.reusable)
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -7,6 +7,8 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -16,6 +18,7 @@
 	errClosedIdle     = errors.New("upstream closed the idle connection or sent data on it")
 	errAnswerTooLarge = errors.New("answer exceeds the size limit")
 	errProtocolSwitch = errors.New("upstream switched the protocol")
+	errForeignAnswer  = errors.New("upstream answered another request")
 )
 
 const (
@@ -23,6 +26,8 @@
 	readBufferBytes = 4 << 10
 	// maxInformational bounds the 1xx responses before a response.
 	maxInformational = 5
+	// maxForeign bounds the answers to other requests before the own one.
+	maxForeign = 3
 	// closeLinger covers the time until the upstream notices a closed connection.
 	closeLinger = 2 * time.Millisecond
 )
@@ -33,6 +38,9 @@
 	net.Conn
 	reader  *bufio.Reader
 	limited limitedReader
+	// idleFor is how long the upstream keeps the connection open without a
+	// request; zero if it did not say.
+	idleFor time.Duration
 	onClose func()
 	closed  sync.Once
 }
@@ -63,22 +71,34 @@
 	return n, err
 }
 
-// roundTrip sends a request and reads the body of its answer, of at most limit
-// bytes. It reports whether any byte of the request may have left, and whether
-// the connection can be used again. The deadline or an end of ctx interrupts it.
-func (c *conn) roundTrip(ctx context.Context, deadline time.Time, request []byte, limit int64) (a answer) {
+// message is an encoded HTTP request with what is needed to read its answer.
+type message struct {
+	text []byte
+	// method tells whether the answer has a body; empty means any but HEAD.
+	method string
+	// limit bounds the body of the answer in bytes.
+	limit int64
+	// mine reports whether a response belongs to the request; nil accepts all.
+	// An upstream may send a second answer to an earlier request.
+	mine func(http.Header) bool
+}
+
+// roundTrip sends a request and reads its answer. It reports whether any byte of
+// the request may have left, and whether the connection can be used again. The
+// deadline or an end of ctx interrupts it.
+func (c *conn) roundTrip(ctx context.Context, deadline time.Time, m message) (a answer) {
 	if err := c.SetDeadline(deadline); err != nil {
 		return answer{err: err}
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
-	n, err := c.send(request)
+	n, err := c.send(m.text)
 	a.sent = n > 0
 	if err != nil {
 		stop()
 		a.err = err
 		return a
 	}
-	a.status, a.body, a.reusable, a.err = c.receive(limit)
+	c.receive(m, &a)
 	// An interrupt that has begun may change the deadline later.
 	a.reusable = stop() && a.reusable
 	return a
@@ -87,10 +107,13 @@
 // answer is the outcome of a round trip.
 type answer struct {
 	status   int
+	header   http.Header
 	body     []byte
 	sent     bool
 	reusable bool
-	err      error
+	// foreign counts the dropped answers to other requests.
+	foreign int
+	err     error
 }
 
 // past is a deadline that makes reads and writes return at once.
@@ -108,26 +131,67 @@
 	return c.Write(request)
 }
 
-// receive reads one response and reports whether the connection can be kept.
-func (c *conn) receive(limit int64) (int, []byte, bool, error) {
+// receive reads the response to m and reports whether the connection can be
+// kept. Responses that belong to other requests are dropped.
+func (c *conn) receive(m message, a *answer) {
+	request := &http.Request{Method: m.method}
+	for range maxForeign + 1 {
+		resp, err := c.readHeader(request)
+		if err != nil {
+			a.err = err
+			return
+		}
+		// The factor covers the lengths of small chunks.
+		c.limited.left = 2*m.limit + maxHeaderBytes
+		body, err := readAll(resp, m.limit)
+		if m.mine != nil && !m.mine(resp.Header) {
+			a.foreign++
+			if err != nil || resp.Close {
+				a.err = errForeignAnswer
+				return
+			}
+			continue
+		}
+		c.idleFor = keepAlive(resp.Header)
+		a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, body, err
+		// An answer before the whole request was read, or one with bytes behind
+		// it, leaves the connection in an unknown state.
+		a.reusable = err == nil && !resp.Close && c.reader.Buffered() == 0
+		return
+	}
+	a.err = errForeignAnswer
+}
+
+// readHeader reads the header of the next final response.
+func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
 	for range maxInformational + 1 {
 		c.limited.left = maxHeaderBytes
-		resp, err := http.ReadResponse(c.reader, nil)
+		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
-			return 0, nil, false, err
+			return nil, err
 		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
-			return 0, nil, false, errProtocolSwitch
+			return nil, errProtocolSwitch
 		}
-		if resp.StatusCode < http.StatusOK {
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+	return nil, errProtocolSwitch
+}
+
+// keepAlive returns the timeout that the Keep-Alive header states, or zero.
+func keepAlive(h http.Header) time.Duration {
+	for _, field := range strings.Split(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
 			continue
 		}
-		// The factor covers the lengths of small chunks.
-		c.limited.left = 2*limit + maxHeaderBytes
-		body, err := readAll(resp, limit)
-		return resp.StatusCode, body, err == nil && !resp.Close, err
+		if seconds, err := strconv.Atoi(strings.Trim(value, `"`)); err == nil && seconds > 0 {
+			return time.Duration(seconds) * time.Second
+		}
 	}
-	return 0, nil, false, errProtocolSwitch
+	return 0
 }
 
 func readAll(resp *http.Response, limit int64) ([]byte, error) {
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -34,6 +34,10 @@
 	changed chan struct{}
 }
 
+// idleMargin is subtracted from the keep-alive timeout that an upstream states in
+// whole seconds; a timeout of one second is used for half of it.
+const idleMargin = 500 * time.Millisecond
+
 type idleConn struct {
 	*conn
 	since time.Time
@@ -97,17 +101,26 @@
 	return p.lastIdle()
 }
 
-// lastIdle removes the idle connection that was used last. The caller holds the
-// lock.
+// lastIdle removes the idle connection that was used last, and closes those
+// that the upstream is about to close. The caller holds the lock.
 func (p *pool) lastIdle() *conn {
-	n := len(p.idle)
-	if n == 0 {
-		return nil
+	for len(p.idle) > 0 {
+		n := len(p.idle) - 1
+		last := p.idle[n]
+		p.idle[n] = idleConn{}
+		p.idle = p.idle[:n]
+		if !last.stale() {
+			return last.conn
+		}
+		go func() { _ = last.Close() }()
 	}
-	c := p.idle[n-1].conn
-	p.idle[n-1] = idleConn{}
-	p.idle = p.idle[:n-1]
-	return c
+	return nil
+}
+
+// stale reports whether the upstream may be closing the connection. A request
+// that crosses the close would have an unknown outcome.
+func (c idleConn) stale() bool {
+	return c.idleFor > 0 && time.Since(c.since) > c.idleFor-idleMargin
 }
 
 // await waits for a change, or for the end of the dial, which it then clears.
@@ -220,13 +233,13 @@
 
 // roundTrip sends the request on one connection. A connection that turns out to
 // be stale before any byte was written is replaced by the next one.
-func (p *pool) roundTrip(ctx context.Context, deadline time.Time, request []byte, limit int64) answer {
+func (p *pool) roundTrip(ctx context.Context, deadline time.Time, m message) answer {
 	for {
 		c, err := p.connectBy(ctx, deadline)
 		if err != nil {
 			return answer{err: err}
 		}
-		a := c.roundTrip(ctx, deadline, request, limit)
+		a := c.roundTrip(ctx, deadline, m)
 		if a.reusable {
 			p.put(c)
 			return a
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -277,21 +277,22 @@
 	}
 	r.Instance.Start(context.Background())
 	r.Control.Start(r.Instance)
-	go r.serve("peer", func() error { return r.PeerServer.Serve(peers) })
-	go r.serve("caller", func() error { return r.Caller.Serve(callers) })
+	serve := func(name string, run func() error) { serveListener(r.Log, r.Failures, name, run) }
+	go serve("peer", func() error { return r.PeerServer.Serve(peers) })
+	go serve("caller", func() error { return r.Caller.Serve(callers) })
 	return nil
 }
 
-// serve runs a listener; when one fails the process stops, because an instance
-// without it would look alive and serve nothing.
-func (r *registration) serve(name string, run func() error) {
+// serveListener runs a listener; when one fails the process stops, because an
+// instance without it would look alive and serve nothing.
+func serveListener(log logrus.FieldLogger, failures listenerFailures, name string, run func() error) {
 	err := run()
 	if err == nil || errors.Is(err, http.ErrServerClosed) {
 		return
 	}
-	event.Error(r.Log, event.ListenerFailed, event.Fields{"listener": name, "error": err.Error()}, "a listener failed")
+	event.Error(log, event.ListenerFailed, event.Fields{"listener": name, "error": err.Error()}, "a listener failed")
 	select {
-	case r.Failures <- err:
+	case failures <- err:
 	default:
 	}
 }
--- /dev/null
+++ b/pkg/app/gateway.go
@@ -0,0 +1,283 @@
+package app
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"strconv"
+	"syscall"
+	"time"
+
+	"github.com/sirupsen/logrus"
+	"go.uber.org/fx"
+	"go.uber.org/fx/fxevent"
+
+	"github.com/sardineturn/sardineturn/pkg/adapter/operatorhttp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/peergrpc"
+	"github.com/sardineturn/sardineturn/pkg/adapter/peerudp"
+	"github.com/sardineturn/sardineturn/pkg/adapter/upstreamhttp"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/gateway"
+	"github.com/sardineturn/sardineturn/pkg/logqueue"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/retrybudget"
+	"github.com/sardineturn/sardineturn/pkg/settings"
+	"github.com/sardineturn/sardineturn/platform"
+)
+
+const (
+	// gatewayCluster tells control messages of gateways from those of instances
+	// that serve documents.
+	gatewayCluster = "gateway"
+	// balancerNotice is how long the platform's balancer takes to notice that a
+	// process is not ready: two checks a second apart.
+	balancerNotice = 2200 * time.Millisecond
+	// stopMargin is kept between the last answer and the end by force.
+	stopMargin = 700 * time.Millisecond
+	// stopPoll is how often a stopping process looks for requests in progress.
+	stopPoll = 20 * time.Millisecond
+	// logFlush bounds the wait for the last log lines.
+	logFlush = 200 * time.Millisecond
+	// memoryShare is the part of the memory limit that the runtime may fill.
+	memoryShare = 0.8
+	// garbagePercent trades processor time for memory: both are charged for, and
+	// the live heap of an instance is a few megabytes.
+	garbagePercent = 50
+)
+
+// ServeGateway runs a gateway until SIGTERM, SIGINT or the end of ctx, then
+// stops it gracefully. SIGHUP, which says that the settings file has changed, is
+// taken note of: all settings are bound to listeners or to the machine and hold
+// until the next start.
+func ServeGateway(ctx context.Context, s settings.Gateway) error {
+	limitRuntime(s)
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	var log logrus.FieldLogger
+	var queue *logqueue.Queue
+	failures := make(listenerFailures, 1)
+	app := fx.New(GatewayModule(s), fx.Supply(failures), fx.Populate(&log, &queue))
+	if err := app.Err(); err != nil {
+		return err
+	}
+	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
+	defer cancel()
+	event.Info(log, event.ProcessStarted, event.Fields{"settings": s}, "the gateway starts")
+	err := app.Start(startCtx)
+	if err == nil {
+		err = waitForStop(ctx, log, signals, failures)
+		event.Info(log, event.ShutdownStarted, event.Fields{"error": errorText(err)}, "the gateway stops")
+		stopCtx, cancelStop := context.WithTimeout(context.Background(), s.StopTime())
+		defer cancelStop()
+		err = errors.Join(err, app.Stop(stopCtx))
+	}
+	event.Info(log, event.ShutdownFinished, event.Fields{"error": errorText(err), "dropped_lines": queue.Dropped()}, "the gateway has stopped")
+	queue.Close()
+	select {
+	case <-queue.Done():
+	case <-time.After(logFlush):
+	}
+	return err
+}
+
+func errorText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// waitForStop returns the error of a listener that failed, or nil when the
+// process is to stop.
+func waitForStop(ctx context.Context, log logrus.FieldLogger, signals <-chan os.Signal, failures <-chan error) error {
+	for {
+		select {
+		case s := <-signals:
+			if s != syscall.SIGHUP {
+				return nil
+			}
+			event.Info(log, event.SettingsChanged, nil, "the settings file has changed; it is read at the next start")
+		case <-ctx.Done():
+			return nil
+		case err := <-failures:
+			return err
+		}
+	}
+}
+
+// limitRuntime keeps the runtime within the machine's limits.
+func limitRuntime(s settings.Gateway) {
+	if s.Cores > 0 {
+		runtime.GOMAXPROCS(s.Cores)
+	}
+	if s.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(s.MemoryMB * memoryShare * (1 << 20)))
+	}
+	debug.SetGCPercent(garbagePercent)
+}
+
+// GatewayModule returns the fx module of a gateway with the given settings.
+func GatewayModule(s settings.Gateway) fx.Option {
+	return fx.Options(
+		fx.WithLogger(func() fxevent.Logger { return fxevent.NopLogger }),
+		fx.Supply(s),
+		fx.Provide(
+			newLogQueue,
+			newGatewayLogger,
+			newMetrics,
+			newClock,
+			newGatewaySocket,
+			newGatewayPeers,
+			newUpstreams,
+			newGateway,
+			newFeedServer,
+			newIngress,
+		),
+		fx.Invoke(registerGateway),
+	)
+}
+
+func newLogQueue() *logqueue.Queue { return logqueue.New(os.Stdout, logqueue.DefaultLines) }
+
+func newGatewayLogger(s settings.Gateway, q *logqueue.Queue) (logrus.FieldLogger, error) {
+	log := logrus.New()
+	level, err := logrus.ParseLevel(s.LogLevel)
+	if err != nil {
+		return nil, err
+	}
+	log.SetLevel(level)
+	log.SetOutput(q)
+	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
+	return log.WithField("instance", s.Name), nil
+}
+
+func newGatewaySocket(s settings.Gateway) (*peerudp.Socket, error) {
+	return peerudp.Listen(s.PeerAddress())
+}
+
+func newGatewayPeers(clock port.Clock) *peergrpc.Client { return peergrpc.NewClient(clock) }
+
+type gatewayParams struct {
+	fx.In
+	Settings  settings.Gateway
+	Clock     port.Clock
+	Log       logrus.FieldLogger
+	Metrics   *metrics.Metrics
+	Control   *peerudp.Socket
+	Peers     *peergrpc.Client
+	Upstreams *upstreamhttp.Client
+}
+
+func newGateway(p gatewayParams) *gateway.Gateway {
+	s := p.Settings
+	var seeds []gateway.Seed
+	for _, address := range s.SeedAddresses() {
+		seeds = append(seeds, gateway.Seed{ID: model.InstanceID(address), ControlAddress: address})
+	}
+	return gateway.New(gateway.Config{
+		ID:             model.InstanceID(s.PeerAddress()),
+		Cluster:        gatewayCluster,
+		DataCentre:     s.DataCentre,
+		ControlAddress: s.PeerAddress(),
+		Seeds:          seeds,
+		Budget: retrybudget.Limits{
+			Ratio:     s.Budget.Ratio,
+			Allowance: s.Budget.Allowance,
+			Window:    time.Duration(s.Budget.WindowS * float64(time.Second)),
+		},
+	}, gateway.Ports{
+		Clock:     p.Clock,
+		Upstreams: platform.NewUpstreams(p.Upstreams, p.Clock),
+		Decoder:   platform.Decoder{},
+		Store:     platform.NewStore(s.StoreAddress),
+		Peers:     p.Peers,
+		Control:   p.Control,
+		Log:       p.Log,
+		Metrics:   p.Metrics,
+	})
+}
+
+func newFeedServer(g *gateway.Gateway) *peergrpc.FeedServer { return peergrpc.NewFeedServer(g) }
+
+func newIngress(g *gateway.Gateway, clock port.Clock) *http.Server {
+	return platform.NewServer(g, clock)
+}
+
+// gatewayRegistration lists what is started and stopped, in order.
+type gatewayRegistration struct {
+	fx.In
+	Lifecycle fx.Lifecycle
+	Failures  listenerFailures
+	Settings  settings.Gateway
+	Log       logrus.FieldLogger
+	Gateway   *gateway.Gateway
+	Control   *peerudp.Socket
+	Peers     *peergrpc.Client
+	Upstreams *upstreamhttp.Client
+	Feed      *peergrpc.FeedServer
+	Ingress   *http.Server
+	Scrape    http.Handler `name:"scrape"`
+}
+
+func registerGateway(r gatewayRegistration) {
+	operator := operatorhttp.NewServer(r.Settings.OperatorAddress, operatorhttp.NewHandler(r.Gateway, r.Scrape, true, r.Log), r.Log)
+	r.Lifecycle.Append(fx.Hook{OnStart: operator.Start, OnStop: operator.Stop})
+	if r.Settings.MetricsPort > 0 {
+		address := net.JoinHostPort(r.Settings.IP, strconv.Itoa(int(r.Settings.MetricsPort)))
+		scrape := operatorhttp.NewServer(address, r.Scrape, r.Log)
+		r.Lifecycle.Append(fx.Hook{OnStart: scrape.Start, OnStop: scrape.Stop})
+	}
+	r.Lifecycle.Append(fx.Hook{OnStart: r.start, OnStop: r.stop})
+}
+
+func (r *gatewayRegistration) start(context.Context) error {
+	peers, err := net.Listen("tcp", r.Settings.PeerAddress())
+	if err != nil {
+		return err
+	}
+	callers, err := net.Listen("tcp", r.Settings.CallerAddress)
+	if err != nil {
+		return errors.Join(err, peers.Close())
+	}
+	r.Gateway.Start()
+	r.Control.Start(r.Gateway)
+	serve := func(name string, run func() error) { serveListener(r.Log, r.Failures, name, run) }
+	go serve("peer", func() error { return r.Feed.Serve(peers) })
+	go serve("caller", func() error { return r.Ingress.Serve(callers) })
+	return nil
+}
+
+// stop lets the balancer notice first, then closes the callers' connections as
+// they become idle, and ends when all requests are answered.
+func (r *gatewayRegistration) stop(ctx context.Context) error {
+	r.Gateway.Leave()
+	until := time.Now().Add(r.Settings.StopTime() - stopMargin)
+	wait(ctx, balancerNotice)
+	r.Ingress.SetKeepAlivesEnabled(false)
+	shutdown, cancel := context.WithDeadline(ctx, until)
+	defer cancel()
+	err := r.Ingress.Shutdown(shutdown)
+	for r.Gateway.Active() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
+	r.Gateway.Stop()
+	r.Feed.Stop()
+	r.Peers.Close()
+	r.Upstreams.Close()
+	return errors.Join(err, r.Control.Close())
+}
+
+func wait(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -29,6 +29,9 @@
 	// Serve runs an instance until it is stopped. It is nil in programs that
 	// are linked without one.
 	Serve func(ctx context.Context, s settings.Settings) error
+	// Gateway runs a gateway until it is stopped. It is nil in programs that are
+	// linked without one.
+	Gateway func(ctx context.Context, s settings.Gateway) error
 	// Client sends requests to listeners; nil means the default client.
 	Client *http.Client
 }
@@ -36,6 +39,7 @@
 // commands is the grammar of the command line.
 type commands struct {
 	Serve   serveCommand   `cmd:"" help:"Run an instance."`
+	Gateway gatewayCommand `cmd:"" help:"Serve the routes of the platform's configuration."`
 	Check   checkCommand   `cmd:"" help:"Check service documents and print every fault."`
 	Status  statusCommand  `cmd:"" help:"Print the status of an instance."`
 	Query   queryCommand   `cmd:"" help:"Send a query and print the answer."`
--- /dev/null
+++ b/pkg/cli/gateway.go
@@ -0,0 +1,34 @@
+package cli
+
+import (
+	"context"
+	"errors"
+
+	"github.com/sardineturn/sardineturn/pkg/settings"
+)
+
+// gatewayCommand holds the settings file of a gateway.
+type gatewayCommand struct {
+	Settings string `required:"" placeholder:"FILE" help:"Settings file in JSON."`
+}
+
+// Help is printed by --help.
+func (*gatewayCommand) Help() string {
+	return `A gateway serves the routes of the platform's configuration.
+
+Example:
+
+    sardineturn gateway --settings examples/gateway.json`
+}
+
+// Run runs a gateway until it is stopped.
+func (c *gatewayCommand) Run(ctx context.Context, p *Program) error {
+	s, err := settings.LoadGateway(c.Settings)
+	if err != nil {
+		return err
+	}
+	if p.Gateway == nil {
+		return errors.New("this program is linked without a gateway")
+	}
+	return p.Gateway(ctx, s)
+}
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -18,6 +18,7 @@
 	ShutdownFinished ID = 103
 	PauseDetected    ID = 104
 	ListenerFailed   ID = 105
+	SettingsChanged  ID = 106
 
 	MemberJoined     ID = 200
 	MemberSuspect    ID = 201
@@ -33,6 +34,9 @@
 	PlatformRestored ID = 305
 	ReaderRoleGained ID = 306
 	ReaderRoleLost   ID = 307
+	DocumentOlder    ID = 308
+	EntryInvalid     ID = 309
+	HistoryGone      ID = 310
 
 	UpstreamEjected    ID = 400
 	UpstreamRestored   ID = 401
@@ -40,6 +44,9 @@
 	AnswerDropped      ID = 403
 	RequestSuspect     ID = 404
 	RequestQuarantined ID = 405
+	UpstreamListed     ID = 406
+	UpstreamGone       ID = 407
+	RequestFinished    ID = 408
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- /dev/null
+++ b/pkg/fanout/fanout.go
@@ -0,0 +1,382 @@
+// Package fanout decides how one request is served: which attempts are sent to
+// the upstreams of its parts, when a slow attempt is hedged and a failed one
+// retried, and when the answer is complete, good enough or out of reach. A
+// request to one service has one part, a query over shards one for each.
+// A Query is pure and not safe for concurrent use.
+package fanout
+
+import (
+	"slices"
+	"time"
+)
+
+// Status is the outcome of an attempt.
+type Status int
+
+// Outcomes of an attempt.
+const (
+	// Succeeded: a complete successful answer arrived.
+	Succeeded Status = iota
+	// Failed: the upstream ran the request and answered with a failure.
+	Failed
+	// Declined: the upstream received the request and did not run it.
+	Declined
+	// NotSent: no byte of the request left this process.
+	NotSent
+	// Unknown: the request was sent, and it is not known whether it ran.
+	Unknown
+)
+
+// Upstreams chooses upstreams; the implementation keeps what it knows of them.
+type Upstreams interface {
+	// Pick returns an upstream of the service that is not excluded. A first
+	// attempt may go to one that failed lately when there is no other.
+	Pick(service string, excluded []string, first bool) (string, bool)
+	// HedgeDelay is the time after which an attempt is unusually slow.
+	HedgeDelay(service string) time.Duration
+	// TakeExtra reserves an extra attempt in the budget of the service.
+	TakeExtra(service string) bool
+}
+
+// Config describes a request.
+type Config struct {
+	// Services holds the service of each part.
+	Services []string
+	// MinParts is the least number of parts of a useful answer.
+	MinParts int
+	// Idempotent requests may run more than once.
+	Idempotent bool
+	// MaxAttempts bounds the upstreams of a part that may run the request.
+	MaxAttempts int
+	// AnswerBy is when an answer with MinParts is given even if parts are
+	// missing; zero for a request without partial answers.
+	AnswerBy time.Time
+	// Deadline ends the request.
+	Deadline time.Time
+}
+
+// maxDeclined bounds the attempts of a part that its upstreams may decline.
+const maxDeclined = 4
+
+// MaxPartAttempts is the greatest number of attempts of a part.
+func MaxPartAttempts(maxAttempts int) int { return max(1, maxAttempts) + maxDeclined + maxNotSent }
+
+// maxNotSent bounds the attempts of a part that reached no upstream.
+const maxNotSent = 4
+
+// hedgeRetry is the wait before a hedge is tried again that the budget did not
+// allow or for which there was no upstream.
+const hedgeRetry = 10 * time.Millisecond
+
+// Cause says why an attempt is sent.
+type Cause int
+
+// Causes of an attempt.
+const (
+	First Cause = iota
+	Hedge
+	Retry
+)
+
+// Start asks for an attempt. Its number is passed to Finished.
+type Start struct {
+	Attempt  int
+	Part     int
+	Upstream string
+	Cause    Cause
+}
+
+// Verdict is how a request ends.
+type Verdict int
+
+// Ends of a request.
+const (
+	// Pending: the request goes on.
+	Pending Verdict = iota
+	// Complete: all parts are there.
+	Complete
+	// Partial: enough parts are there.
+	Partial
+	// TooFew: too few parts can be had.
+	TooFew
+	// Expired: the deadline passed.
+	Expired
+)
+
+// Missing says why a part has no answer.
+type Missing int
+
+// Reasons for a missing part.
+const (
+	// NotMissing: the part is there.
+	NotMissing Missing = iota
+	// InProgress: an attempt was still running.
+	InProgress
+	// NoUpstream: no upstream was listed or usable.
+	NoUpstream
+	// AttemptsUsed: as many upstreams as allowed may have run the part.
+	AttemptsUsed
+	// BudgetUsed: the retry budget of the service was used up.
+	BudgetUsed
+	// NotRepeatable: the request may have run and is not idempotent.
+	NotRepeatable
+)
+
+type attempt struct {
+	part     int
+	upstream string
+	running  bool
+	status   Status
+}
+
+type part struct {
+	service string
+	tried   []string
+	// running and ran count the attempts in flight and those that ran or may
+	// have run.
+	running, ran, declined, notSent int
+	done                            bool
+	lost                            bool
+	reason                          Missing
+	hedgeAt                         time.Time
+}
+
+// Query is the state of one request.
+type Query struct {
+	cfg       Config
+	upstreams Upstreams
+	parts     []part
+	attempts  []attempt
+	succeeded int
+	lost      int
+	verdict   Verdict
+}
+
+// New returns a request before its first attempts.
+func New(cfg Config, u Upstreams) *Query {
+	q := &Query{cfg: cfg, upstreams: u, parts: make([]part, len(cfg.Services))}
+	for i, s := range cfg.Services {
+		q.parts[i].service = s
+	}
+	return q
+}
+
+// Begin sends the first attempt of each part.
+func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
+	var out []Start
+	for i := range q.parts {
+		out = q.first(now, i, out)
+	}
+	return out, q.judge(now)
+}
+
+func (q *Query) first(now time.Time, i int, out []Start) []Start {
+	p := &q.parts[i]
+	u, ok := q.upstreams.Pick(p.service, nil, true)
+	if !ok {
+		q.lose(p, NoUpstream)
+		return out
+	}
+	return append(out, q.start(now, i, u, First))
+}
+
+func (q *Query) start(now time.Time, i int, upstream string, c Cause) Start {
+	p := &q.parts[i]
+	p.tried = append(p.tried, upstream)
+	p.running++
+	p.hedgeAt = now.Add(q.upstreams.HedgeDelay(p.service))
+	q.attempts = append(q.attempts, attempt{part: i, upstream: upstream, running: true})
+	return Start{Attempt: len(q.attempts) - 1, Part: i, Upstream: upstream, Cause: c}
+}
+
+func (q *Query) lose(p *part, reason Missing) {
+	p.lost, p.reason = true, reason
+	q.lost++
+}
+
+// Finished records the end of an attempt and returns what follows from it.
+func (q *Query) Finished(now time.Time, number int, s Status) ([]Start, Verdict) {
+	a := &q.attempts[number]
+	if !a.running {
+		return nil, q.verdict
+	}
+	a.running, a.status = false, s
+	p := &q.parts[a.part]
+	p.running--
+	switch s {
+	case Succeeded:
+		if !p.done {
+			p.done = true
+			q.succeeded++
+			if p.lost {
+				p.lost = false
+				q.lost--
+			}
+		}
+	case Failed, Unknown:
+		p.ran++
+	case Declined:
+		p.declined++
+	case NotSent:
+		p.notSent++
+	}
+	if q.verdict != Pending || p.done {
+		return nil, q.judge(now)
+	}
+	out := q.retry(now, a.part, s, nil)
+	return out, q.judge(now)
+}
+
+// retry sends another attempt after a failed one if it may.
+func (q *Query) retry(now time.Time, i int, s Status, out []Start) []Start {
+	p := &q.parts[i]
+	if p.running > 0 {
+		return out
+	}
+	if reason := q.mayRepeat(p); reason != NotMissing {
+		q.lose(p, reason)
+		return out
+	}
+	u, ok := q.upstreams.Pick(p.service, p.tried, false)
+	if !ok {
+		q.lose(p, NoUpstream)
+		return out
+	}
+	// An attempt that reached no upstream did not use the budget.
+	if s != NotSent && !q.upstreams.TakeExtra(p.service) {
+		q.lose(p, BudgetUsed)
+		return out
+	}
+	return append(out, q.start(now, i, u, Retry))
+}
+
+// mayRepeat returns why no further attempt of the part is allowed.
+func (q *Query) mayRepeat(p *part) Missing {
+	switch {
+	case p.ran > 0 && !q.cfg.Idempotent:
+		return NotRepeatable
+	case p.ran+p.running >= q.cfg.MaxAttempts || p.declined >= maxDeclined || p.notSent >= maxNotSent:
+		return AttemptsUsed
+	default:
+		return NotMissing
+	}
+}
+
+// Tick sends hedges that are due and ends the request at its times.
+func (q *Query) Tick(now time.Time) ([]Start, Verdict) {
+	if q.verdict != Pending {
+		return nil, q.verdict
+	}
+	var out []Start
+	for i := range q.parts {
+		out = q.hedge(now, i, out)
+	}
+	return out, q.judge(now)
+}
+
+func (q *Query) mayHedge(p *part) bool {
+	return q.cfg.Idempotent && !p.done && p.running == 1 && q.mayRepeat(p) == NotMissing
+}
+
+func (q *Query) hedge(now time.Time, i int, out []Start) []Start {
+	p := &q.parts[i]
+	if !q.mayHedge(p) || now.Before(p.hedgeAt) {
+		return out
+	}
+	u, ok := q.upstreams.Pick(p.service, p.tried, false)
+	if !ok || !q.upstreams.TakeExtra(p.service) {
+		p.hedgeAt = now.Add(hedgeRetry)
+		return out
+	}
+	return append(out, q.start(now, i, u, Hedge))
+}
+
+// judge decides whether the request ends now.
+func (q *Query) judge(now time.Time) Verdict {
+	if q.verdict != Pending {
+		return q.verdict
+	}
+	total := len(q.parts)
+	open := total - q.succeeded - q.lost
+	enough := q.succeeded >= q.cfg.MinParts
+	switch {
+	case q.succeeded == total:
+		q.verdict = Complete
+	case q.succeeded+open < q.cfg.MinParts:
+		q.verdict = TooFew
+	case enough && open == 0:
+		q.verdict = Partial
+	case enough && !q.cfg.AnswerBy.IsZero() && !now.Before(q.cfg.AnswerBy):
+		q.verdict = Partial
+	case !now.Before(q.cfg.Deadline):
+		q.verdict = Expired
+	}
+	return q.verdict
+}
+
+// NextWake returns when Tick is due next.
+func (q *Query) NextWake() time.Time {
+	wake := q.cfg.Deadline
+	if !q.cfg.AnswerBy.IsZero() && q.succeeded >= q.cfg.MinParts {
+		wake = earlier(wake, q.cfg.AnswerBy)
+	}
+	for i := range q.parts {
+		if p := &q.parts[i]; q.mayHedge(p) {
+			wake = earlier(wake, p.hedgeAt)
+		}
+	}
+	return wake
+}
+
+// NotRun reports whether no attempt ran or may run.
+func (q *Query) NotRun() bool {
+	return !slices.ContainsFunc(q.attempts, func(a attempt) bool {
+		return a.running || a.status == Succeeded || a.status == Failed || a.status == Unknown
+	})
+}
+
+// Reason returns why a part has no answer.
+func (q *Query) Reason(i int) Missing {
+	p := &q.parts[i]
+	switch {
+	case p.done:
+		return NotMissing
+	case p.lost:
+		return p.reason
+	default:
+		return InProgress
+	}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// name returns the i-th name, or "undefined".
+func name[T ~int](names []string, i T) string {
+	if i < 0 || int(i) >= len(names) {
+		return "undefined"
+	}
+	return names[i]
+}
+
+// String returns the status as shown in logs.
+func (s Status) String() string {
+	return name([]string{"succeeded", "failed", "declined", "not_sent", "unknown"}, s)
+}
+
+// String returns the cause as shown in logs.
+func (c Cause) String() string { return name([]string{"first", "hedge", "retry"}, c) }
+
+// String returns the verdict as shown in logs.
+func (v Verdict) String() string {
+	return name([]string{"pending", "complete", "partial", "too_few", "expired"}, v)
+}
+
+// String returns the reason as shown in logs.
+func (m Missing) String() string {
+	return name([]string{"", "in_progress", "no_upstream", "attempts_used", "budget_used", "not_repeatable"}, m)
+}
--- /dev/null
+++ b/pkg/gateway/answer.go
@@ -0,0 +1,84 @@
+package gateway
+
+import (
+	"bytes"
+	"slices"
+
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// RecordBytes is the size of a record of a part.
+const RecordBytes = 16
+
+// answer turns the end of a request into what the caller gets.
+func (r *run) answer(verdict fanout.Verdict) Answer {
+	switch {
+	case r.gone:
+		return Answer{Code: result.CancelledWhileRun}
+	case r.route.Gather != nil && (verdict == fanout.Complete || verdict == fanout.Partial):
+		return r.merged(verdict)
+	case verdict == fanout.Complete:
+		return Answer{Code: result.OK, Ran: model.Ran, Reply: r.replies[0]}
+	case r.query.NotRun():
+		return refuse(r.refusal())
+	case verdict == fanout.Expired:
+		return Answer{Code: result.NoAnswerInTime}
+	case r.route.Gather != nil:
+		return Answer{Code: result.CoverageTooLow}
+	case r.last != nil && r.last.Status == fanout.Failed && r.last.HTTP != 0:
+		return Answer{Code: result.UpstreamFailed, Ran: model.Ran, Reply: r.last}
+	default:
+		return Answer{Code: result.OutcomeUnknown}
+	}
+}
+
+// refusal returns why nothing ran.
+func (r *run) refusal() result.Code {
+	for i := range r.replies {
+		switch r.query.Reason(i) {
+		case fanout.BudgetUsed:
+			return result.RetryBudgetExhausted
+		case fanout.AttemptsUsed:
+			return result.UpstreamShed
+		}
+	}
+	if r.last != nil {
+		return result.ConnectFailed
+	}
+	return result.NoUpstream
+}
+
+// merged combines the parts of a query.
+func (r *run) merged(verdict fanout.Verdict) Answer {
+	m := &Merged{}
+	var bodies [][]byte
+	for _, reply := range r.replies {
+		if reply == nil {
+			m.Missing++
+			continue
+		}
+		m.Signatures = append(m.Signatures, reply.Signature)
+		bodies = append(bodies, reply.Body)
+	}
+	m.Body = Top(bodies, r.route.Gather.Top)
+	code := result.OK
+	if verdict == fanout.Partial {
+		code = result.PartialAnswer
+	}
+	return Answer{Code: code, Ran: model.Ran, Merged: m}
+}
+
+// Top returns the n greatest records of the bodies, the greatest first. A
+// remainder that is shorter than a record is ignored.
+func Top(bodies [][]byte, n int) []byte {
+	var records [][]byte
+	for _, b := range bodies {
+		for ; len(b) >= RecordBytes; b = b[RecordBytes:] {
+			records = append(records, b[:RecordBytes])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	return bytes.Join(records[:min(n, len(records))], nil)
+}
--- /dev/null
+++ b/pkg/gateway/choice.go
@@ -0,0 +1,60 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+)
+
+// A run chooses upstreams for its query from the shared state of the services.
+
+func newLatency() *latency { return &latency{Latency: *balancer.NewLatency()} }
+
+func (l *latency) add(d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.Add(d)
+}
+
+// hedgeFactor is the multiple of the usual latency after which an attempt is
+// unusually slow: work is log-normal with a spread of 0.35 to 0.5, of which
+// under a tenth takes longer.
+const hedgeFactor = 1.9
+
+// minHedgeDelay keeps hedges from the variation of short requests.
+const minHedgeDelay = 4 * time.Millisecond
+
+// estimates returns the usual latency of an attempt and the one after which it
+// is hedged.
+func (l *latency) estimates() (usual, hedgeAfter time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	usual = l.Usual()
+	return usual, max(minHedgeDelay, time.Duration(hedgeFactor*float64(usual)))
+}
+
+// Pick implements fanout.Upstreams.
+func (r *run) Pick(name string, excluded []string, first bool) (string, bool) {
+	s := r.view.services[name]
+	if s == nil {
+		return "", false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.balancer.Pick(r.now(), r.usual, excluded, first)
+	if u == nil {
+		return "", false
+	}
+	return u.ID, true
+}
+
+// HedgeDelay implements fanout.Upstreams.
+func (r *run) HedgeDelay(string) time.Duration { return r.hedgeAfter }
+
+// TakeExtra implements fanout.Upstreams.
+func (r *run) TakeExtra(name string) bool {
+	s := r.view.services[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.budget.Take(r.now())
+}
--- /dev/null
+++ b/pkg/gateway/control.go
@@ -0,0 +1,192 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+)
+
+// feedReaders is the number of instances that read the platform for all: one
+// and a replacement that is already up to date.
+const feedReaders = 2
+
+func (g *Gateway) joinSeeds(now time.Time) {
+	listed := make([]port.ListedInstance, 0, len(g.cfg.Seeds))
+	for _, s := range g.cfg.Seeds {
+		listed = append(listed, port.ListedInstance{ID: s.ID, ControlAddress: s.ControlAddress})
+	}
+	g.control.Lock()
+	defer g.control.Unlock()
+	g.control.membership.SetListed(now, listed)
+}
+
+// runControl runs the failure detector.
+func (g *Gateway) runControl(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-timer.C:
+		}
+		now := g.ports.Clock.Now()
+		g.control.Lock()
+		sends := g.control.membership.Tick(now)
+		wake := g.control.membership.NextWake()
+		g.control.Unlock()
+		g.sendAll(sends)
+		g.membersChanged()
+		timer.Reset(max(wake.Sub(now), time.Millisecond))
+	}
+}
+
+func (g *Gateway) sendAll(sends []membership.Send) {
+	for _, s := range sends {
+		g.ports.Metrics.ControlMessage(metrics.Sent, len(s.Datagram))
+		g.ports.Control.Send(s.Address, s.Datagram)
+	}
+}
+
+// HandleDatagram implements port.ControlHandler.
+func (g *Gateway) HandleDatagram(from string, datagram []byte) {
+	now := g.ports.Clock.Now()
+	g.ports.Metrics.ControlMessage(metrics.Received, len(datagram))
+	g.control.Lock()
+	received, err := g.control.membership.Receive(now, from, datagram)
+	g.control.Unlock()
+	if err != nil {
+		g.warn(event.MessageInvalid, event.Fields{"from": from, "error": err.Error()}, "a control datagram was dropped")
+		return
+	}
+	g.sendAll(received.Sends)
+	g.learnQuarantines(now, received.Quarantines)
+	g.membersChanged()
+}
+
+// membersChanged reports changes of the fleet and updates the reader role.
+func (g *Gateway) membersChanged() {
+	g.control.Lock()
+	events := g.control.membership.TakeEvents()
+	version := g.control.membership.Version()
+	changed := version != g.control.seenVersion
+	g.control.seenVersion = version
+	wasReader := g.control.reader
+	if changed {
+		members := g.control.membership.Members()
+		g.control.largest = max(g.control.largest, len(members))
+		readers := placement.FeedReaders(members, feedReaders)
+		g.control.reader = len(readers) == 0 || contains(readers, g.cfg.ID)
+	}
+	isReader := g.control.reader
+	g.control.Unlock()
+	for _, e := range events {
+		g.reportMember(e)
+	}
+	if isReader != wasReader {
+		g.reportReader(isReader)
+	}
+}
+
+func contains(ids []model.InstanceID, id model.InstanceID) bool {
+	for _, i := range ids {
+		if i == id {
+			return true
+		}
+	}
+	return false
+}
+
+func (g *Gateway) reportReader(isReader bool) {
+	if isReader {
+		g.info(event.ReaderRoleGained, nil, "this instance reads the platform for the others")
+		return
+	}
+	g.info(event.ReaderRoleLost, nil, "this instance gets the platform's changes from others")
+}
+
+func (g *Gateway) reportMember(e membership.Event) {
+	id, state := event.MemberJoined, metrics.MemberAlive
+	switch e.Kind {
+	case membership.EventSuspect:
+		id, state = event.MemberSuspect, metrics.MemberSuspect
+	case membership.EventDead:
+		id, state = event.MemberDead, metrics.MemberDead
+	case membership.EventLeaving:
+		id, state = event.MemberLeaving, metrics.MemberLeaving
+	}
+	g.ports.Metrics.MembershipChanged(state)
+	g.info(id, event.Fields{"member": e.Member.ID, "member_data_centre": e.Member.DataCentre, "member_boot": uint64(e.Member.Boot)}, "member "+e.Kind.String())
+}
+
+// feedSources returns whether this instance reads the platform, and the
+// instances to get the changes from, the readers first.
+func (g *Gateway) feedSources() (reader bool, sources []model.InstanceID) {
+	g.control.Lock()
+	defer g.control.Unlock()
+	members := g.control.membership.Members()
+	readers := placement.FeedReaders(members, feedReaders)
+	for _, id := range readers {
+		if id != g.cfg.ID {
+			sources = append(sources, id)
+		}
+	}
+	for i := range members {
+		if id := members[i].ID; id != g.cfg.ID && members[i].State == membership.Alive && !contains(readers, id) {
+			sources = append(sources, id)
+		}
+	}
+	return len(readers) == 0 || contains(readers, g.cfg.ID), sources
+}
+
+func (g *Gateway) setPlatformUnreachable(unreachable bool) {
+	g.control.Lock()
+	defer g.control.Unlock()
+	g.control.membership.SetPlatformUnreachable(g.ports.Clock.Now(), unreachable)
+}
+
+// blocked reports whether requests with the fingerprint are refused.
+func (g *Gateway) blocked(now time.Time, f model.Fingerprint) bool {
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
+	return g.quarantine.set.Blocked(now, f)
+}
+
+// addQuarantine stores an entry and tells the other instances.
+func (g *Gateway) addQuarantine(now time.Time, f model.Fingerprint, service string) {
+	until := now.Add(quarantine.Duration)
+	g.quarantine.Lock()
+	added := g.quarantine.set.Add(now, quarantine.Entry{Fingerprint: f, Service: service, Until: until})
+	g.quarantine.Unlock()
+	if !added {
+		return
+	}
+	g.control.Lock()
+	defer g.control.Unlock()
+	g.control.membership.AnnounceQuarantine(membership.Quarantine{Fingerprint: f, Service: service, Until: until})
+}
+
+func (g *Gateway) learnQuarantines(now time.Time, learned []membership.Quarantine) {
+	if len(learned) == 0 {
+		return
+	}
+	entries := make([]quarantine.Entry, 0, len(learned))
+	for _, q := range learned {
+		entries = append(entries, quarantine.Entry{Fingerprint: q.Fingerprint, Service: q.Service, Until: q.Until})
+	}
+	g.quarantine.Lock()
+	added := g.quarantine.set.Merge(now, entries)
+	g.quarantine.Unlock()
+	for _, e := range added {
+		g.info(event.RequestQuarantined, event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}, "a peer reported a request that crashes upstreams")
+	}
+}
+
+var _ port.ControlHandler = (*Gateway)(nil)
--- /dev/null
+++ b/pkg/gateway/feed.go
@@ -0,0 +1,206 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+const (
+	// storeWait is the time for which the platform holds a watch. A reader that
+	// is cut off silently is noticed after it, well within the time in which a
+	// configuration must be in force.
+	storeWait = time.Second
+	// storeTimeout is added to storeWait for the answer.
+	storeTimeout = 700 * time.Millisecond
+	// listTimeout bounds reading the whole content.
+	listTimeout = 3 * time.Second
+	// peerWait is the time for which a peer holds a call for changes.
+	peerWait = 500 * time.Millisecond
+	// peerTimeout is added to peerWait for the answer.
+	peerTimeout = 400 * time.Millisecond
+	// maxPeerAge is the age of a peer's copy beyond which another is asked: a
+	// watch's wait and its answer.
+	maxPeerAge = storeWait + 500*time.Millisecond
+	// fallbackAge is the age of the own copy at which an instance that is no
+	// reader asks the platform itself.
+	fallbackAge = 2 * time.Second
+	// joinWait is how long a starting instance waits for a peer that has a copy
+	// before it asks the platform itself.
+	joinWait = 800 * time.Millisecond
+	// joinPause is the wait between two attempts while there is no copy.
+	joinPause = 50 * time.Millisecond
+	// minStorePause and maxStorePause bound the wait after a failed call of the
+	// platform; it doubles with each failure.
+	minStorePause = 200 * time.Millisecond
+	maxStorePause = 2 * time.Second
+	// lapseWindow is the time after an outage in which removals may be lapses.
+	lapseWindow = 2500 * time.Millisecond
+)
+
+// feedLoop is the state of the loop that keeps the copy up to date.
+type feedLoop struct {
+	g *Gateway
+	// failures counts failed calls of the platform in a row.
+	failures int
+	nextRead time.Time
+	// down is true from a failed call of the platform to the next answer.
+	down      bool
+	downSince time.Time
+	next      int
+}
+
+// runFeed keeps the copy of the published keys up to date.
+func (g *Gateway) runFeed(ctx context.Context) {
+	l := &feedLoop{g: g}
+	started := g.ports.Clock.Now()
+	for ctx.Err() == nil {
+		now := g.ports.Clock.Now()
+		reader, sources := g.feedSources()
+		known, age := g.copyAge(now)
+		joining := !known && now.Sub(started) < joinWait
+		switch {
+		case (reader && !joining || l.needsStore(known, age, len(sources), joining)) && !now.Before(l.nextRead):
+			l.read(ctx)
+		case len(sources) > 0:
+			l.follow(ctx, sources)
+		default:
+			pause(ctx, joinPause)
+		}
+	}
+}
+
+// needsStore reports whether an instance that is no reader has to ask the
+// platform itself.
+func (l *feedLoop) needsStore(known bool, age time.Duration, sources int, joining bool) bool {
+	if !known {
+		return !joining
+	}
+	return age > fallbackAge || sources == 0
+}
+
+func (g *Gateway) copyAge(now time.Time) (known bool, age time.Duration) {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	return p.replica.Revision() > 0, now.Sub(p.confirmedAt)
+}
+
+func (g *Gateway) revision() uint64 {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	return p.replica.Revision()
+}
+
+// read makes one call of the platform.
+func (l *feedLoop) read(ctx context.Context) {
+	g := l.g
+	d, err := l.call(ctx, g.revision())
+	now := g.ports.Clock.Now()
+	if ctx.Err() != nil {
+		return
+	}
+	g.ports.Metrics.PlatformRead(err == nil)
+	if err != nil {
+		l.failed(now, err)
+		return
+	}
+	l.recovered(now)
+	g.apply(now, l.markLapsed(now, d), now, "platform")
+}
+
+// call lists the content if there is no copy or its history is gone, and
+// otherwise waits for changes.
+func (l *feedLoop) call(ctx context.Context, after uint64) (feed.Delta, error) {
+	g := l.g
+	if after > 0 {
+		watchCtx, cancel := context.WithTimeout(ctx, storeWait+storeTimeout)
+		defer cancel()
+		d, err := g.ports.Store.Watch(watchCtx, after, storeWait)
+		if !errors.Is(err, port.ErrHistoryGone) {
+			return d, err
+		}
+		g.info(event.HistoryGone, event.Fields{"revision": after}, "the platform's history is gone; reading the whole content")
+	}
+	listCtx, cancel := context.WithTimeout(ctx, listTimeout)
+	defer cancel()
+	return g.ports.Store.List(listCtx)
+}
+
+func (l *feedLoop) failed(now time.Time, err error) {
+	l.failures++
+	backoff := min(minStorePause<<min(l.failures-1, 8), maxStorePause)
+	l.nextRead = now.Add(backoff/2 + rand.N(backoff))
+	if !l.down {
+		l.down, l.downSince = true, now
+		l.g.warn(event.PlatformFailed, event.Fields{"error": err.Error()}, "the platform cannot be read; the keys in force stay")
+	}
+	l.g.setPlatformUnreachable(true)
+}
+
+func (l *feedLoop) recovered(now time.Time) {
+	if !l.down {
+		return
+	}
+	l.g.info(event.PlatformRestored, event.Fields{"outage_ms": now.Sub(l.downSince).Milliseconds(), "failures": l.failures}, "the platform can be read again")
+	l.failures, l.down, l.nextRead = 0, false, time.Time{}
+	l.g.setPlatformUnreachable(false)
+	p := &l.g.published
+	p.Lock()
+	defer p.Unlock()
+	p.outageEnd = now
+}
+
+// markLapsed marks the removals that may come from an outage of the platform.
+func (l *feedLoop) markLapsed(now time.Time, d feed.Delta) feed.Delta {
+	p := &l.g.published
+	p.Lock()
+	recent := !p.outageEnd.IsZero() && now.Sub(p.outageEnd) < lapseWindow
+	p.Unlock()
+	if !recent {
+		return d
+	}
+	d.Lapsed = true
+	for i := range d.Changes {
+		d.Changes[i].Lapsed = d.Changes[i].Deleted
+	}
+	return d
+}
+
+// follow gets the changes from a peer. The readers are asked in turn until one
+// has a recent copy; any other instance serves while this one has none.
+func (l *feedLoop) follow(ctx context.Context, sources []model.InstanceID) {
+	g := l.g
+	after := g.revision()
+	if after > 0 {
+		sources = sources[:min(len(sources), feedReaders)]
+	}
+	to := sources[l.next%len(sources)]
+	callCtx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	defer cancel()
+	d, age, err := g.ports.Peers.FetchChanges(callCtx, to, after, peerWait)
+	now := g.ports.Clock.Now()
+	if err != nil {
+		l.next++
+		pause(ctx, joinPause)
+		return
+	}
+	g.apply(now, d, now.Add(-age), string(to))
+	if age > maxPeerAge {
+		l.next++
+	}
+}
+
+func pause(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
--- /dev/null
+++ b/pkg/gateway/gateway.go
@@ -0,0 +1,215 @@
+// Package gateway serves callers' requests along the routes of the platform's
+// configuration: it sends each to an upstream of the route's service, or to one
+// upstream of each shard, and answers with what they return. Every instance
+// calls upstreams itself; the instances share what they know of the platform
+// and of requests that crash upstreams.
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/retrybudget"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+// Config is what a gateway needs from its settings.
+type Config struct {
+	ID             model.InstanceID
+	Cluster        string
+	DataCentre     model.DataCentre
+	ControlAddress string
+	// Seeds are instances to contact at start.
+	Seeds []Seed
+	// Budget limits the extra attempts on each service.
+	Budget retrybudget.Limits
+}
+
+// Seed is an instance that may be running.
+type Seed struct {
+	ID             model.InstanceID
+	ControlAddress string
+}
+
+// Gateway is one instance.
+type Gateway struct {
+	cfg   Config
+	ports Ports
+
+	view atomic.Pointer[view]
+
+	// published guards the copy of the platform's keys.
+	published struct {
+		sync.Mutex
+		replica     *feed.Replica
+		directory   *directory.Directory
+		table       *routing.Table
+		confirmedAt time.Time
+		// changed is closed by the next change.
+		changed chan struct{}
+		// outageEnd is when the platform answered again after an outage.
+		outageEnd time.Time
+		invalid   map[string]uint64
+	}
+
+	control struct {
+		sync.Mutex
+		membership  *membership.Membership
+		seenVersion uint64
+		// largest is the greatest number of live members seen.
+		largest int
+		reader  bool
+	}
+
+	quarantine struct {
+		sync.Mutex
+		set *quarantine.Set
+	}
+
+	latencies sync.Map // route name to *latency
+
+	stopping atomic.Bool
+	active   atomic.Int64
+	wg       sync.WaitGroup
+	cancel   context.CancelFunc
+}
+
+// view is the routes and upstreams in force. It is replaced as a whole.
+type view struct {
+	table    *routing.Table
+	services map[string]*service
+}
+
+// service is the state of one service, under its own lock.
+type service struct {
+	name string
+
+	mu       sync.Mutex
+	balancer *balancer.Service
+	budget   *retrybudget.Budget
+}
+
+// latency is the estimate of one route, under its own lock.
+type latency struct {
+	mu sync.Mutex
+	balancer.Latency
+}
+
+// New returns a gateway that knows nothing yet.
+func New(cfg Config, ports Ports) *Gateway {
+	now := ports.Clock.Now()
+	g := &Gateway{cfg: cfg, ports: ports}
+	g.published.replica = feed.NewReplica()
+	g.published.directory = directory.New()
+	g.published.changed = make(chan struct{})
+	g.published.invalid = make(map[string]uint64)
+	g.quarantine.set = quarantine.New(0)
+	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
+	g.control.membership = membership.New(membership.Config{
+		Self: membership.Member{
+			ID:             cfg.ID,
+			ControlAddress: cfg.ControlAddress,
+			DataCentre:     cfg.DataCentre,
+			Boot:           membership.NewBootID(now, random),
+		},
+		Cluster: cfg.Cluster,
+		Rand:    random,
+	}, now)
+	g.control.largest = 1
+	return g
+}
+
+// Start runs the gateway's background work until Stop.
+func (g *Gateway) Start() {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.cancel = cancel
+	g.joinSeeds(g.ports.Clock.Now())
+	g.wg.Go(func() { g.runControl(ctx) })
+	g.wg.Go(func() { g.runFeed(ctx) })
+	g.wg.Go(func() { g.runUpkeep(ctx) })
+}
+
+// Stop ends the background work.
+func (g *Gateway) Stop() {
+	g.cancel()
+	g.wg.Wait()
+}
+
+// Ready reports whether the gateway can serve, and otherwise why not.
+func (g *Gateway) Ready() (bool, string) {
+	switch {
+	case g.stopping.Load():
+		return false, "the process is stopping"
+	case g.view.Load() == nil:
+		return false, "no configuration is known"
+	default:
+		return true, ""
+	}
+}
+
+// Active returns the number of requests in progress.
+func (g *Gateway) Active() int { return int(g.active.Load()) }
+
+// Leave makes the gateway not ready and tells the other instances.
+func (g *Gateway) Leave() {
+	g.stopping.Store(true)
+	g.control.Lock()
+	sends := g.control.membership.Leave(g.ports.Clock.Now())
+	g.control.Unlock()
+	g.sendAll(sends)
+}
+
+// Limits returns what callers may send, and false if no configuration is known.
+func (g *Gateway) Limits() (routing.Limits, bool) {
+	v := g.view.Load()
+	if v == nil {
+		return routing.Limits{}, false
+	}
+	return v.table.Limits, true
+}
+
+// upkeepInterval is how often lapsed entries are removed.
+const upkeepInterval = 200 * time.Millisecond
+
+func (g *Gateway) runUpkeep(ctx context.Context) {
+	ticker := time.NewTicker(upkeepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			g.expireLapsed(g.ports.Clock.Now())
+		}
+	}
+}
+
+// connectionShare is the part of an upstream's connection limit that the
+// instances together may use; the rest covers instances that join.
+const connectionShare = 0.8
+
+// maxConnections is this instance's part of an upstream's connection limit.
+func (g *Gateway) maxConnections(s routing.Service) int {
+	g.control.Lock()
+	n := g.control.largest
+	g.control.Unlock()
+	return max(1, int(float64(s.MaxConnections)*connectionShare/float64(n)))
+}
+
+func (g *Gateway) info(id event.ID, f event.Fields, msg string) {
+	event.Info(g.ports.Log, id, f, msg)
+}
+
+func (g *Gateway) warn(id event.ID, f event.Fields, msg string) {
+	event.Warn(g.ports.Log, id, f, msg)
+}
--- /dev/null
+++ b/pkg/gateway/port.go
@@ -0,0 +1,118 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+// Request is a caller's request with its whole body.
+type Request struct {
+	// ID is the caller's name for this attempt of its request.
+	ID     string
+	Method string
+	Host   string
+	// Target is the path and query as the caller sent them.
+	Target string
+	// Head is the request line with the headers that are passed on, in the form
+	// that upstreams read.
+	Head []byte
+	Body []byte
+	// Wait is how long the caller waits, counted from Arrived; zero if it did
+	// not say.
+	Wait    time.Duration
+	Arrived time.Time
+}
+
+// Answer is what a caller gets.
+type Answer struct {
+	Code result.Code
+	// Ran is NotRun only if no upstream ran the request or will run it.
+	Ran model.RunState
+	// RetryAfter is when the caller may send again, with NotRun.
+	RetryAfter time.Duration
+	// Reply is an upstream's own answer, passed on unchanged.
+	Reply *Reply
+	// Merged is the answer to a query over shards.
+	Merged *Merged
+}
+
+// Merged is the combination of the parts of a query.
+type Merged struct {
+	Body []byte
+	// Signatures are those of the parts that are included.
+	Signatures []string
+	Missing    int
+}
+
+// Call is one attempt on one upstream.
+type Call struct {
+	Upstream directory.Upstream
+	Request  *Request
+	Deadline time.Time
+	// MaxConnections is the number of connections that this instance may hold to
+	// the upstream.
+	MaxConnections int
+	// Part is true for an attempt on a shard of a query.
+	Part bool
+}
+
+// Reply is the outcome of a call.
+type Reply struct {
+	Status    fanout.Status
+	Upstream  balancer.Outcome
+	HTTP      int
+	Header    http.Header
+	Body      []byte
+	Signature string
+	// Detail explains an outcome without an answer, for logs.
+	Detail string
+	// Broken is true when the connection ended while the request was in flight,
+	// which may mean that the upstream crashed.
+	Broken bool
+	// Foreign counts answers to other requests that were dropped.
+	Foreign int
+}
+
+// Upstreams sends requests to upstreams.
+type Upstreams interface {
+	// Send runs one attempt. Cancelling ctx cancels it at the upstream.
+	Send(ctx context.Context, c Call) Reply
+	// Refuses reports whether new connections to the address are refused.
+	Refuses(ctx context.Context, address string) bool
+	// Retain closes the connections to all other addresses.
+	Retain(addresses map[string]bool)
+}
+
+// Decoder translates published keys.
+type Decoder interface {
+	// Config decodes the change of the configuration; ok is false for other keys.
+	Config(c feed.Change) (config routing.Config, ok bool, err error)
+	// Upstream decodes the entry of an upstream and its id. For a removal only
+	// the id is set.
+	Upstream(c feed.Change) (u directory.Upstream, ok bool, err error)
+}
+
+// Ports connect a gateway with everything outside it.
+type Ports struct {
+	Clock     port.Clock
+	Upstreams Upstreams
+	Decoder   Decoder
+	Store     port.Store
+	Peers     port.FeedPeers
+	Control   port.Control
+	Log       logrus.FieldLogger
+	Metrics   *metrics.Metrics
+}
--- /dev/null
+++ b/pkg/gateway/publish.go
@@ -0,0 +1,204 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/retrybudget"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+// apply takes a step of the published keys that was confirmed at the given time
+// and puts it into force.
+func (g *Gateway) apply(now time.Time, d feed.Delta, confirmedAt time.Time, source string) {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	before := p.replica.Revision()
+	altered := p.replica.Apply(d)
+	if d.Revision >= before && confirmedAt.After(p.confirmedAt) {
+		p.confirmedAt = confirmedAt
+	}
+	for _, c := range altered {
+		g.applyChange(now, c, source)
+	}
+	if len(altered) > 0 {
+		g.publishView(now)
+	}
+	if p.replica.Revision() != before {
+		close(p.changed)
+		p.changed = make(chan struct{})
+	}
+}
+
+// applyChange takes one change. The caller holds the lock of published.
+func (g *Gateway) applyChange(now time.Time, c feed.Change, source string) {
+	p := &g.published
+	config, ok, err := g.ports.Decoder.Config(c)
+	if ok {
+		g.adopt(config, err, c.Revision, source)
+		return
+	}
+	u, ok, err := g.ports.Decoder.Upstream(c)
+	if !ok {
+		return
+	}
+	switch {
+	case c.Deleted:
+		g.info(event.UpstreamGone, event.Fields{"upstream": u.ID, "revision": c.Revision, "lapsed": c.Lapsed, "source": source}, "an upstream's entry was removed")
+		p.directory.Remove(now, u.ID, c.Lapsed)
+	case err != nil:
+		g.warn(event.EntryInvalid, event.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()}, "a registry entry cannot be read and names no upstream")
+		p.directory.Remove(now, u.ID, false)
+	default:
+		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "revision": c.Revision, "source": source}, "an upstream's entry changed")
+		p.directory.Set(u)
+	}
+}
+
+// adopt puts a configuration with a higher version into force. The caller holds
+// the lock of published.
+func (g *Gateway) adopt(config routing.Config, err error, revision uint64, source string) {
+	p := &g.published
+	fields := event.Fields{"version": config.Version, "revision": revision, "source": source}
+	switch {
+	case err != nil:
+		fields["error"] = err.Error()
+		g.ports.Metrics.DocumentJudged(metrics.VerdictInvalid)
+		g.warn(event.DocumentInvalid, fields, "the configuration cannot be read; the one in force stays")
+	case p.table != nil && config.Version <= p.table.Version:
+		fields["in_force"] = p.table.Version
+		g.ports.Metrics.DocumentJudged(metrics.VerdictOlder)
+		g.info(event.DocumentOlder, fields, "the configuration is not newer than the one in force")
+	default:
+		p.table = routing.NewTable(config)
+		fields["routes"], fields["services"] = len(config.Routes), len(config.Services)
+		g.ports.Metrics.DocumentJudged(metrics.VerdictAdopted)
+		g.info(event.DocumentAdopted, fields, "a configuration is in force")
+	}
+}
+
+// publishView puts the present table and upstreams into force. The caller holds
+// the lock of published.
+func (g *Gateway) publishView(now time.Time) {
+	p := &g.published
+	if p.table == nil {
+		return
+	}
+	old := g.view.Load()
+	v := &view{table: p.table, services: make(map[string]*service)}
+	listed := p.directory.Services()
+	addresses := make(map[string]bool)
+	for name := range p.table.Services {
+		v.services[name] = g.serviceFor(now, old, name)
+	}
+	for name, upstreams := range listed {
+		s := v.services[name]
+		if s == nil {
+			// The upstreams of a service start before a configuration names it.
+			s = g.serviceFor(now, old, name)
+			v.services[name] = s
+		}
+		for _, u := range upstreams {
+			addresses[u.Address] = true
+		}
+	}
+	for name, s := range v.services {
+		s.mu.Lock()
+		s.balancer.Update(now, listed[name])
+		s.mu.Unlock()
+	}
+	if g.view.Swap(v) == nil {
+		g.info(event.ProcessReady, event.Fields{"version": p.table.Version, "upstreams": p.directory.Len()}, "the gateway is ready")
+	}
+	g.ports.Upstreams.Retain(addresses)
+}
+
+// serviceFor returns the state of a service, kept from the view before if it was
+// there.
+func (g *Gateway) serviceFor(now time.Time, old *view, name string) *service {
+	if old != nil && old.services[name] != nil {
+		return old.services[name]
+	}
+	return &service{
+		name:     name,
+		balancer: balancer.NewService(g.cfg.DataCentre),
+		budget:   retrybudget.New(g.cfg.Budget, g.budgetInstances(), now),
+	}
+}
+
+// minBudgetInstances is the fleet size that the allowance is divided by at
+// least, because a starting instance does not know the others yet.
+const minBudgetInstances = 10
+
+// budgetInstances is the number of instances that share a retry allowance.
+func (g *Gateway) budgetInstances() int {
+	g.control.Lock()
+	defer g.control.Unlock()
+	return max(minBudgetInstances, g.control.largest+1)
+}
+
+// expireLapsed removes upstreams whose lapsed entries did not come back.
+func (g *Gateway) expireLapsed(now time.Time) {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	gone := p.directory.Expire(now)
+	for _, id := range gone {
+		g.info(event.UpstreamGone, event.Fields{"upstream": id, "lapsed": true}, "an upstream's lapsed entry did not come back")
+	}
+	if len(gone) > 0 {
+		g.publishView(now)
+	}
+}
+
+// HandleFetchChanges implements port.FeedHandler.
+func (g *Gateway) HandleFetchChanges(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, time.Duration, bool) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		d, age, changed := g.since(after)
+		if len(d.Changes) > 0 || d.Revision > after {
+			return d, age, true
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			d, age, _ = g.since(after)
+			return d, age, d.Revision > 0
+		case <-ctx.Done():
+			return feed.Delta{}, 0, false
+		}
+	}
+}
+
+// since returns the changes after a revision, the age of the copy, and the
+// channel that the next change closes.
+func (g *Gateway) since(after uint64) (feed.Delta, time.Duration, <-chan struct{}) {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	age := g.ports.Clock.Now().Sub(p.confirmedAt)
+	d, ahead := p.replica.Since(after)
+	if !ahead {
+		d = feed.Delta{Revision: p.replica.Revision()}
+	}
+	return d, age, p.changed
+}
+
+// fresh reports whether the copy was confirmed recently enough to deny that a
+// route exists.
+func (g *Gateway) fresh(now time.Time) bool {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	return now.Sub(p.confirmedAt) <= maxDenialAge
+}
+
+// maxDenialAge is the greatest age of the configuration with which an unknown
+// route is denied for good. The feed confirms its copy about once a second.
+const maxDenialAge = 2500 * time.Millisecond
--- /dev/null
+++ b/pkg/gateway/report.go
@@ -0,0 +1,139 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+func (g *Gateway) countAttempt(c fanout.Cause) {
+	kind := metrics.FirstAttempt
+	switch c {
+	case fanout.Hedge:
+		kind = metrics.HedgeAttempt
+		g.ports.Metrics.Hedged(metrics.HedgeLatency)
+	case fanout.Retry:
+		kind = metrics.RetryAttempt
+	}
+	g.ports.Metrics.AttemptSent(kind)
+}
+
+// attemptLine is an attempt in the log line of its request.
+type attemptLine struct {
+	Part     string  `json:"part"`
+	Upstream string  `json:"upstream"`
+	Cause    string  `json:"cause"`
+	AtMS     float64 `json:"at_ms"`
+	TookMS   float64 `json:"took_ms,omitempty"`
+	Status   string  `json:"status"`
+	HTTP     int     `json:"http,omitempty"`
+	Detail   string  `json:"detail,omitempty"`
+}
+
+func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
+
+// report writes the log line of a request that was not answered whole and in
+// time; the others are counted only.
+func (r *run) report(verdict fanout.Verdict, a Answer) {
+	now := r.now()
+	took := now.Sub(r.request.Arrived)
+	late := r.route.LatencyTarget > 0 && took > r.route.LatencyTarget
+	r.g.observe(r.route, a, took)
+	if a.Code == result.OK && !late {
+		return
+	}
+	fields := r.g.requestFields(r.request, r.route, a, took)
+	fields["verdict"] = verdict.String()
+	fields["config"] = r.view.table.Version
+	fields["usual_ms"], fields["hedge_ms"] = millis(r.usual), millis(r.hedgeAfter)
+	fields["attempts"] = r.attemptLines(a.Code == result.OK)
+	if missing := r.missingParts(); len(missing) > 0 {
+		fields["missing"] = missing
+	}
+	event.Info(r.g.ports.Log, event.RequestFinished, fields, "a request ended late, partial or without an answer")
+}
+
+// attemptLines lists the attempts; with slowOnly those that were not first or
+// took longer than a hedge waits.
+func (r *run) attemptLines(slowOnly bool) []attemptLine {
+	var out []attemptLine
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		ok := a.reply != nil && a.reply.Status == fanout.Succeeded
+		if ok && (r.route.Gather != nil || slowOnly) && a.Cause == fanout.First && a.took <= r.hedgeAfter {
+			continue
+		}
+		line := attemptLine{Part: r.services[a.Part], Upstream: a.Upstream, Cause: a.Cause.String(), AtMS: millis(a.startedAt.Sub(r.request.Arrived)), Status: "running"}
+		if a.reply != nil {
+			line.TookMS, line.Status, line.HTTP, line.Detail = millis(a.took), a.reply.Status.String(), a.reply.HTTP, a.reply.Detail
+		}
+		out = append(out, line)
+	}
+	return out
+}
+
+// missingParts says for each part without an answer why it has none.
+func (r *run) missingParts() map[string]string {
+	out := make(map[string]string)
+	for i := range r.replies {
+		if r.replies[i] == nil {
+			out[r.services[i]] = r.query.Reason(i).String()
+		}
+	}
+	return out
+}
+
+func (g *Gateway) requestFields(r *Request, route *routing.Route, a Answer, took time.Duration) event.Fields {
+	fields := event.Fields{
+		"request": r.ID,
+		"code":    a.Code.String(),
+		"ran":     a.Ran.String(),
+		"took_ms": millis(took),
+		"wait_ms": r.Wait.Milliseconds(),
+	}
+	if route != nil {
+		fields["route"], fields["priority"] = route.Name, route.Priority
+	} else {
+		fields["host"], fields["target"] = r.Host, r.Target
+	}
+	if a.RetryAfter > 0 {
+		fields["retry_after_ms"] = a.RetryAfter.Milliseconds()
+	}
+	return fields
+}
+
+// reportRefused writes the log line of a request that was not sent anywhere.
+func (g *Gateway) reportRefused(now time.Time, r *Request, route *routing.Route, a Answer) {
+	took := now.Sub(r.Arrived)
+	priority := ""
+	if route != nil {
+		priority = priorityName(route)
+	}
+	g.ports.Metrics.Refused(a.Code, priority)
+	event.Info(g.ports.Log, event.RequestFinished, g.requestFields(r, route, a, took), "a request was refused")
+}
+
+func priorityName(route *routing.Route) string {
+	names := [...]string{"0", "1", "2", "3", "4", "5", "6", "7"}
+	return names[min(max(route.Priority, 0), len(names)-1)]
+}
+
+// observe counts the answer.
+func (g *Gateway) observe(route *routing.Route, a Answer, took time.Duration) {
+	coverage := 0.0
+	switch {
+	case a.Merged != nil:
+		n := len(a.Merged.Signatures)
+		coverage = float64(n) / float64(n+a.Merged.Missing)
+	case a.Code == result.OK:
+		coverage = 1
+	}
+	g.ports.Metrics.Answered(a.Code, priorityName(route), took, coverage)
+	if a.RetryAfter > 0 {
+		g.ports.Metrics.Refused(a.Code, priorityName(route))
+	}
+}
--- /dev/null
+++ b/pkg/gateway/run.go
@@ -0,0 +1,180 @@
+package gateway
+
+import (
+	"context"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+// run drives one request: it carries out what fanout decides.
+type run struct {
+	g       *Gateway
+	view    *view
+	request *Request
+	route   *routing.Route
+	// services holds the service of each part.
+	services    []string
+	deadline    time.Time
+	callerGone  <-chan struct{}
+	fingerprint model.Fingerprint
+	query       *fanout.Query
+	latency     *latency
+	usual       time.Duration
+	hedgeAfter  time.Duration
+
+	ctx      context.Context
+	cancel   context.CancelFunc
+	finished chan finished
+	attempts []attempt
+	// replies holds the accepted answer of each part.
+	replies []*Reply
+	// last is the latest outcome of a request with one part.
+	last *Reply
+	gone bool
+}
+
+// attempt is what a run keeps of an attempt, also for its log line.
+type attempt struct {
+	fanout.Start
+	startedAt time.Time
+	took      time.Duration
+	reply     *Reply
+}
+
+type finished struct {
+	attempt int
+	reply   *Reply
+}
+
+func (r *run) now() time.Time { return r.g.ports.Clock.Now() }
+
+// serve runs the request to its end.
+func (r *run) serve() Answer {
+	r.replies = make([]*Reply, len(r.services))
+	r.finished = make(chan finished, fanout.MaxPartAttempts(r.route.MaxAttempts)*len(r.services))
+	r.ctx, r.cancel = context.WithCancel(context.Background())
+	now := r.now()
+	for _, name := range r.services {
+		r.countRequest(now, name)
+	}
+	starts, verdict := r.query.Begin(now)
+	r.start(now, starts)
+	verdict = r.loop(verdict)
+	r.settle()
+	a := r.answer(verdict)
+	r.report(verdict, a)
+	return a
+}
+
+func (r *run) countRequest(now time.Time, name string) {
+	if s := r.view.services[name]; s != nil {
+		s.mu.Lock()
+		s.budget.Request(now)
+		s.mu.Unlock()
+	}
+}
+
+// loop waits for what happens next until there is a verdict.
+func (r *run) loop(verdict fanout.Verdict) fanout.Verdict {
+	timer := time.NewTimer(time.Hour)
+	defer timer.Stop()
+	for verdict == fanout.Pending {
+		timer.Reset(max(0, r.query.NextWake().Sub(r.now())))
+		var starts []fanout.Start
+		select {
+		case f := <-r.finished:
+			starts, verdict = r.accept(f)
+		case <-timer.C:
+			starts, verdict = r.query.Tick(r.now())
+		case <-r.callerGone:
+			r.gone = true
+			return fanout.Expired
+		}
+		r.start(r.now(), starts)
+	}
+	return verdict
+}
+
+// accept takes the outcome of an attempt.
+func (r *run) accept(f finished) ([]fanout.Start, fanout.Verdict) {
+	now := r.now()
+	a := &r.attempts[f.attempt]
+	a.took, a.reply = now.Sub(a.startedAt), f.reply
+	if f.reply.Status == fanout.Succeeded && r.replies[a.Part] == nil {
+		r.replies[a.Part] = f.reply
+	}
+	r.last = f.reply
+	return r.query.Finished(now, f.attempt, f.reply.Status)
+}
+
+// settle lets the attempts still in flight go on for a while, unless the caller
+// has gone and the request may be cancelled.
+func (r *run) settle() {
+	switch {
+	case !r.unfinished():
+		r.cancel()
+	case r.gone && r.route.Idempotent:
+		r.cancel()
+	case r.gone:
+		time.AfterFunc(time.Until(r.deadline), r.cancel)
+	default:
+		time.AfterFunc(lingerTime, r.cancel)
+	}
+}
+
+func (r *run) unfinished() bool {
+	for i := range r.attempts {
+		if r.attempts[i].reply == nil {
+			return true
+		}
+	}
+	return false
+}
+
+// start sends attempts.
+func (r *run) start(now time.Time, starts []fanout.Start) {
+	for _, s := range starts {
+		r.attempts = append(r.attempts, attempt{Start: s, startedAt: now})
+		r.g.countAttempt(s.Cause)
+		service := r.view.services[r.services[s.Part]]
+		service.mu.Lock()
+		u := service.balancer.Find(s.Upstream)
+		if u == nil {
+			// The list changed since the upstream was picked.
+			service.mu.Unlock()
+			r.finished <- finished{attempt: s.Attempt, reply: &Reply{Status: fanout.NotSent, Detail: "the upstream is no longer listed"}}
+			continue
+		}
+		u.Begin(now)
+		entry := u.Upstream
+		service.mu.Unlock()
+		call := Call{
+			Upstream:       entry,
+			Request:        r.request,
+			Deadline:       r.deadline,
+			MaxConnections: r.g.maxConnections(r.view.table.Services[entry.Service]),
+			Part:           r.route.Gather != nil,
+		}
+		go r.send(s.Attempt, now, call, service, u)
+	}
+}
+
+// send runs one attempt and records what it shows of the upstream.
+func (r *run) send(number int, start time.Time, call Call, service *service, u *balancer.Upstream) {
+	reply := r.g.ports.Upstreams.Send(r.ctx, call)
+	now := r.now()
+	service.mu.Lock()
+	u.Finished(now, start, r.usual, reply.Upstream)
+	service.mu.Unlock()
+	if reply.Status == fanout.Succeeded {
+		r.latency.add(now.Sub(start))
+	}
+	if reply.Broken {
+		go r.g.checkCrash(r.fingerprint, call.Upstream)
+	}
+	r.finished <- finished{attempt: number, reply: &reply}
+}
--- /dev/null
+++ b/pkg/gateway/serve.go
@@ -0,0 +1,129 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
+	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+const (
+	// returnAllowance is kept for the answer's way to the caller, 1 ms today,
+	// with the caller's new connection and the merge: a partial answer has to
+	// arrive within the latency target.
+	returnAllowance = 6 * time.Millisecond
+	// deadlineAllowance is kept for the last answer before the deadline.
+	deadlineAllowance = 5 * time.Millisecond
+	// defaultWait is assumed for callers that do not say how long they wait.
+	defaultWait = 10 * time.Second
+	// lingerTime is how long attempts go on whose request is answered already:
+	// ending them would close their connections.
+	lingerTime = 400 * time.Millisecond
+	// refusalDelay is suggested to refused callers; as much again is added as
+	// jitter.
+	refusalDelay = 20 * time.Millisecond
+)
+
+// Serve answers a request. ctx ends when the caller goes away.
+func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
+	g.active.Add(1)
+	defer g.active.Add(-1)
+	now := g.ports.Clock.Now()
+	v := g.view.Load()
+	if v == nil {
+		return refuse(result.NotReady)
+	}
+	route := v.table.Match(r.Host, pathOf(r.Target))
+	if route == nil {
+		return g.unrouted(now, r)
+	}
+	fingerprint := quarantine.Fingerprint(r.Method+" "+r.Host, r.Target, r.Body)
+	if g.blocked(now, fingerprint) {
+		a := refuse(result.Quarantined)
+		g.reportRefused(now, r, route, a)
+		return a
+	}
+	services := []string{""}
+	if route.Gather != nil {
+		services = route.Gather.Services
+	} else if service, ok := route.Choose(rand.Float64()); ok {
+		services = []string{service}
+	}
+	run := g.newRun(v, r, route, services, fingerprint)
+	run.callerGone = ctx.Done()
+	return run.serve()
+}
+
+// unrouted answers a request that no route matches. It is denied only if the
+// configuration was confirmed lately.
+func (g *Gateway) unrouted(now time.Time, r *Request) Answer {
+	a := refuse(result.NotReady)
+	if g.fresh(now) {
+		a = Answer{Code: result.UnknownRoute, Ran: model.NotRun}
+	}
+	g.reportRefused(now, r, nil, a)
+	return a
+}
+
+func refuse(code result.Code) Answer {
+	return Answer{Code: code, Ran: model.NotRun, RetryAfter: refusalDelay + rand.N(refusalDelay)}
+}
+
+func pathOf(target string) string {
+	for i := range len(target) {
+		if target[i] == '?' {
+			return target[:i]
+		}
+	}
+	return target
+}
+
+// times returns when an answer is fully useful at the latest and when the
+// request ends.
+func times(r *Request, route *routing.Route) (answerBy, deadline time.Time) {
+	wait := r.Wait
+	if wait <= 0 {
+		wait = defaultWait
+	}
+	if route.Timeout > 0 {
+		wait = min(wait, route.Timeout)
+	}
+	deadline = r.Arrived.Add(max(wait-deadlineAllowance, wait/2))
+	answerBy = r.Arrived.Add(max(route.LatencyTarget-returnAllowance, route.LatencyTarget/2))
+	if answerBy.After(deadline) {
+		answerBy = deadline
+	}
+	return answerBy, deadline
+}
+
+func (g *Gateway) newRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint) *run {
+	answerBy, deadline := times(r, route)
+	cfg := fanout.Config{
+		Services:    services,
+		MinParts:    1,
+		Idempotent:  route.Idempotent,
+		MaxAttempts: max(1, route.MaxAttempts),
+		Deadline:    deadline,
+	}
+	if route.Gather != nil {
+		cfg.MinParts = route.Gather.MinParts()
+		cfg.AnswerBy = answerBy
+	}
+	run := &run{g: g, view: v, request: r, route: route, services: services, deadline: deadline, fingerprint: f, latency: g.latencyOf(route)}
+	run.usual, run.hedgeAfter = run.latency.estimates()
+	run.query = fanout.New(cfg, run)
+	return run
+}
+
+func (g *Gateway) latencyOf(route *routing.Route) *latency {
+	if l, ok := g.latencies.Load(route.Name); ok {
+		return l.(*latency)
+	}
+	l, _ := g.latencies.LoadOrStore(route.Name, newLatency())
+	return l.(*latency)
+}
--- /dev/null
+++ b/pkg/gateway/status.go
@@ -0,0 +1,83 @@
+package gateway
+
+import (
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// Status is what the operator interface shows of a gateway.
+type Status struct {
+	Ready         bool               `json:"ready"`
+	Reason        string             `json:"reason,omitempty"`
+	Reader        bool               `json:"reader"`
+	Members       []model.InstanceID `json:"members"`
+	ConfigVersion uint64             `json:"config_version"`
+	Revision      uint64             `json:"revision"`
+	AgeMS         int64              `json:"age_ms"`
+	Upstreams     int                `json:"upstreams"`
+	Active        int                `json:"active"`
+}
+
+// Status implements operatorhttp.Operator.
+func (g *Gateway) Status() any {
+	s := Status{Active: g.Active()}
+	s.Ready, s.Reason = g.Ready()
+	g.control.Lock()
+	s.Reader = g.control.reader
+	for _, m := range g.control.membership.Members() {
+		s.Members = append(s.Members, m.ID)
+	}
+	g.control.Unlock()
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	s.Revision, s.Upstreams = p.replica.Revision(), p.directory.Len()
+	s.AgeMS = g.ports.Clock.Now().Sub(p.confirmedAt).Milliseconds()
+	if p.table != nil {
+		s.ConfigVersion = p.table.Version
+	}
+	return s
+}
+
+// Explanation is the state of a service at one gateway.
+type Explanation struct {
+	Service string `json:"service"`
+	// Extra is the number of extra attempts that the retry budget allows now.
+	Extra     float64               `json:"extra"`
+	Upstreams []UpstreamExplanation `json:"upstreams"`
+}
+
+// UpstreamExplanation is what is known of an upstream.
+type UpstreamExplanation struct {
+	ID            string  `json:"id"`
+	DataCentre    string  `json:"data_centre"`
+	InFlight      int     `json:"in_flight"`
+	LatencyFactor float64 `json:"latency_factor"`
+	FailureRate   float64 `json:"failure_rate"`
+	BlockedMS     int64   `json:"blocked_ms,omitempty"`
+}
+
+// Explain implements operatorhttp.Operator. Priority and shard do not matter to
+// a gateway.
+func (g *Gateway) Explain(name, _, _ string) (any, error) {
+	v := g.view.Load()
+	if v == nil || v.services[name] == nil {
+		return nil, result.Errorf(result.UnknownService, "there is no service %q", name)
+	}
+	now := g.ports.Clock.Now()
+	s := v.services[name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := Explanation{Service: name, Extra: s.budget.Available(now)}
+	for _, u := range s.balancer.Upstreams() {
+		factor, failing := u.Faded(now)
+		e := UpstreamExplanation{ID: u.ID, DataCentre: string(u.DataCentre), InFlight: u.InFlight(), LatencyFactor: factor, FailureRate: failing}
+		if u.Blocked(now) {
+			e.BlockedMS = u.BlockedFor(now).Round(time.Millisecond).Milliseconds()
+		}
+		out.Upstreams = append(out.Upstreams, e)
+	}
+	return out, nil
+}
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -4,6 +4,8 @@
 package placement
 
 import (
+	"slices"
+
 	"github.com/cespare/xxhash/v2"
 
 	"github.com/sardineturn/sardineturn/pkg/document"
@@ -170,3 +172,39 @@
 	}
 	return t.ids()
 }
+
+// FeedReaders returns the n instances that read the platform on behalf of all
+// others: the first in rendezvous order, from different data centres as far as
+// there are any. Alive members whose platform connection works come first. Their
+// number does not grow with the fleet.
+func FeedReaders(members []membership.Member, n int) []model.InstanceID {
+	s := newScorer(readerSalt, "")
+	best := make(map[model.DataCentre]*top)
+	all := top{limit: max(n, 0)}
+	for i := range members {
+		m := &members[i]
+		if m.State != membership.Alive {
+			continue
+		}
+		r := ranked{id: m.ID, score: s.score(m.ID)}
+		if m.PlatformUnreachable {
+			r.tier = 2
+		}
+		if best[m.DataCentre] == nil {
+			best[m.DataCentre] = &top{limit: 1}
+		}
+		best[m.DataCentre].add(r)
+		r.tier++
+		all.add(r)
+	}
+	for _, t := range best {
+		all.promote(t.items[0])
+	}
+	return all.ids()
+}
+
+// promote adds an entry in place of its copy in a later tier.
+func (t *top) promote(r ranked) {
+	t.items = slices.DeleteFunc(t.items, func(o ranked) bool { return o.id == r.id })
+	t.add(r)
+}
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -30,6 +30,7 @@
 	TicketMismatch      Code = 2009
 	OrderNeedsOneShard  Code = 2010
 	DeadlineOutOfBounds Code = 2011
+	UnknownRoute        Code = 2012
 
 	Overloaded           Code = 3000
 	DeadlineTooShort     Code = 3001
@@ -88,6 +89,7 @@
 	TicketMismatch:       "ticket_mismatch",
 	OrderNeedsOneShard:   "order_needs_one_shard",
 	DeadlineOutOfBounds:  "deadline_out_of_bounds",
+	UnknownRoute:         "unknown_route",
 	Overloaded:           "overloaded",
 	DeadlineTooShort:     "deadline_too_short",
 	DeadlineExceeded:     "deadline_exceeded",
--- /dev/null
+++ b/pkg/settings/gateway.go
@@ -0,0 +1,114 @@
+package settings
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/jsoncheck"
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+//go:embed gateway.schema.json
+var gatewaySchemaText []byte
+
+var gatewaySchema = jsoncheck.MustCompile("gateway.json", gatewaySchemaText)
+
+// GatewaySchema returns the JSON schema of the settings of a gateway.
+func GatewaySchema() []byte { return gatewaySchemaText }
+
+// Gateway are the settings of a gateway. Fields that are not known are ignored,
+// because the platform may add some.
+type Gateway struct {
+	Name            string           `json:"name"`
+	DataCentre      model.DataCentre `json:"data_centre"`
+	IP              string           `json:"ip"`
+	PeerPort        uint16           `json:"peer_port"`
+	Seeds           []string         `json:"seeds"`
+	CallerAddress   string           `json:"caller_address"`
+	OperatorAddress string           `json:"operator_address"`
+	MetricsPort     uint16           `json:"metrics_port"`
+	StoreAddress    string           `json:"store_address"`
+	LogLevel        string           `json:"log_level"`
+	StopMS          int              `json:"stop_ms"`
+	MemoryMB        float64          `json:"memory_mb"`
+	Cores           int              `json:"cores"`
+	Budget          RetryBudget      `json:"budget"`
+}
+
+// RetryBudget limits the extra attempts on a service over all instances.
+type RetryBudget struct {
+	Ratio     float64 `json:"ratio"`
+	Allowance float64 `json:"allowance"`
+	WindowS   float64 `json:"window_s"`
+}
+
+// DefaultStopMS is the default time to stop in milliseconds.
+const DefaultStopMS = 6000
+
+// LoadGateway reads the settings of a gateway from a file.
+func LoadGateway(path string) (Gateway, error) {
+	content, err := os.ReadFile(path)
+	if err != nil {
+		return Gateway{}, fmt.Errorf("read settings: %w", err)
+	}
+	return ParseGateway(content)
+}
+
+// ParseGateway checks the text and fills in the defaults. A fault is returned as
+// an *Error.
+func ParseGateway(content []byte) (Gateway, error) {
+	if faults := jsoncheck.Check(content, gatewaySchema); len(faults) > 0 {
+		return Gateway{}, &Error{Faults: faults}
+	}
+	s := Gateway{LogLevel: DefaultLogLevel, StopMS: DefaultStopMS}
+	if err := json.Unmarshal(content, &s); err != nil {
+		return Gateway{}, &Error{Faults: []jsoncheck.Fault{{Path: "$", Code: jsoncheck.WrongType, Reason: err.Error()}}}
+	}
+	if faults := s.check(); len(faults) > 0 {
+		return Gateway{}, &Error{Faults: faults}
+	}
+	return s, nil
+}
+
+func (s Gateway) check() []jsoncheck.Fault {
+	var faults []jsoncheck.Fault
+	bad := func(path, text string) {
+		faults = append(faults, jsoncheck.Fault{Path: path, Code: jsoncheck.BadFormat, Reason: fmt.Sprintf("%q is no valid address", text)})
+	}
+	if _, err := netip.ParseAddr(s.IP); err != nil {
+		bad("$.ip", s.IP)
+	}
+	addresses := map[string]string{"$.caller_address": s.CallerAddress, "$.operator_address": s.OperatorAddress, "$.store_address": s.StoreAddress}
+	for i, seed := range s.Seeds {
+		addresses[fmt.Sprintf("$.seeds[%d]", i)] = seed
+	}
+	for path, text := range addresses {
+		if _, err := netip.ParseAddrPort(text); err != nil {
+			bad(path, text)
+		}
+	}
+	return faults
+}
+
+// PeerAddress is where other instances reach this one.
+func (s Gateway) PeerAddress() string { return s.peerAddress(netip.MustParseAddr(s.IP)) }
+
+// SeedAddresses returns the peer addresses of the seeds.
+func (s Gateway) SeedAddresses() []string {
+	out := make([]string, 0, len(s.Seeds))
+	for _, seed := range s.Seeds {
+		out = append(out, s.peerAddress(netip.MustParseAddrPort(seed).Addr()))
+	}
+	return out
+}
+
+func (s Gateway) peerAddress(ip netip.Addr) string {
+	return netip.AddrPortFrom(ip, s.PeerPort).String()
+}
+
+// StopTime is the time between the signal to stop and the end by force.
+func (s Gateway) StopTime() time.Duration { return time.Duration(s.StopMS) * time.Millisecond }
