Start faster, end useless work sooner, read the store from one instance

Change: requests wait for the first configuration; attempts that are no longer needed are dropped before they are sent, and attempts of queries end at 1.5 times the latency target; connections end with an answer at a stop; one reader, with succession by the age of the copy; refused attempts count fully.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -144,7 +144,7 @@
 	if err != nil {
 		return port.UpstreamReply{Code: result.BadRequest, Ran: model.NotRun}
 	}
-	a := p.roundTrip(ctx, call.Deadline, message{text: request, limit: MaxAnswerBytes})
+	a := p.roundTrip(ctx, ctx, call.Deadline, message{text: request, limit: MaxAnswerBytes})
 	if a.err != nil {
 		return failed(c.ended(ctx, call.Deadline), a)
 	}
@@ -178,7 +178,7 @@
 	if err != nil {
 		return nil, result.Wrap(result.Internal, err)
 	}
-	a := p.roundTrip(ctx, deadline, message{text: request, limit: maxStatusBytes})
+	a := p.roundTrip(ctx, ctx, deadline, message{text: request, limit: maxStatusBytes})
 	if a.err != nil {
 		return nil, result.Wrap(result.ConnectFailed, a.err)
 	}
--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -12,6 +12,9 @@
 	// MaxConnections bounds the connections of this process to the address.
 	MaxConnections int
 	Deadline       time.Time
+	// Wait ends the wait for a connection; nil means that only the deadline
+	// does. Once the request is sent it has no effect.
+	Wait context.Context
 	// Message is the whole encoded request.
 	Message []byte
 	Method  string
@@ -39,10 +42,14 @@
 // which cancels the request at the upstream.
 func (c *Client) Exchange(ctx context.Context, e Exchange) Response {
 	p := c.pool(e.Address, e.MaxConnections)
-	if err := p.acquire(ctx, e.Deadline); err != nil {
+	wait := ctx
+	if e.Wait != nil {
+		wait = e.Wait
+	}
+	if err := p.acquire(wait, e.Deadline); err != nil {
 		return Response{Err: err}
 	}
 	defer p.requests.Release()
-	a := p.roundTrip(ctx, e.Deadline, message{text: e.Message, method: e.Method, limit: e.MaxAnswerBytes, mine: e.Mine})
+	a := p.roundTrip(ctx, wait, e.Deadline, message{text: e.Message, method: e.Method, limit: e.MaxAnswerBytes, mine: e.Mine})
 	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, Foreign: a.foreign, Err: a.err}
 }
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -232,10 +232,11 @@
 }
 
 // roundTrip sends the request on one connection. A connection that turns out to
-// be stale before any byte was written is replaced by the next one.
-func (p *pool) roundTrip(ctx context.Context, deadline time.Time, m message) answer {
+// be stale before any byte was written is replaced by the next one. The end of
+// wait ends only the wait for a connection.
+func (p *pool) roundTrip(ctx, wait context.Context, deadline time.Time, m message) answer {
 	for {
-		c, err := p.connectBy(ctx, deadline)
+		c, err := p.connectBy(wait, deadline)
 		if err != nil {
 			return answer{err: err}
 		}
@@ -245,7 +246,7 @@
 			return a
 		}
 		_ = c.Close()
-		if errors.Is(a.err, errClosedIdle) && ctx.Err() == nil {
+		if errors.Is(a.err, errClosedIdle) && ctx.Err() == nil && wait.Err() == nil {
 			continue
 		}
 		if a.sent && a.err != nil {
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -41,6 +41,8 @@
 	balancerNotice = 2200 * time.Millisecond
 	// stopMargin is kept between the last answer and the end by force.
 	stopMargin = 700 * time.Millisecond
+	// quietTime is the time without a new request after which the process ends.
+	quietTime = 300 * time.Millisecond
 	// stopPoll is how often a stopping process looks for requests in progress.
 	stopPoll = 20 * time.Millisecond
 	// logFlush bounds the wait for the last log lines.
@@ -207,8 +209,8 @@
 
 func newFeedServer(g *gateway.Gateway) *peergrpc.FeedServer { return peergrpc.NewFeedServer(g) }
 
-func newIngress(g *gateway.Gateway, clock port.Clock) *http.Server {
-	return platform.NewServer(g, clock)
+func newIngress(g *gateway.Gateway, clock port.Clock) *platform.Ingress {
+	return platform.NewIngress(g, clock)
 }
 
 // gatewayRegistration lists what is started and stopped, in order.
@@ -223,7 +225,7 @@
 	Peers     *peergrpc.Client
 	Upstreams *upstreamhttp.Client
 	Feed      *peergrpc.FeedServer
-	Ingress   *http.Server
+	Ingress   *platform.Ingress
 	Scrape    http.Handler `name:"scrape"`
 }
 
@@ -255,19 +257,19 @@
 	return nil
 }
 
-// stop lets the balancer notice first, then closes the callers' connections as
-// they become idle, and ends when all requests are answered.
+// stop lets the balancer notice first, then ends the callers' connections with
+// their next answers, and the process when no more requests arrive.
 func (r *gatewayRegistration) stop(ctx context.Context) error {
 	r.Gateway.Leave()
 	until := time.Now().Add(r.Settings.StopTime() - stopMargin)
 	wait(ctx, balancerNotice)
-	r.Ingress.SetKeepAlivesEnabled(false)
+	r.Ingress.CloseConnections()
+	for time.Now().Before(until) && (r.Gateway.Active() > 0 || r.Ingress.Quiet() < quietTime) {
+		time.Sleep(stopPoll)
+	}
 	shutdown, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	err := r.Ingress.Shutdown(shutdown)
-	for r.Gateway.Active() > 0 && time.Now().Before(until) {
-		time.Sleep(stopPoll)
-	}
 	r.Gateway.Stop()
 	r.Feed.Stop()
 	r.Peers.Close()
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -34,10 +34,11 @@
 )
 
 const (
-	// crossZoneCost is added to the expected latency of an upstream in another
-	// data centre: a round trip of 1 ms between data centres, doubled because
-	// bytes between them are charged for.
-	crossZoneCost = 2 * time.Millisecond
+	// minCrossZoneCost and crossZoneShare give what is added to the expected
+	// latency of an upstream in another data centre: a round trip of 1 ms between
+	// data centres, and more because bytes between them are charged for.
+	minCrossZoneCost = 2 * time.Millisecond
+	crossZoneShare   = 0.5
 	// smoothing is the weight of the newest observation in a mean.
 	smoothing = 0.25
 	// forgetting is the time after which half of an upstream's deviation from the
@@ -161,7 +162,7 @@
 	}
 	cost += u.stalled(now, expected)
 	if u.DataCentre != s.local {
-		cost += crossZoneCost
+		cost += max(minCrossZoneCost, time.Duration(crossZoneShare*float64(usual)))
 	}
 	if u.Blocked(now) {
 		cost += u.blockedUntil.Sub(now) + maxBlock
@@ -213,7 +214,7 @@
 		u.observe(now, -1, 1)
 		u.failures = 0
 	case Shed:
-		u.observe(now, -1, 0.5)
+		u.observe(now, -1, 1)
 		u.blockedUntil = now.Add(shedBlock)
 	case Unreachable, Replaced:
 		u.observe(now, -1, 1)
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -13,9 +13,9 @@
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 )
 
-// feedReaders is the number of instances that read the platform for all: one
-// and a replacement that is already up to date.
-const feedReaders = 2
+// feedSources is the number of instances that are asked for changes in turn: the
+// reader of the platform and the ones that replace it.
+const feedSources = 3
 
 func (g *Gateway) joinSeeds(now time.Time) {
 	listed := make([]port.ListedInstance, 0, len(g.cfg.Seeds))
@@ -82,8 +82,8 @@
 	if changed {
 		members := g.control.membership.Members()
 		g.control.largest = max(g.control.largest, len(members))
-		readers := placement.FeedReaders(members, feedReaders)
-		g.control.reader = len(readers) == 0 || contains(readers, g.cfg.ID)
+		readers := placement.FeedReaders(members, 1)
+		g.control.reader = len(readers) == 0 || readers[0] == g.cfg.ID
 	}
 	isReader := g.control.reader
 	g.control.Unlock()
@@ -95,15 +95,6 @@
 	}
 }
 
-func contains(ids []model.InstanceID, id model.InstanceID) bool {
-	for _, i := range ids {
-		if i == id {
-			return true
-		}
-	}
-	return false
-}
-
 func (g *Gateway) reportReader(isReader bool) {
 	if isReader {
 		g.info(event.ReaderRoleGained, nil, "this instance reads the platform for the others")
@@ -126,24 +117,22 @@
 	g.info(id, event.Fields{"member": e.Member.ID, "member_data_centre": e.Member.DataCentre, "member_boot": uint64(e.Member.Boot)}, "member "+e.Kind.String())
 }
 
-// feedSources returns whether this instance reads the platform, and the
-// instances to get the changes from, the readers first.
-func (g *Gateway) feedSources() (reader bool, sources []model.InstanceID) {
+// feedSources returns the instance's rank in the order of readers of the
+// platform, and the other instances in that order.
+func (g *Gateway) feedSources() (rank int, sources []model.InstanceID) {
 	g.control.Lock()
 	defer g.control.Unlock()
 	members := g.control.membership.Members()
-	readers := placement.FeedReaders(members, feedReaders)
-	for _, id := range readers {
-		if id != g.cfg.ID {
-			sources = append(sources, id)
-		}
-	}
-	for i := range members {
-		if id := members[i].ID; id != g.cfg.ID && members[i].State == membership.Alive && !contains(readers, id) {
-			sources = append(sources, id)
+	order := placement.FeedReaders(members, len(members))
+	rank = len(order)
+	for i, id := range order {
+		if id == g.cfg.ID {
+			rank = i
+			continue
 		}
+		sources = append(sources, id)
 	}
-	return len(readers) == 0 || contains(readers, g.cfg.ID), sources
+	return rank, sources
 }
 
 func (g *Gateway) setPlatformUnreachable(unreachable bool) {
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -28,14 +28,23 @@
 	// maxPeerAge is the age of a peer's copy beyond which another is asked: a
 	// watch's wait and its answer.
 	maxPeerAge = storeWait + 500*time.Millisecond
-	// fallbackAge is the age of the own copy at which an instance that is no
-	// reader asks the platform itself.
-	fallbackAge = 2 * time.Second
+	// takeoverAge and takeoverStep give the age of the own copy at which an
+	// instance reads the platform itself: the first in the order of readers does
+	// so always, the others the later the further behind they are, so that a
+	// reader that fails is replaced by the next one only.
+	takeoverAge  = 1500 * time.Millisecond
+	takeoverStep = 300 * time.Millisecond
+	// maxTakeoverAge is the age at which any instance asks the platform itself.
+	maxTakeoverAge = 4 * time.Second
 	// joinWait is how long a starting instance waits for a peer that has a copy
 	// before it asks the platform itself.
-	joinWait = 800 * time.Millisecond
+	joinWait = 150 * time.Millisecond
 	// joinPause is the wait between two attempts while there is no copy.
-	joinPause = 50 * time.Millisecond
+	joinPause = 25 * time.Millisecond
+	// batchPause is the wait after changes arrived, so that a series of them costs
+	// few calls. It is a small part of the time in which a configuration must be
+	// in force.
+	batchPause = 150 * time.Millisecond
 	// minStorePause and maxStorePause bound the wait after a failed call of the
 	// platform; it doubles with each failure.
 	minStorePause = 200 * time.Millisecond
@@ -62,11 +71,14 @@
 	started := g.ports.Clock.Now()
 	for ctx.Err() == nil {
 		now := g.ports.Clock.Now()
-		reader, sources := g.feedSources()
+		rank, sources := g.feedSources()
 		known, age := g.copyAge(now)
-		joining := !known && now.Sub(started) < joinWait
+		due := age >= takeover(rank)
+		if !known {
+			due = now.Sub(started) >= joinWait
+		}
 		switch {
-		case (reader && !joining || l.needsStore(known, age, len(sources), joining)) && !now.Before(l.nextRead):
+		case (due || len(sources) == 0) && !now.Before(l.nextRead):
 			l.read(ctx)
 		case len(sources) > 0:
 			l.follow(ctx, sources)
@@ -76,13 +88,13 @@
 	}
 }
 
-// needsStore reports whether an instance that is no reader has to ask the
-// platform itself.
-func (l *feedLoop) needsStore(known bool, age time.Duration, sources int, joining bool) bool {
-	if !known {
-		return !joining
+// takeover returns the age of the copy at which the instance of a rank reads the
+// platform.
+func takeover(rank int) time.Duration {
+	if rank == 0 {
+		return 0
 	}
-	return age > fallbackAge || sources == 0
+	return min(takeoverAge+time.Duration(rank-1)*takeoverStep, maxTakeoverAge)
 }
 
 func (g *Gateway) copyAge(now time.Time) (known bool, age time.Duration) {
@@ -114,6 +126,9 @@
 	}
 	l.recovered(now)
 	g.apply(now, l.markLapsed(now, d), now, "platform")
+	if len(d.Changes) > 0 {
+		pause(ctx, batchPause)
+	}
 }
 
 // call lists the content if there is no copy or its history is gone, and
@@ -180,7 +195,7 @@
 	g := l.g
 	after := g.revision()
 	if after > 0 {
-		sources = sources[:min(len(sources), feedReaders)]
+		sources = sources[:min(len(sources), feedSources)]
 	}
 	to := sources[l.next%len(sources)]
 	callCtx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -47,6 +47,8 @@
 	ports Ports
 
 	view atomic.Pointer[view]
+	// known is closed once there is a view.
+	known chan struct{}
 
 	// published guards the copy of the platform's keys.
 	published struct {
@@ -108,7 +110,7 @@
 // New returns a gateway that knows nothing yet.
 func New(cfg Config, ports Ports) *Gateway {
 	now := ports.Clock.Now()
-	g := &Gateway{cfg: cfg, ports: ports}
+	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{})}
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
@@ -196,7 +198,7 @@
 
 // connectionShare is the part of an upstream's connection limit that the
 // instances together may use; the rest covers instances that join.
-const connectionShare = 0.8
+const connectionShare = 0.95
 
 // maxConnections is this instance's part of an upstream's connection limit.
 func (g *Gateway) maxConnections(s routing.Service) int {
--- a/pkg/gateway/publish.go
+++ b/pkg/gateway/publish.go
@@ -113,6 +113,7 @@
 		s.mu.Unlock()
 	}
 	if g.view.Swap(v) == nil {
+		close(g.known)
 		g.info(event.ProcessReady, event.Fields{"version": p.table.Version, "upstreams": p.directory.Len()}, "the gateway is ready")
 	}
 	g.ports.Upstreams.Retain(addresses)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -26,8 +26,11 @@
 	usual       time.Duration
 	hedgeAfter  time.Duration
 
+	// ctx ends the attempts; needed ends when the request has its verdict.
 	ctx      context.Context
 	cancel   context.CancelFunc
+	needed   context.Context
+	settled  context.CancelFunc
 	finished chan finished
 	attempts []attempt
 	// replies holds the accepted answer of each part.
@@ -57,6 +60,7 @@
 	r.replies = make([]*Reply, len(r.services))
 	r.finished = make(chan finished, fanout.MaxPartAttempts(r.route.MaxAttempts)*len(r.services))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
+	r.needed, r.settled = context.WithCancel(r.ctx)
 	now := r.now()
 	for _, name := range r.services {
 		r.countRequest(now, name)
@@ -114,6 +118,7 @@
 // settle lets the attempts still in flight go on for a while, unless the caller
 // has gone and the request may be cancelled.
 func (r *run) settle() {
+	r.settled()
 	switch {
 	case !r.unfinished():
 		r.cancel()
@@ -155,7 +160,8 @@
 		call := Call{
 			Upstream:       entry,
 			Request:        r.request,
-			Deadline:       r.deadline,
+			Deadline:       r.attemptDeadline(now),
+			Wait:           r.needed,
 			MaxConnections: r.g.maxConnections(r.view.table.Services[entry.Service]),
 			Part:           r.route.Gather != nil,
 		}
@@ -163,6 +169,23 @@
 	}
 }
 
+// lateShare is the part of a latency target by which an attempt of a query may
+// miss it. An overloaded upstream drops what waits longer instead of working on
+// answers that come too late.
+const lateShare = 0.5
+
+// attemptDeadline is when the answer to an attempt is of no use any more.
+func (r *run) attemptDeadline(now time.Time) time.Time {
+	if r.route.Gather == nil {
+		return r.deadline
+	}
+	useful := now.Add(time.Duration((1 + lateShare) * float64(r.route.LatencyTarget)))
+	if useful.Before(r.deadline) {
+		return useful
+	}
+	return r.deadline
+}
+
 // send runs one attempt and records what it shows of the upstream.
 func (r *run) send(number int, start time.Time, call Call, service *service, u *balancer.Upstream) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -33,10 +33,12 @@
 func (g *Gateway) Serve(ctx context.Context, r *Request) Answer {
 	g.active.Add(1)
 	defer g.active.Add(-1)
+	v := g.awaitView(ctx, r)
 	now := g.ports.Clock.Now()
-	v := g.view.Load()
 	if v == nil {
-		return refuse(result.NotReady)
+		a := refuse(result.NotReady)
+		g.reportRefused(now, r, nil, a)
+		return a
 	}
 	route := v.table.Match(r.Host, pathOf(r.Target))
 	if route == nil {
@@ -59,6 +61,31 @@
 	return run.serve()
 }
 
+// startWait is how long a request waits for the first configuration, which a
+// starting process gets within a fraction of a second. A refused caller would
+// come back no sooner.
+const startWait = 500 * time.Millisecond
+
+// awaitView returns the view in force. A request that arrives at a starting
+// process waits for it, for a part of the caller's time.
+func (g *Gateway) awaitView(ctx context.Context, r *Request) *view {
+	if v := g.view.Load(); v != nil {
+		return v
+	}
+	wait := startWait
+	if r.Wait > 0 {
+		wait = min(wait, r.Wait/2)
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-g.known:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+	return g.view.Load()
+}
+
 // unrouted answers a request that no route matches. It is denied only if the
 // configuration was confirmed lately.
 func (g *Gateway) unrouted(now time.Time, r *Request) Answer {
