Count the retry budget in a sliding window and keep time for requests at a stop

Change: extra attempts are counted over the window itself, and hedges that can wait leave two fifths of it; new requests are taken for 60% of the time to stop.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -41,6 +41,9 @@
 	balancerNotice = 2200 * time.Millisecond
 	// stopMargin is kept between the last answer and the end by force.
 	stopMargin = 700 * time.Millisecond
+	// acceptShare is the percentage of the time to stop in which new requests are
+	// taken; the rest is for those in progress.
+	acceptShare = 60
 	// quietTime is the time without a new request after which the process ends.
 	quietTime = 300 * time.Millisecond
 	// stopPoll is how often a stopping process looks for requests in progress.
@@ -257,19 +260,24 @@
 	return nil
 }
 
-// stop lets the balancer notice first, then ends the callers' connections with
-// their next answers, and the process when no more requests arrive.
+// stop ends the callers' connections with their next answers and goes on serving
+// until the balancer has noticed and no more requests arrive. What is in progress
+// then has the rest of the time.
 func (r *gatewayRegistration) stop(ctx context.Context) error {
 	r.Gateway.Leave()
-	until := time.Now().Add(r.Settings.StopTime() - stopMargin)
-	wait(ctx, balancerNotice)
 	r.Ingress.CloseConnections()
-	for time.Now().Before(until) && (r.Gateway.Active() > 0 || r.Ingress.Quiet() < quietTime) {
+	start := time.Now()
+	until := start.Add(r.Settings.StopTime() - stopMargin)
+	wait(ctx, balancerNotice)
+	for time.Since(start) < r.Settings.StopTime()*acceptShare/100 && r.Ingress.Quiet() < quietTime {
 		time.Sleep(stopPoll)
 	}
 	shutdown, cancel := context.WithDeadline(ctx, until)
 	defer cancel()
 	err := r.Ingress.Shutdown(shutdown)
+	for r.Gateway.Active() > 0 && time.Now().Before(until) {
+		time.Sleep(stopPoll)
+	}
 	r.Gateway.Stop()
 	r.Feed.Stop()
 	r.Peers.Close()
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -48,7 +48,7 @@
 	coldFactor = 1.6
 	// stallFactor is the multiple of the expected latency after which an attempt
 	// in flight counts as stalled, and the upstream as paused or silent.
-	stallFactor = 3
+	stallFactor = 2
 	// failureCost is the expected loss by a failed attempt, as a multiple of the
 	// expected latency.
 	failureCost = 6
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -34,8 +34,9 @@
 	Pick(service string, excluded []string, first bool) (string, bool)
 	// HedgeDelay is the time after which an attempt is unusually slow.
 	HedgeDelay(service string) time.Duration
-	// TakeExtra reserves an extra attempt in the budget of the service.
-	TakeExtra(service string) bool
+	// TakeExtra reserves an extra attempt in the budget of the service. One that
+	// can wait leaves a part of the budget to those that cannot.
+	TakeExtra(service string, canWait bool) bool
 }
 
 // Config describes a request.
@@ -51,6 +52,9 @@
 	// AnswerBy is when an answer with MinParts is given even if parts are
 	// missing; zero for a request without partial answers.
 	AnswerBy time.Time
+	// HedgeBy is when a hedge is needed at the latest to be answered by AnswerBy;
+	// hedges that are due before can wait. Zero means that none can.
+	HedgeBy time.Time
 	// Deadline ends the request.
 	Deadline time.Time
 }
@@ -243,7 +247,7 @@
 		return out
 	}
 	// An attempt that reached no upstream did not use the budget.
-	if s != NotSent && !q.upstreams.TakeExtra(p.service) {
+	if s != NotSent && !q.upstreams.TakeExtra(p.service, false) {
 		q.lose(p, BudgetUsed)
 		return out
 	}
@@ -284,7 +288,7 @@
 		return out
 	}
 	u, ok := q.upstreams.Pick(p.service, p.tried, false)
-	if !ok || !q.upstreams.TakeExtra(p.service) {
+	if !ok || !q.upstreams.TakeExtra(p.service, now.Before(q.cfg.HedgeBy)) {
 		p.hedgeAt = now.Add(hedgeRetry)
 		return out
 	}
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -52,9 +52,9 @@
 func (r *run) HedgeDelay(string) time.Duration { return r.hedgeAfter }
 
 // TakeExtra implements fanout.Upstreams.
-func (r *run) TakeExtra(name string) bool {
+func (r *run) TakeExtra(name string, canWait bool) bool {
 	s := r.view.services[name]
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.budget.Take(r.now())
+	return s.budget.Take(r.now(), canWait)
 }
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -18,9 +18,12 @@
 	// arrive within the latency target.
 	returnAllowance = 6 * time.Millisecond
 	// deadlineAllowance is kept for the last answer before the deadline.
-	deadlineAllowance = 5 * time.Millisecond
+	deadlineAllowance = 15 * time.Millisecond
 	// defaultWait is assumed for callers that do not say how long they wait.
 	defaultWait = 10 * time.Second
+	// hedgeLead is the multiple of the usual latency that a hedge needs to be
+	// answered in time.
+	hedgeLead = 2.5
 	// lingerTime is how long attempts go on whose request is answered already:
 	// ending them would close their connections.
 	lingerTime = 400 * time.Millisecond
@@ -143,6 +146,7 @@
 	}
 	run := &run{g: g, view: v, request: r, route: route, services: services, deadline: deadline, fingerprint: f, latency: g.latencyOf(route)}
 	run.usual, run.hedgeAfter = run.latency.estimates()
+	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLead * float64(run.usual)))
 	run.query = fanout.New(cfg, run)
 	return run
 }
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -1,17 +1,17 @@
 // Package retrybudget bounds the requests that one instance sends to a service
 // beyond the first attempt of each. The bounds of all instances together stay
 // within the service's budget without communication: each may use a fraction
-// of its own requests, and an equal part of the fixed allowance.
-// A Budget is pure and not safe for concurrent use.
+// of its own requests in a sliding window, and an equal part of the fixed
+// allowance. A Budget is pure and not safe for concurrent use.
 package retrybudget
 
 import "time"
 
 // Limits describe the budget of a service over all instances.
 type Limits struct {
-	// Ratio is the number of extra attempts for each request.
+	// Ratio is the number of extra attempts for each request in a window.
 	Ratio float64
-	// Allowance is the number of extra attempts in any Window beside the ratio.
+	// Allowance is the number of extra attempts in any window beside the ratio.
 	Allowance float64
 	Window    time.Duration
 }
@@ -21,23 +21,35 @@
 	// in another window at the upstream than here.
 	ratioShare     = 0.9
 	allowanceShare = 0.8
-	// burstShare is the part of the allowance that may be used at once; the rest
-	// accrues over the window. Both parts can fall into one window.
-	burstShare = 0.5
+	// slotCount is the number of parts of a window that are counted separately.
+	slotCount = 20
+	// spareShare is the part of the budget that is kept for attempts that cannot
+	// wait.
+	spareShare = 0.4
 )
 
-// Budget is the token bucket of one service at one instance.
+// counts are those of a part of the window.
+type counts struct {
+	requests, extra int
+}
+
+// Budget counts the requests and extra attempts of one service at one instance.
 type Budget struct {
 	limits    Limits
 	instances int
-	tokens    float64
-	at        time.Time
+	// slots is a ring: one for each part of the window, and one more, because the
+	// oldest part is still partly in the window.
+	slots [slotCount + 1]counts
+	// current is the number of the newest part since the start.
+	current int64
+	start   time.Time
+	total   counts
 }
 
-// New returns an empty bucket, so that a process that is restarted often does
-// not spend the allowance of each start.
+// New returns a budget without requests. A process that is restarted often does
+// therefore not spend the share of each of its predecessors.
 func New(l Limits, instances int, now time.Time) *Budget {
-	return &Budget{limits: l, instances: max(1, instances), at: now}
+	return &Budget{limits: l, instances: max(1, instances), start: now}
 }
 
 // SetInstances changes the number of instances that share the allowance.
@@ -45,44 +57,62 @@
 
 // Request accounts for the first attempt of a request.
 func (b *Budget) Request(now time.Time) {
-	b.accrue(now)
-	b.tokens = min(b.tokens+b.limits.Ratio*ratioShare, b.burst())
+	b.advance(now)
+	b.slot(b.current).requests++
+	b.total.requests++
 }
 
-// Take reserves an extra attempt and reports whether the budget allows it.
-func (b *Budget) Take(now time.Time) bool {
-	b.accrue(now)
-	if b.tokens < 1 {
+// Take reserves an extra attempt and reports whether the budget allows it. One
+// that can wait leaves a part of the budget to those that cannot.
+func (b *Budget) Take(now time.Time, canWait bool) bool {
+	b.advance(now)
+	limit := b.limit()
+	if canWait {
+		limit *= 1 - spareShare
+	}
+	if float64(b.total.extra+1) > limit {
 		return false
 	}
-	b.tokens--
+	b.slot(b.current).extra++
+	b.total.extra++
 	return true
 }
 
-// Return gives back a reserved attempt that did not reach the upstream.
-func (b *Budget) Return() { b.tokens = min(b.tokens+1, b.burst()) }
+// Available returns the number of extra attempts that are allowed now.
+func (b *Budget) Available(now time.Time) float64 {
+	b.advance(now)
+	return max(0, b.limit()-float64(b.total.extra))
+}
 
-// share is this instance's part of the allowance.
-func (b *Budget) share() float64 {
-	return b.limits.Allowance * allowanceShare / float64(b.instances)
+// limit is the number of extra attempts in a window. The oldest part of the ring
+// counts with its extra attempts and without its requests. At least one must be
+// allowed, or a large fleet could never send an extra attempt.
+func (b *Budget) limit() float64 {
+	requests := b.total.requests - b.slot(b.current-slotCount).requests
+	share := b.limits.Allowance * allowanceShare / float64(b.instances)
+	return max(1, share) + b.limits.Ratio*ratioShare*float64(requests)
 }
 
-// burst is the content of a full bucket. At least one token must fit, or a
-// large fleet could never send an extra attempt.
-func (b *Budget) burst() float64 { return max(1, b.share()*burstShare) }
+func (b *Budget) slot(number int64) *counts {
+	n := int64(len(b.slots))
+	return &b.slots[((number%n)+n)%n]
+}
 
-func (b *Budget) accrue(now time.Time) {
-	elapsed := now.Sub(b.at)
-	if elapsed <= 0 || b.limits.Window <= 0 {
+// advance drops the parts that have left the window.
+func (b *Budget) advance(now time.Time) {
+	if b.limits.Window <= 0 {
 		return
 	}
-	b.at = now
-	gain := b.share() * (1 - burstShare) * elapsed.Seconds() / b.limits.Window.Seconds()
-	b.tokens = min(b.tokens+gain, b.burst())
-}
-
-// Available returns the number of extra attempts that are allowed now.
-func (b *Budget) Available(now time.Time) float64 {
-	b.accrue(now)
-	return b.tokens
+	number := int64(now.Sub(b.start) / (b.limits.Window / slotCount))
+	for steps := 0; b.current < number; steps++ {
+		if steps > slotCount {
+			b.current = number
+			return
+		}
+		b.current++
+		s := b.slot(b.current)
+		b.total.requests -= s.requests
+		b.total.extra -= s.extra
+		*s = counts{}
+	}
 }
