Bound what one pause of an upstream means and close idle connections

Change: the ratio of one latency is bounded, forgetting is continuous, cold time counts from the report, connections idle for 3 s are closed.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -5,8 +5,10 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"net/http"
 	"os"
+	"slices"
 	"sync"
 	"time"
 
@@ -77,6 +79,17 @@
 	c.known(address, n).warm(n)
 }
 
+// CloseIdle closes the connections that have had no request for the given time.
+func (c *Client) CloseIdle(idle time.Duration) {
+	before := c.clock.Now().Add(-idle)
+	c.mu.Lock()
+	pools := slices.Collect(maps.Values(c.pools))
+	c.mu.Unlock()
+	for _, p := range pools {
+		p.closeIdle(before)
+	}
+}
+
 // OpenConnections returns the number of connections to the address, including
 // those being opened.
 func (c *Client) OpenConnections(address string) int {
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -4,6 +4,7 @@
 package balancer
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -41,9 +42,12 @@
 	crossZoneShare   = 0.5
 	// smoothing is the weight of the newest observation in a mean.
 	smoothing = 0.25
+	// maxRatio bounds the ratio of one latency to the usual one, so that a single
+	// pause of an upstream does not count like a lasting slowdown.
+	maxRatio = 4
 	// forgetting is the time after which half of an upstream's deviation from the
 	// usual is forgotten, so that it is tried again.
-	forgetting = 4 * time.Second
+	forgetting = 3 * time.Second
 	// coldFactor is the assumed slowdown of an upstream that has just started.
 	coldFactor = 1.6
 	// stallFactor is the multiple of the expected latency after which an attempt
@@ -105,8 +109,10 @@
 		if u == nil || u.Started != entry.Started || u.Address != entry.Address {
 			u = &Upstream{factor: 1, observedAt: now}
 		}
-		u.Upstream = entry
-		u.coldUntil = now.Add(entry.ColdFor)
+		if u.Upstream != entry {
+			u.Upstream = entry
+			u.coldUntil = now.Add(entry.ColdFor)
+		}
 		updated = append(updated, u)
 	}
 	s.upstreams = updated
@@ -186,13 +192,7 @@
 // Faded returns the latency factor and the failure rate, moved towards the usual
 // by the time since the last observation.
 func (u *Upstream) Faded(now time.Time) (factor, failing float64) {
-	keep := 1.0
-	for age := now.Sub(u.observedAt); age >= forgetting; age -= forgetting {
-		keep /= 2
-		if keep < 0.01 {
-			break
-		}
-	}
+	keep := math.Exp2(-float64(now.Sub(u.observedAt)) / float64(forgetting))
 	return 1 + (u.factor-1)*keep, u.failing * keep
 }
 
@@ -243,7 +243,7 @@
 	u.factor, u.failing = u.Faded(now)
 	u.observedAt = now
 	if ratio >= 0 {
-		u.factor += smoothing * (ratio - u.factor)
+		u.factor += smoothing * (min(ratio, maxRatio) - u.factor)
 	}
 	u.failing += smoothing * (failed - u.failing)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -180,8 +180,15 @@
 	return v.table.Limits, true
 }
 
-// upkeepInterval is how often lapsed entries are removed.
-const upkeepInterval = 200 * time.Millisecond
+const (
+	// upkeepInterval is how often lapsed entries are removed and idle connections
+	// closed.
+	upkeepInterval = 200 * time.Millisecond
+	// maxIdle is how long a connection is kept without a request. Those that a
+	// machine without power leaves behind count against the upstream's limit, so
+	// that a fleet that comes back finds no room if there are many.
+	maxIdle = 3 * time.Second
+)
 
 func (g *Gateway) runUpkeep(ctx context.Context) {
 	ticker := time.NewTicker(upkeepInterval)
@@ -192,6 +199,7 @@
 			return
 		case <-ticker.C:
 			g.expireLapsed(g.ports.Clock.Now())
+			g.ports.Upstreams.CloseIdle(maxIdle)
 		}
 	}
 }
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -98,6 +98,8 @@
 	Refuses(ctx context.Context, address string) bool
 	// Retain closes the connections to all other addresses.
 	Retain(addresses map[string]bool)
+	// CloseIdle closes the connections that have had no request for a time.
+	CloseIdle(idle time.Duration)
 }
 
 // Decoder translates published keys.
