Serve whole steps when a copy jumped over changes, with tests of the new packages

A random test of copies that follow the store and each other found a key that stayed for good: a copy that lists the store does not learn of keys that came and went in between, and served a step without their removal to copies that still held them. Such a copy now serves its whole content to copies from before the jump, and a removal is remembered even if the copy never held the key.

--- a/pkg/adapter/peergrpc/feed.go
+++ b/pkg/adapter/peergrpc/feed.go
@@ -51,7 +51,7 @@
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "no published keys are known yet")
 	}
-	reply := &wire.FetchChangesReply{Revision: delta.Revision, Full: delta.Full, AgeMs: age.Milliseconds()}
+	reply := &wire.FetchChangesReply{Revision: delta.Revision, Full: delta.Full, Lapsed: delta.Lapsed, AgeMs: age.Milliseconds()}
 	for _, c := range delta.Changes {
 		reply.Changes = append(reply.Changes, &wire.Change{Key: c.Key, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted, Lapsed: c.Lapsed})
 	}
@@ -66,7 +66,7 @@
 	if err != nil {
 		return feed.Delta{}, 0, err
 	}
-	delta := feed.Delta{Revision: reply.GetRevision(), Full: reply.GetFull()}
+	delta := feed.Delta{Revision: reply.GetRevision(), Full: reply.GetFull(), Lapsed: reply.GetLapsed()}
 	for _, w := range reply.GetChanges() {
 		delta.Changes = append(delta.Changes, feed.Change{Key: w.GetKey(), Revision: w.GetRevision(), Value: w.GetValue(), Deleted: w.GetDeleted(), Lapsed: w.GetLapsed()})
 	}
--- a/pkg/balancer/latency.go
+++ b/pkg/balancer/latency.go
@@ -6,27 +6,24 @@
 )
 
 const (
-	// sampleCount is the number of latencies that quantiles are taken from.
+	// sampleCount is the number of latencies that the median is taken from.
 	sampleCount = 128
-	// refreshEvery is the number of new samples after which they are taken anew.
+	// refreshEvery is the number of new samples after which it is taken anew.
 	refreshEvery = 16
-	// initialUsual and initialSlow are assumed before there are samples.
+	// initialUsual is assumed before there are samples.
 	initialUsual = 10 * time.Millisecond
-	initialSlow  = 30 * time.Millisecond
-	slowQuantile = 0.94
 )
 
-// Latency keeps the usual and the slow latency of one kind of request.
+// Latency keeps the usual latency of one kind of request.
 type Latency struct {
 	samples []time.Duration
 	next    int
 	fresh   int
 	usual   time.Duration
-	slow    time.Duration
 }
 
-// NewLatency returns an estimate with initial values.
-func NewLatency() *Latency { return &Latency{usual: initialUsual, slow: initialSlow} }
+// NewLatency returns an estimate with the initial value.
+func NewLatency() *Latency { return &Latency{usual: initialUsual} }
 
 // Add records the latency of an attempt.
 func (l *Latency) Add(d time.Duration) {
@@ -43,11 +40,7 @@
 	sorted := slices.Clone(l.samples)
 	slices.Sort(sorted)
 	l.usual = sorted[len(sorted)/2]
-	l.slow = sorted[int(slowQuantile*float64(len(sorted)-1))]
 }
 
 // Usual returns the median.
 func (l *Latency) Usual() time.Duration { return l.usual }
-
-// Slow returns the latency that few attempts exceed.
-func (l *Latency) Slow() time.Duration { return l.slow }
--- a/pkg/feed/feed.go
+++ b/pkg/feed/feed.go
@@ -39,7 +39,9 @@
 type Replica struct {
 	revision uint64
 	// floor is the revision from which on all removals are remembered.
-	floor   uint64
+	floor uint64
+	// lapsed is the revision of the last full step whose removals may be lapses.
+	lapsed  uint64
 	items   map[string]Change
 	removed []Change
 }
@@ -74,8 +76,12 @@
 	if d.Full {
 		altered = append(altered, r.removeMissing(d)...)
 	}
-	if r.revision == 0 {
+	if d.Full && d.Revision > r.revision {
+		// Keys may have come and gone in between.
 		r.floor = d.Revision
+		if d.Lapsed {
+			r.lapsed = d.Revision
+		}
 	}
 	r.revision = d.Revision
 	return altered
@@ -94,12 +100,12 @@
 		r.items[c.Key] = c
 		return true
 	}
-	if !held {
-		return false
-	}
+	// A removal counts for others even if this copy never held the key.
 	delete(r.items, c.Key)
-	r.remember(c)
-	return true
+	if c.Revision > r.revision {
+		r.remember(c)
+	}
+	return held
 }
 
 // removedAt returns the revision at which a missing key was last removed, or 0.
@@ -154,6 +160,7 @@
 		}
 	}
 	if d.Full {
+		d.Lapsed = after < r.lapsed
 		return d, true
 	}
 	for _, c := range r.removed {
--- /dev/null
+++ b/pkg/feed/feed_test.go
@@ -0,0 +1,161 @@
+package feed
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+// source is a model of the platform's store with its whole history.
+type source struct {
+	revision uint64
+	events   []Change
+}
+
+func (s *source) write(key string, deleted bool) {
+	s.revision++
+	c := Change{Key: key, Revision: s.revision, Deleted: deleted}
+	if !deleted {
+		c.Value = fmt.Appendf(nil, "%s@%d", key, s.revision)
+	}
+	s.events = append(s.events, c)
+}
+
+// at returns the content at a revision.
+func (s *source) at(revision uint64) map[string]Change {
+	out := make(map[string]Change)
+	for _, c := range s.events {
+		switch {
+		case c.Revision > revision:
+		case c.Deleted:
+			delete(out, c.Key)
+		default:
+			out[c.Key] = c
+		}
+	}
+	return out
+}
+
+func (s *source) watch(after uint64) Delta {
+	d := Delta{Revision: s.revision}
+	for _, c := range s.events {
+		if c.Revision > after {
+			d.Changes = append(d.Changes, c)
+		}
+	}
+	return d
+}
+
+func (s *source) list() Delta {
+	d := Delta{Revision: s.revision, Full: true}
+	for _, c := range s.at(s.revision) {
+		d.Changes = append(d.Changes, c)
+	}
+	return d
+}
+
+func content(r *Replica) map[string]string {
+	out := make(map[string]string)
+	for _, c := range r.Items() {
+		out[c.Key] = string(c.Value)
+	}
+	return out
+}
+
+func values(m map[string]Change) map[string]string {
+	out := make(map[string]string)
+	for k, c := range m {
+		out[k] = string(c.Value)
+	}
+	return out
+}
+
+// TestReplicasFollow guards against copies that lack a change, keep a removed
+// key or go back in time, whichever way their steps arrive: from the store, after
+// a lost history, from another copy, late or twice.
+func TestReplicasFollow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		s := &source{revision: 1}
+		replicas := []*Replica{NewReplica(), NewReplica(), NewReplica()}
+		var late []Delta
+		steps := rapid.IntRange(1, 60).Draw(t, "steps")
+		for range steps {
+			r := replicas[rapid.IntRange(0, 2).Draw(t, "replica")]
+			before := r.Revision()
+			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			case 0, 1:
+				s.write(fmt.Sprint(rapid.IntRange(0, 4).Draw(t, "key")), rapid.Bool().Draw(t, "deleted"))
+			case 2:
+				d := s.list()
+				late = append(late, d)
+				r.Apply(d)
+			case 3:
+				if before > 0 {
+					d := s.watch(before)
+					late = append(late, d)
+					r.Apply(d)
+				}
+			case 4, 5:
+				from := replicas[rapid.IntRange(0, 2).Draw(t, "from")]
+				if d, ahead := from.Since(before); ahead {
+					late = append(late, d)
+					r.Apply(d)
+				}
+			case 6:
+				if len(late) > 0 {
+					d := late[rapid.IntRange(0, len(late)-1).Draw(t, "late")]
+					if d.Full || d.Revision <= before {
+						r.Apply(d)
+					}
+				}
+			}
+			must.GreaterEq(t, before, r.Revision())
+			if r.Revision() > 0 {
+				must.True(t, maps.Equal(values(s.at(r.Revision())), content(r)), must.Sprint(s.events, r.Revision(), content(r)))
+			}
+		}
+	})
+}
+
+// TestPagesAreNoSnapshot guards against losing a key that was written between
+// two pages of a listing, and against keeping one that was removed between them.
+func TestPagesAreNoSnapshot(t *testing.T) {
+	r := NewReplica()
+	r.Apply(Delta{Revision: 5, Full: true, Changes: []Change{{Key: "a", Revision: 3}, {Key: "b", Revision: 7}, {Key: "c", Revision: 4}}})
+	must.MapLen(t, 3, content(r))
+	r.Apply(Delta{Revision: 8, Changes: []Change{{Key: "c", Revision: 6, Deleted: true}, {Key: "b", Revision: 7}, {Key: "d", Revision: 8}}})
+	must.Eq(t, map[string]string{"a": "", "b": "", "d": ""}, content(r))
+}
+
+// TestLapsedRemovals guards against removals of a full step that lose the mark
+// that they may be lapses.
+func TestLapsedRemovals(t *testing.T) {
+	r := NewReplica()
+	r.Apply(Delta{Revision: 5, Full: true, Changes: []Change{{Key: "a", Revision: 3}}})
+	altered := r.Apply(Delta{Revision: 9, Full: true, Lapsed: true})
+	must.Eq(t, []Change{{Key: "a", Revision: 9, Deleted: true, Lapsed: true}}, altered)
+	follower := NewReplica()
+	follower.Apply(Delta{Revision: 5, Full: true, Changes: []Change{{Key: "a", Revision: 3}}})
+	d, _ := r.Since(5)
+	must.Eq(t, altered, follower.Apply(d))
+}
+
+// TestHistoryBound guards against a copy that serves a step without removals
+// that it has forgotten.
+func TestHistoryBound(t *testing.T) {
+	r := NewReplica()
+	r.Apply(Delta{Revision: 1, Full: true})
+	revision := uint64(1)
+	for range maxRemoved + 10 {
+		r.Apply(Delta{Revision: revision + 2, Changes: []Change{{Key: "k", Revision: revision + 1}, {Key: "k", Revision: revision + 2, Deleted: true}}})
+		revision += 2
+	}
+	d, ahead := r.Since(2)
+	must.True(t, ahead)
+	must.True(t, d.Full)
+	d, _ = r.Since(revision - 1)
+	must.False(t, d.Full)
+}
--- /dev/null
+++ b/pkg/routing/routing_test.go
@@ -0,0 +1,75 @@
+package routing
+
+import (
+	"testing"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+)
+
+func table(routes ...Route) *Table { return NewTable(Config{Version: 1, Routes: routes}) }
+
+// TestMatch guards against requests that go to the route of another host, or to
+// one with a shorter prefix.
+func TestMatch(t *testing.T) {
+	tab := table(
+		Route{Name: "short", Host: "a.example", Prefix: "/x/"},
+		Route{Name: "long", Host: "a.example", Prefix: "/x/y/"},
+		Route{Name: "other", Host: "b.example", Prefix: "/x/"},
+	)
+	for _, c := range []struct{ host, path, want string }{
+		{"a.example", "/x/1", "short"},
+		{"a.example", "/x/y/1", "long"},
+		{"A.Example:8080", "/x/y/", "long"},
+		{"b.example", "/x/y/1", "other"},
+		{"a.example", "/x", ""},
+		{"a.example", "/xy/", ""},
+		{"c.example", "/x/1", ""},
+	} {
+		got := ""
+		if r := tab.Match(c.host, c.path); r != nil {
+			got = r.Name
+		}
+		must.Eq(t, c.want, got, must.Sprint(c.host, c.path))
+	}
+}
+
+// TestMinParts guards against answers below the least share of the shards, and
+// against asking for more than it.
+func TestMinParts(t *testing.T) {
+	for _, c := range []struct {
+		shards int
+		share  float64
+		want   int
+	}{{10, 0.89, 9}, {15, 0.89, 14}, {10, 0.75, 8}, {36, 0.95, 35}, {3, 0, 1}, {4, 1, 4}, {1, 0.5, 1}} {
+		g := Gather{Services: make([]string, c.shards), MinShare: c.share}
+		must.Eq(t, c.want, g.MinParts(), must.Sprint(c.shards, c.share))
+	}
+}
+
+// TestChooseKeepsWeights guards against a split whose parts get another share
+// than their weight, and against a target of weight 0 that gets requests.
+func TestChooseKeepsWeights(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		weights := rapid.SliceOfN(rapid.Float64Range(0, 10), 1, 5).Draw(t, "weights")
+		r := Route{}
+		total := 0.0
+		for i, w := range weights {
+			r.Targets = append(r.Targets, Target{Service: string(rune('a' + i)), Weight: w})
+			total += w
+		}
+		const draws = 2000
+		got := make(map[string]float64)
+		for i := range draws {
+			service, ok := r.Choose(float64(i) / draws)
+			must.Eq(t, total > 0, ok)
+			got[service] += 1.0 / draws
+		}
+		if total == 0 {
+			return
+		}
+		for _, target := range r.Targets {
+			must.InDelta(t, target.Weight/total, got[target.Service], 0.01)
+		}
+	})
+}
