--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -42,6 +42,10 @@
 	crossZoneShare   = 0.5
 	// smoothing is the weight of the newest observation in a mean.
 	smoothing = 0.25
+	// connectCost is added for an upstream without a recent attempt, to which a
+	// connection has to be opened; warmTime is how long one is kept.
+	connectCost = 500 * time.Microsecond
+	warmTime    = 4 * time.Second
 	// maxRatio bounds the ratio of one latency to the usual one, so that a single
 	// pause of an upstream does not count like a lasting slowdown.
 	maxRatio = 4
@@ -75,6 +79,8 @@
 	coldUntil  time.Time
 	// inFlight holds the start of each attempt in flight, oldest first.
 	inFlight []time.Time
+	// usedAt is the end of the last answered attempt.
+	usedAt time.Time
 	// failures counts attempts in a row without an answer.
 	failures     int
 	blockedUntil time.Time
@@ -167,6 +173,9 @@
 		cost += expected * time.Duration(len(u.inFlight)) / time.Duration(slots)
 	}
 	cost += u.stalled(now, expected)
+	if now.Sub(u.usedAt) > warmTime {
+		cost += connectCost
+	}
 	if u.DataCentre != s.local {
 		cost += max(minCrossZoneCost, time.Duration(crossZoneShare*float64(usual)))
 	}
@@ -210,6 +219,7 @@
 	case Succeeded:
 		u.observe(now, float64(took)/float64(max(usual, time.Millisecond)), 0)
 		u.failures, u.blockedUntil = 0, time.Time{}
+		u.usedAt = now
 	case Failed:
 		u.observe(now, -1, 1)
 		u.failures = 0
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -68,6 +68,15 @@
 // maxNotSent bounds the attempts of a part that reached no upstream.
 const maxNotSent = 4
 
+const (
+	// medianFactor is the multiple of the time in which half of the parts were
+	// answered after which the others are unusually slow. It adapts to a machine
+	// that is slow itself, whose attempts all take long.
+	medianFactor = 1.7
+	// minMedianGap is the least time between that half and the hedges.
+	minMedianGap = 3 * time.Millisecond
+)
+
 // hedgeRetry is the wait before a hedge is tried again that the budget did not
 // allow or for which there was no upstream.
 const hedgeRetry = 10 * time.Millisecond
@@ -154,6 +163,7 @@
 	succeeded int
 	lost      int
 	verdict   Verdict
+	begun     time.Time
 }
 
 // New returns a request before its first attempts.
@@ -167,6 +177,7 @@
 
 // Begin sends the first attempt of each part.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
+	q.begun = now
 	var out []Start
 	for i := range q.parts {
 		out = q.first(now, i, out)
@@ -212,6 +223,7 @@
 		if !p.done {
 			p.done = true
 			q.succeeded++
+			q.advanceHedges(now)
 			if p.lost {
 				p.lost = false
 				q.lost--
@@ -231,6 +243,20 @@
 	return out, q.judge(now)
 }
 
+// advanceHedges moves the hedges of the parts that are missing forward once half
+// of the parts are answered.
+func (q *Query) advanceHedges(now time.Time) {
+	if len(q.parts) < 2 || q.succeeded != (len(q.parts)+1)/2 {
+		return
+	}
+	half := now.Sub(q.begun)
+	at := q.begun.Add(max(half+minMedianGap, time.Duration(medianFactor*float64(half))))
+	for i := range q.parts {
+		p := &q.parts[i]
+		p.hedgeAt = earlier(p.hedgeAt, at)
+	}
+}
+
 // retry sends another attempt after a failed one if it may.
 func (q *Query) retry(now time.Time, i int, s Status, out []Start) []Start {
 	p := &q.parts[i]
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -12,6 +12,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/sardineturn/sardineturn/internal/workers"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -79,6 +80,8 @@
 	}
 
 	latencies sync.Map // route name to *latency
+	timing    callerTiming
+	workers   *workers.Pool
 
 	stopping atomic.Bool
 	active   atomic.Int64
@@ -110,7 +113,7 @@
 // New returns a gateway that knows nothing yet.
 func New(cfg Config, ports Ports) *Gateway {
 	now := ports.Clock.Now()
-	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{})}
+	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{}), workers: workers.New()}
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
@@ -124,8 +127,10 @@
 			DataCentre:     cfg.DataCentre,
 			Boot:           membership.NewBootID(now, random),
 		},
-		Cluster: cfg.Cluster,
-		Rand:    random,
+		Cluster:   cfg.Cluster,
+		Rand:      random,
+		Interval:  probeInterval,
+		Suspicion: suspicion,
 	}, now)
 	g.control.largest = 1
 	return g
@@ -184,10 +189,15 @@
 	// upkeepInterval is how often lapsed entries are removed and idle connections
 	// closed.
 	upkeepInterval = 200 * time.Millisecond
+	// probeInterval and suspicion are those of the failure detector. No request
+	// depends on it, only the choice of the instance that reads the platform and
+	// the number of instances that share budgets.
+	probeInterval = 500 * time.Millisecond
+	suspicion     = 2 * time.Second
 	// maxIdle is how long a connection is kept without a request. Those that a
 	// machine without power leaves behind count against the upstream's limit, so
 	// that a fleet that comes back finds no room if there are many.
-	maxIdle = 3 * time.Second
+	maxIdle = 4 * time.Second
 )
 
 func (g *Gateway) runUpkeep(ctx context.Context) {
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -41,7 +41,7 @@
 func (r *run) report(verdict fanout.Verdict, a Answer) {
 	now := r.now()
 	took := now.Sub(r.request.Arrived)
-	late := r.route.LatencyTarget > 0 && took > r.route.LatencyTarget
+	late := r.route.LatencyTarget > 0 && r.spent+took > r.route.LatencyTarget
 	r.g.observe(r.route, a, took)
 	if a.Code == result.OK && !late {
 		return
@@ -50,6 +50,7 @@
 	fields["verdict"] = verdict.String()
 	fields["config"] = r.view.table.Version
 	fields["usual_ms"], fields["hedge_ms"] = millis(r.usual), millis(r.hedgeAfter)
+	fields["spent_ms"] = millis(r.spent)
 	fields["attempts"] = r.attemptLines(a.Code == result.OK)
 	if missing := r.missingParts(); len(missing) > 0 {
 		fields["missing"] = missing
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -19,6 +19,8 @@
 	// services holds the service of each part.
 	services    []string
 	deadline    time.Time
+	// spent is the time that the caller had used before it sent the request.
+	spent      time.Duration
 	callerGone  <-chan struct{}
 	fingerprint model.Fingerprint
 	query       *fanout.Query
@@ -165,7 +167,7 @@
 			MaxConnections: r.g.maxConnections(r.view.table.Services[entry.Service]),
 			Part:           r.route.Gather != nil,
 		}
-		go r.send(s.Attempt, now, call, service, u)
+		r.g.workers.Go(func() { r.send(s.Attempt, now, call, service, u) })
 	}
 }
 
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -13,10 +13,6 @@
 )
 
 const (
-	// returnAllowance is kept for the answer's way to the caller, 1 ms today,
-	// with the caller's new connection and the merge: a partial answer has to
-	// arrive within the latency target.
-	returnAllowance = 6 * time.Millisecond
 	// deadlineAllowance is kept for the last answer before the deadline.
 	deadlineAllowance = 15 * time.Millisecond
 	// defaultWait is assumed for callers that do not say how long they wait.
@@ -114,8 +110,10 @@
 }
 
 // times returns when an answer is fully useful at the latest and when the
-// request ends.
-func times(r *Request, route *routing.Route) (answerBy, deadline time.Time) {
+// request ends. The caller counts from its first attempt; spent is the time that
+// it had used when it sent this one, and way the time that requests and answers
+// take between it and this process.
+func times(r *Request, route *routing.Route, spent, way time.Duration) (answerBy, deadline time.Time) {
 	wait := r.Wait
 	if wait <= 0 {
 		wait = defaultWait
@@ -124,7 +122,13 @@
 		wait = min(wait, route.Timeout)
 	}
 	deadline = r.Arrived.Add(max(wait-deadlineAllowance, wait/2))
-	answerBy = r.Arrived.Add(max(route.LatencyTarget-returnAllowance, route.LatencyTarget/2))
+	useful := route.LatencyTarget - spent - way
+	if useful < route.LatencyTarget/4 {
+		// The target is missed already; a whole answer is worth more than an
+		// early one.
+		useful = route.LatencyTarget
+	}
+	answerBy = r.Arrived.Add(useful)
 	if answerBy.After(deadline) {
 		answerBy = deadline
 	}
@@ -132,7 +136,8 @@
 }
 
 func (g *Gateway) newRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint) *run {
-	answerBy, deadline := times(r, route)
+	spent, way := g.timing.observe(route.Name, r.Wait)
+	answerBy, deadline := times(r, route, spent, way)
 	cfg := fanout.Config{
 		Services:    services,
 		MinParts:    1,
@@ -144,7 +149,7 @@
 		cfg.MinParts = route.Gather.MinParts()
 		cfg.AnswerBy = answerBy
 	}
-	run := &run{g: g, view: v, request: r, route: route, services: services, deadline: deadline, fingerprint: f, latency: g.latencyOf(route)}
+	run := &run{g: g, view: v, request: r, route: route, services: services, deadline: deadline, spent: spent, fingerprint: f, latency: g.latencyOf(route)}
 	run.usual, run.hedgeAfter = run.latency.estimates()
 	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLead * float64(run.usual)))
 	run.query = fanout.New(cfg, run)
