--- /dev/null
+++ b/pkg/gateway/fake_test.go
@@ -0,0 +1,286 @@
+package gateway
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sirupsen/logrus"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/retrybudget"
+	"github.com/sardineturn/sardineturn/pkg/routing"
+)
+
+var errDown = errors.New("the store is down")
+
+// world is a store and instances that reach each other in memory.
+type world struct {
+	mu        sync.Mutex
+	revision  uint64
+	changes   []feed.Change
+	configs   map[uint64]routing.Config
+	upstreams map[uint64]directory.Upstream
+	changed   chan struct{}
+	gateways  map[string]*Gateway
+	// refused holds the instances that the store turns away.
+	refused map[string]bool
+	// calls counts the calls of the store by instance.
+	calls map[string]int
+	// answer decides what upstreams answer.
+	answer func(ctx context.Context, c Call) Reply
+	// crashed holds the addresses that refuse connections.
+	crashed map[string]bool
+}
+
+func newWorld() *world {
+	return &world{
+		revision: 1, configs: make(map[uint64]routing.Config), upstreams: make(map[uint64]directory.Upstream),
+		changed: make(chan struct{}), gateways: make(map[string]*Gateway), refused: make(map[string]bool),
+		calls: make(map[string]int), crashed: make(map[string]bool),
+		answer: func(_ context.Context, c Call) Reply { return ok(c, "0123456789abcdef") },
+	}
+}
+
+func ok(c Call, body string) Reply {
+	return Reply{Status: fanout.Succeeded, Upstream: balancer.Succeeded, HTTP: 200, Body: []byte(body), Signature: "signed by " + c.Upstream.ID}
+}
+
+// simulate calls f in a bubble of virtual time and stops all instances at its end.
+func simulate(t *testing.T, f func(t *testing.T, w *world)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld()
+		defer func() {
+			for _, g := range w.gateways {
+				g.Stop()
+			}
+			// Attempts that linger and idle goroutines end.
+			time.Sleep(time.Minute)
+		}()
+		f(t, w)
+	})
+}
+
+func (w *world) publish(c feed.Change) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.revision++
+	c.Revision = w.revision
+	w.changes = append(w.changes, c)
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+func (w *world) configure(version uint64, routes ...routing.Route) {
+	c := routing.Config{Version: version, Routes: routes, Services: make(map[string]routing.Service)}
+	for _, r := range routes {
+		for _, target := range r.Targets {
+			c.Services[target.Service] = routing.Service{Name: target.Service, MaxConnections: 100}
+		}
+	}
+	w.mu.Lock()
+	w.configs[w.revision+1] = c
+	w.mu.Unlock()
+	w.publish(feed.Change{Key: "config"})
+}
+
+func (w *world) list(u directory.Upstream) {
+	u.Address = u.ID + ":1"
+	u.Slots = 2
+	w.mu.Lock()
+	w.upstreams[w.revision+1] = u
+	w.mu.Unlock()
+	w.publish(feed.Change{Key: "upstream/" + u.ID})
+}
+
+func (w *world) unlist(id string) { w.publish(feed.Change{Key: "upstream/" + id, Deleted: true}) }
+
+// Config implements Decoder.
+func (w *world) Config(c feed.Change) (routing.Config, bool, error) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.configs[c.Revision], c.Key == "config", nil
+}
+
+// Upstream implements Decoder.
+func (w *world) Upstream(c feed.Change) (directory.Upstream, bool, error) {
+	id, ok := strings.CutPrefix(c.Key, "upstream/")
+	if c.Deleted || !ok {
+		return directory.Upstream{ID: id}, ok, nil
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.upstreams[c.Revision], true, nil
+}
+
+// access is one instance's way to the rest of the world.
+type access struct {
+	*world
+	id string
+}
+
+func (a access) call() error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.calls[a.id]++
+	if a.refused[a.id] {
+		return errDown
+	}
+	return nil
+}
+
+// List implements port.Store.
+func (a access) List(context.Context) (feed.Delta, error) {
+	if err := a.call(); err != nil {
+		return feed.Delta{}, err
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	d := feed.Delta{Revision: a.revision, Full: true}
+	newest := make(map[string]feed.Change)
+	for _, c := range a.changes {
+		newest[c.Key] = c
+	}
+	for _, c := range newest {
+		if !c.Deleted {
+			d.Changes = append(d.Changes, c)
+		}
+	}
+	return d, nil
+}
+
+// Watch implements port.Store.
+func (a access) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+	if err := a.call(); err != nil {
+		return feed.Delta{}, err
+	}
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	for {
+		a.mu.Lock()
+		d := feed.Delta{Revision: a.revision}
+		for _, c := range a.changes {
+			if c.Revision > after {
+				d.Changes = append(d.Changes, c)
+			}
+		}
+		changed := a.changed
+		a.mu.Unlock()
+		if len(d.Changes) > 0 {
+			return d, nil
+		}
+		select {
+		case <-changed:
+		case <-timer.C:
+			return d, nil
+		case <-ctx.Done():
+			return feed.Delta{}, ctx.Err()
+		}
+	}
+}
+
+// FetchChanges implements port.FeedPeers.
+func (a access) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
+	a.mu.Lock()
+	g := a.gateways[string(to)]
+	a.mu.Unlock()
+	if g == nil {
+		return feed.Delta{}, 0, io.EOF
+	}
+	d, age, ok := g.HandleFetchChanges(ctx, after, wait)
+	if !ok {
+		return feed.Delta{}, 0, io.EOF
+	}
+	return d, age, nil
+}
+
+// sender implements port.Control.
+type sender struct{ access }
+
+// Send implements port.Control.
+func (s sender) Send(to string, datagram []byte) {
+	s.mu.Lock()
+	g := s.gateways[to]
+	s.mu.Unlock()
+	if g != nil {
+		go g.HandleDatagram(s.id, datagram)
+	}
+}
+
+// caller implements Upstreams.
+type caller struct{ *world }
+
+// Send implements Upstreams.
+func (u caller) Send(ctx context.Context, c Call) Reply {
+	u.mu.Lock()
+	answer := u.answer
+	u.mu.Unlock()
+	return answer(ctx, c)
+}
+
+// Refuses implements Upstreams.
+func (u caller) Refuses(_ context.Context, address string) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.crashed[address]
+}
+
+// Retain implements Upstreams.
+func (caller) Retain(map[string]bool) {}
+
+// CloseIdle implements Upstreams.
+func (caller) CloseIdle(time.Duration) {}
+
+// start runs an instance that knows the ids of all others as seeds.
+func (w *world) start(n int, total int) *Gateway {
+	id := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
+	var seeds []Seed
+	for i := range total {
+		seeds = append(seeds, Seed{ID: model.InstanceID(id(i)), ControlAddress: id(i)})
+	}
+	log := logrus.New()
+	log.SetOutput(io.Discard)
+	a := access{world: w, id: id(n)}
+	g := New(Config{
+		ID: model.InstanceID(a.id), Cluster: "c", DataCentre: "z", ControlAddress: a.id, Seeds: seeds,
+		Budget: retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
+	}, Ports{
+		Clock: port.SystemClock{}, Upstreams: caller{w}, Decoder: w, Store: a, Peers: a, Control: sender{a}, Log: log,
+	})
+	w.mu.Lock()
+	w.gateways[a.id] = g
+	w.mu.Unlock()
+	g.Start()
+	return g
+}
+
+func request(target string) *Request {
+	return &Request{ID: "1", Method: "GET", Host: "a.example", Target: target, Wait: 800 * time.Millisecond, Arrived: time.Now()}
+}
+
+// route returns a route of one service; unsafe ones run at most once.
+func route(prefix, service string, idempotent bool) routing.Route {
+	return routing.Route{
+		Name: prefix, Host: "a.example", Prefix: prefix, Idempotent: idempotent, Timeout: time.Second,
+		LatencyTarget: 100 * time.Millisecond, MaxAttempts: 2, Targets: []routing.Target{{Service: service, Weight: 1}},
+	}
+}
+
+func gatherRoute(top int, services ...string) routing.Route {
+	r := route("/q/", "", true)
+	r.Targets = nil
+	r.Gather = &routing.Gather{Services: services, Top: top, MinShare: 0.6}
+	return r
+}
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -193,14 +193,14 @@
 // has a recent copy; any other instance serves while this one has none.
 func (l *feedLoop) follow(ctx context.Context, sources []model.InstanceID) {
 	g := l.g
-	after := g.revision()
+	after, wait := g.revision(), joinPause
 	if after > 0 {
-		sources = sources[:min(len(sources), feedSources)]
+		sources, wait = sources[:min(len(sources), feedSources)], peerWait
 	}
 	to := sources[l.next%len(sources)]
-	callCtx, cancel := context.WithTimeout(ctx, peerWait+peerTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
-	d, age, err := g.ports.Peers.FetchChanges(callCtx, to, after, peerWait)
+	d, age, err := g.ports.Peers.FetchChanges(callCtx, to, after, wait)
 	now := g.ports.Clock.Now()
 	if err != nil {
 		l.next++
--- /dev/null
+++ b/pkg/gateway/feed_test.go
@@ -0,0 +1,174 @@
+package gateway
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+func (w *world) refuse(ids ...string) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.refused)
+	for _, id := range ids {
+		w.refused[id] = true
+	}
+}
+
+func (w *world) callsOf() (total int, byInstance map[string]int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	byInstance = make(map[string]int)
+	for id, n := range w.calls {
+		byInstance[id] = n
+		total += n
+	}
+	return total, byInstance
+}
+
+func (w *world) resetCalls() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	clear(w.calls)
+}
+
+func startFleet(w *world, n int) []*Gateway {
+	var out []*Gateway
+	for i := range n {
+		out = append(out, w.start(i, n))
+	}
+	time.Sleep(settleTime)
+	return out
+}
+
+func versions(gateways []*Gateway) []uint64 {
+	var out []uint64
+	for _, g := range gateways {
+		v := uint64(0)
+		if view := g.view.Load(); view != nil {
+			v = view.table.Version
+		}
+		out = append(out, v)
+	}
+	return out
+}
+
+// TestOneReader guards against a fleet in which every instance reads the
+// platform: its calls must not grow with the fleet.
+func TestOneReader(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		gateways := startFleet(w, 12)
+		w.resetCalls()
+		time.Sleep(20 * time.Second)
+		total, by := w.callsOf()
+		must.MapLen(t, 1, by)
+		must.Between(t, 18, total, 22)
+		w.configure(2, route("/y/", "s", true))
+		time.Sleep(time.Second)
+		for _, v := range versions(gateways) {
+			must.Eq(t, 2, v)
+		}
+	})
+}
+
+// TestReaderIsReplaced guards against changes that do not arrive because the
+// platform turns the reader away.
+func TestReaderIsReplaced(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		gateways := startFleet(w, 6)
+		for version := uint64(2); version < 6; version++ {
+			w.resetCalls()
+			time.Sleep(2 * time.Second)
+			_, by := w.callsOf()
+			var reader string
+			for id := range by {
+				reader = id
+			}
+			w.refuse(reader)
+			time.Sleep(100 * time.Millisecond)
+			w.configure(version, route("/x/", "s", true))
+			// The bound for configurations is 3 s.
+			time.Sleep(2500 * time.Millisecond)
+			for _, v := range versions(gateways) {
+				must.Eq(t, version, v)
+			}
+		}
+	})
+}
+
+// TestOutageCostsFewCalls guards against a fleet that keeps calling a platform
+// that is down, and against one that does not find it again.
+func TestOutageCostsFewCalls(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		gateways := startFleet(w, 12)
+		all := make([]string, 0, len(w.gateways))
+		for id := range w.gateways {
+			all = append(all, id)
+		}
+		w.refuse(all...)
+		w.resetCalls()
+		time.Sleep(20 * time.Second)
+		total, _ := w.callsOf()
+		must.LessEq(t, 150, total)
+		w.refuse()
+		w.configure(2, route("/x/", "s", true))
+		time.Sleep(5 * time.Second)
+		for _, v := range versions(gateways) {
+			must.Eq(t, 2, v)
+		}
+	})
+}
+
+// TestLapsedUpstreams guards against refusing requests because the upstreams'
+// entries lapsed while the platform was down, and against using upstreams whose
+// entries do not come back.
+func TestLapsedUpstreams(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		w.list(directory.Upstream{ID: "u", Service: "s"})
+		gateways := startFleet(w, 3)
+		all := []string{"10.0.0.0:1", "10.0.0.1:1", "10.0.0.2:1"}
+		w.refuse(all...)
+		time.Sleep(5 * time.Second)
+		w.unlist("u")
+		w.refuse()
+		for range 30 {
+			time.Sleep(100 * time.Millisecond)
+			for _, g := range gateways {
+				if known, age := g.copyAge(time.Now()); known && age < 500*time.Millisecond {
+					must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
+				}
+			}
+			if _, age := gateways[0].copyAge(time.Now()); age < 500*time.Millisecond {
+				break
+			}
+		}
+		time.Sleep(5 * time.Second)
+		for _, g := range gateways {
+			must.Eq(t, result.NoUpstream, g.Serve(t.Context(), request("/x/1")).Code)
+		}
+	})
+}
+
+// TestRestartedFleet guards against a fleet that starts at once, without a copy
+// anywhere, and waits for itself.
+func TestRestartedFleet(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		for i := range 12 {
+			w.start(i, 3)
+		}
+		time.Sleep(500 * time.Millisecond)
+		for _, g := range w.gateways {
+			ready, reason := g.Ready()
+			must.True(t, ready, must.Sprint(reason))
+		}
+	})
+}
