--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -138,7 +138,7 @@
 		}
 	}
 	_, faults, _ := strings.Cut(read(t, "service-document.md"), "## Faults")
-	_, series, _ := strings.Cut(read(t, "operations.md"), "## Metrics")
+	_, series, _ := strings.Cut(read(t, "OPERATIONS.md"), "## Metrics")
 	got := make(map[string]bool)
 	for _, row := range rows(faults+series, "`[a-z_]+`") {
 		must.NotEq(t, "", row[1])
@@ -268,7 +268,7 @@
 	}
 	client := &http.Client{Transport: &http.Transport{DialContext: toServer}}
 	seen := make(map[string]bool)
-	for _, page := range []string{"README.md", "docs/operations.md", "docs/service-document.md", "docs/settings.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md", "docs/service-document.md", "docs/settings.md"} {
 		for _, block := range shellBlock.FindAllStringSubmatch(read(t, page), -1) {
 			for line := range strings.Lines(block[1]) {
 				args := strings.Fields(strings.ReplaceAll(line, "'", ""))
