Follow the reader again after a detour, join through seeds, hedge again at once

Start: seeds read the store first, others ask them; on the first start of the system they wait for it longer, since each of 80 instances made a call of its own. A declined hedge is followed by another one at once (TestDeclinedHedge).

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -193,6 +193,7 @@
 		DataCentre:     s.DataCentre,
 		ControlAddress: s.PeerAddress(),
 		Seeds:          seeds,
+		FirstStart:     s.FirstStart,
 		Budget: retrybudget.Limits{
 			Ratio:     s.Budget.Ratio,
 			Allowance: s.Budget.Allowance,
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -261,7 +261,9 @@
 func (q *Query) retry(now time.Time, i int, s Status, out []Start) []Start {
 	p := &q.parts[i]
 	if p.running > 0 {
-		return out
+		// The attempt that is left was slow already, or there would be no other.
+		p.hedgeAt = now
+		return q.hedge(now, i, out)
 	}
 	if reason := q.mayRepeat(p); reason != NotMissing {
 		q.lose(p, reason)
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -132,6 +132,16 @@
 	must.Eq(t, Complete, v)
 }
 
+// TestDeclinedHedge guards against waiting for another hedge delay when an
+// upstream has declined the hedge of an attempt that is slow already.
+func TestDeclinedHedge(t *testing.T) {
+	q := New(single(true), &fakeUpstreams{perService: 5, extra: 5})
+	q.Begin(start)
+	q.Tick(at(10))
+	starts, _ := q.Finished(at(12), 1, Declined)
+	must.Eq(t, []Start{{Attempt: 2, Upstream: "s/2", Cause: Hedge}}, starts)
+}
+
 // TestHedgeThatCanWait guards against hedges that take the budget that retries
 // need, and against one that is not sent when it is needed.
 func TestHedgeThatCanWait(t *testing.T) {
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -28,17 +29,24 @@
 	// maxPeerAge is the age of a peer's copy beyond which another is asked: a
 	// watch's wait and its answer.
 	maxPeerAge = storeWait + 500*time.Millisecond
+	// sourceReturn is how long another source than the first is asked after a
+	// failure.
+	sourceReturn = 3 * time.Second
 	// takeoverAge and takeoverStep give the age of the own copy at which an
 	// instance reads the platform itself: the first in the order of readers does
 	// so always, the others the later the further behind they are, so that a
 	// reader that fails is replaced by the next one only.
-	takeoverAge  = 1500 * time.Millisecond
+	takeoverAge  = 1700 * time.Millisecond
 	takeoverStep = 300 * time.Millisecond
 	// maxTakeoverAge is the age at which any instance asks the platform itself.
 	maxTakeoverAge = 4 * time.Second
-	// joinWait is how long a starting instance waits for a peer that has a copy
-	// before it asks the platform itself.
-	joinWait = 150 * time.Millisecond
+	// seedJoinWait, joinWait and firstJoinWait are how long a starting instance
+	// waits for a peer that has a copy before it asks the platform itself: a seed,
+	// which all others ask first, any other, and any other when the whole system
+	// starts for the first time and there is no traffic yet.
+	seedJoinWait  = 50 * time.Millisecond
+	joinWait      = 300 * time.Millisecond
+	firstJoinWait = 2 * time.Second
 	// joinPause is the wait between two attempts while there is no copy.
 	joinPause = 25 * time.Millisecond
 	// batchPause is the wait after changes arrived, so that a series of them costs
@@ -62,13 +70,16 @@
 	// down is true from a failed call of the platform to the next answer.
 	down      bool
 	downSince time.Time
-	next      int
+	// next is the source that is asked next, and returnAt when it is the first one
+	// again: a copy from further down the order is older.
+	next     int
+	returnAt time.Time
 }
 
 // runFeed keeps the copy of the published keys up to date.
 func (g *Gateway) runFeed(ctx context.Context) {
 	l := &feedLoop{g: g}
-	started := g.ports.Clock.Now()
+	started, joinWait := g.ports.Clock.Now(), g.joinWait()
 	for ctx.Err() == nil {
 		now := g.ports.Clock.Now()
 		rank, sources := g.feedSources()
@@ -78,9 +89,9 @@
 			due = now.Sub(started) >= joinWait
 		}
 		switch {
-		case (due || len(sources) == 0) && !now.Before(l.nextRead):
+		case (due || known && len(sources) == 0) && !now.Before(l.nextRead):
 			l.read(ctx)
-		case len(sources) > 0:
+		case len(sources) > 0 || !known:
 			l.follow(ctx, sources)
 		default:
 			pause(ctx, joinPause)
@@ -88,6 +99,23 @@
 	}
 }
 
+// joinWait returns how long this instance waits for a peer's copy at its start.
+func (g *Gateway) joinWait() time.Duration {
+	for _, s := range g.cfg.Seeds {
+		if s.ID == g.cfg.ID {
+			return seedJoinWait
+		}
+	}
+	switch {
+	case len(g.cfg.Seeds) == 0:
+		return seedJoinWait
+	case g.cfg.FirstStart:
+		return firstJoinWait
+	default:
+		return joinWait
+	}
+}
+
 // takeover returns the age of the copy at which the instance of a rank reads the
 // platform.
 func takeover(rank int) time.Duration {
@@ -194,23 +222,48 @@
 func (l *feedLoop) follow(ctx context.Context, sources []model.InstanceID) {
 	g := l.g
 	after, wait := g.revision(), joinPause
-	if after > 0 {
+	if after == 0 {
+		sources = g.withSeeds(sources)
+	} else {
 		sources, wait = sources[:min(len(sources), feedSources)], peerWait
 	}
+	if len(sources) == 0 {
+		pause(ctx, joinPause)
+		return
+	}
+	if !g.ports.Clock.Now().Before(l.returnAt) {
+		l.next = 0
+	}
 	to := sources[l.next%len(sources)]
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
 	defer cancel()
 	d, age, err := g.ports.Peers.FetchChanges(callCtx, to, after, wait)
 	now := g.ports.Clock.Now()
 	if err != nil {
-		l.next++
+		l.skip(now)
 		pause(ctx, joinPause)
 		return
 	}
 	g.apply(now, d, now.Add(-age), string(to))
 	if age > maxPeerAge {
-		l.next++
+		l.skip(now)
+	}
+}
+
+// skip asks the next source for a while.
+func (l *feedLoop) skip(now time.Time) {
+	l.next++
+	l.returnAt = now.Add(sourceReturn)
+}
+
+// withSeeds adds the seeds, which may be running although no member is known yet.
+func (g *Gateway) withSeeds(sources []model.InstanceID) []model.InstanceID {
+	for _, s := range g.cfg.Seeds {
+		if s.ID != g.cfg.ID && !slices.Contains(sources, s.ID) {
+			sources = append(sources, s.ID)
+		}
 	}
+	return sources
 }
 
 func pause(ctx context.Context, d time.Duration) {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -32,6 +32,8 @@
 	ControlAddress string
 	// Seeds are instances to contact at start.
 	Seeds []Seed
+	// FirstStart is true when the whole system starts for the first time.
+	FirstStart bool
 	// Budget limits the extra attempts on each service.
 	Budget retrybudget.Limits
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -217,10 +217,16 @@
 // before, and against partial answers for one that is late anyway.
 func TestTiming(t *testing.T) {
 	var c callerTiming
-	spent, way := c.observe("r", 400*time.Millisecond)
-	must.Eq(t, 0, spent)
-	must.Eq(t, defaultReturn+sendMargin, way)
-	spent, way = c.observe("r", 393*time.Millisecond)
+	for range minWhole {
+		spent, way := c.observe("r", 400*time.Millisecond)
+		must.Eq(t, 0, spent)
+		must.Eq(t, defaultReturn+sendMargin, way)
+		// These callers open a connection for each request.
+		c.observe("new connections", 993*time.Millisecond)
+		c.observe("new connections", 992*time.Millisecond)
+		c.observe("new connections", 991*time.Millisecond)
+	}
+	spent, way := c.observe("r", 393*time.Millisecond)
 	must.Eq(t, 7*time.Millisecond, spent)
 	must.Eq(t, 7*time.Millisecond+sendMargin, way)
 	spent, way = c.observe("r", 200*time.Millisecond)
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -17,10 +17,10 @@
 	request *Request
 	route   *routing.Route
 	// services holds the service of each part.
-	services    []string
-	deadline    time.Time
+	services []string
+	deadline time.Time
 	// spent is the time that the caller had used before it sent the request.
-	spent      time.Duration
+	spent       time.Duration
 	callerGone  <-chan struct{}
 	fingerprint model.Fingerprint
 	query       *fanout.Query
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -28,6 +28,7 @@
 	IP              string           `json:"ip"`
 	PeerPort        uint16           `json:"peer_port"`
 	Seeds           []string         `json:"seeds"`
+	FirstStart      bool             `json:"first_start"`
 	CallerAddress   string           `json:"caller_address"`
 	OperatorAddress string           `json:"operator_address"`
 	MetricsPort     uint16           `json:"metrics_port"`
