Tell the story of a request from the logs, and bound their volume

sardineturn trace ID FILE... prints the decisions about a request, what they were based on, its cause, and what the instance and the upstreams concerned went through before, with clocks corrected by the changes that instances share. Lines about requests are limited to 120 a second and instance, those without an answer apart from the others; what exceeds it is counted.

--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -45,6 +45,7 @@
 	Query   queryCommand   `cmd:"" help:"Send a query and print the answer."`
 	Explain explainCommand `cmd:"" help:"Print how an instance would serve a request."`
 	Replay  replayCommand  `cmd:"" help:"Run a recorded trace through the decision code and compare."`
+	Trace   traceCommand   `cmd:"" help:"Print the story of a request from the logs of instances."`
 	Version versionCommand `cmd:"" help:"Print the version of the program."`
 }
 
--- /dev/null
+++ b/pkg/cli/trace.go
@@ -0,0 +1,45 @@
+package cli
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/sardineturn/sardineturn/pkg/requestlog"
+)
+
+// traceCommand prints the story of a request from log files.
+type traceCommand struct {
+	Request string   `arg:"" help:"The caller's id of the request."`
+	Files   []string `arg:"" name:"file" help:"Log files of one or more instances." type:"existingfile"`
+}
+
+// Help is printed by --help.
+func (*traceCommand) Help() string {
+	return `Prints the decisions about a request and what explains them. Clocks of
+instances that differ by over 1.5 s are corrected by the changes that they logged.
+
+Example:
+
+    sardineturn trace 9c41d07be2a35f68 gateway-1.log gateway-2.log`
+}
+
+// Run prints the story.
+func (c *traceCommand) Run(p *Program) error {
+	var lines []requestlog.Line
+	for _, name := range c.Files {
+		f, err := os.Open(name)
+		if err != nil {
+			return err
+		}
+		more, err := requestlog.Read(f)
+		_ = f.Close()
+		if err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+		lines = append(lines, more...)
+	}
+	if !requestlog.Story(p.Stdout, lines, c.Request) {
+		return fmt.Errorf("the logs hold no line of request %s: it was answered whole and in time, or its line was dropped", c.Request)
+	}
+	return nil
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -83,6 +83,7 @@
 
 	latencies sync.Map // route name to *latency
 	timing    callerTiming
+	lines     lineLimit
 	workers   *workers.Pool
 
 	stopping atomic.Bool
@@ -115,7 +116,7 @@
 // New returns a gateway that knows nothing yet.
 func New(cfg Config, ports Ports) *Gateway {
 	now := ports.Clock.Now()
-	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{}), workers: workers.New()}
+	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{}), workers: workers.New(), lines: newLineLimit()}
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
--- a/pkg/gateway/publish.go
+++ b/pkg/gateway/publish.go
@@ -193,11 +193,14 @@
 
 // fresh reports whether the copy was confirmed recently enough to deny that a
 // route exists.
-func (g *Gateway) fresh(now time.Time) bool {
+func (g *Gateway) fresh(now time.Time) bool { return g.age(now) <= maxDenialAge }
+
+// age returns the time since the copy was confirmed.
+func (g *Gateway) age(now time.Time) time.Duration {
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	return now.Sub(p.confirmedAt) <= maxDenialAge
+	return now.Sub(p.confirmedAt)
 }
 
 // maxDenialAge is the greatest age of the configuration with which an unknown
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -1,8 +1,11 @@
 package gateway
 
 import (
+	"math"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/metrics"
@@ -10,6 +13,30 @@
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
+// Lines per second and at once of requests that got an answer, and of those that
+// got none. At 1 KB a line, an instance writes 120 KB/s at most.
+const (
+	answeredLines = 20
+	answeredBurst = 100
+	failedLines   = 100
+	failedBurst   = 300
+)
+
+// lineLimit bounds the log lines about requests. Those without an answer have a
+// limit of their own, so that a flood of late answers does not hide them.
+type lineLimit struct{ answered, failed *rate.Limiter }
+
+func newLineLimit() lineLimit {
+	return lineLimit{answered: rate.NewLimiter(answeredLines, answeredBurst), failed: rate.NewLimiter(failedLines, failedBurst)}
+}
+
+func (l lineLimit) allow(now time.Time, answered bool) bool {
+	if answered {
+		return l.answered.AllowN(now, 1)
+	}
+	return l.failed.AllowN(now, 1)
+}
+
 func (g *Gateway) countAttempt(c fanout.Cause) {
 	kind := metrics.FirstAttempt
 	switch c {
@@ -32,8 +59,16 @@
 	Status   string  `json:"status"`
 	HTTP     int     `json:"http,omitempty"`
 	Detail   string  `json:"detail,omitempty"`
+	// Factor, Failing and InFlight are what was known of the upstream: its
+	// latency as a multiple of the usual, its failure rate, and the attempts from
+	// this instance.
+	Factor   float64 `json:"factor"`
+	Failing  float64 `json:"failing"`
+	InFlight int     `json:"in_flight"`
 }
 
+func round(x float64) float64 { return math.Round(x*100) / 100 }
+
 func millis(d time.Duration) float64 { return float64(d.Microseconds()) / 1000 }
 
 // report writes the log line of a request that was not answered whole and in
@@ -46,11 +81,16 @@
 	if a.Code == result.OK && !late {
 		return
 	}
+	if !r.g.lines.allow(now, a.Merged != nil || a.Code == result.OK) {
+		r.g.ports.Metrics.LogLineSuppressed()
+		return
+	}
 	fields := r.g.requestFields(r.request, r.route, a, took)
 	fields["verdict"] = verdict.String()
 	fields["config"] = r.view.table.Version
 	fields["usual_ms"], fields["hedge_ms"] = millis(r.usual), millis(r.hedgeAfter)
-	fields["spent_ms"] = millis(r.spent)
+	fields["spent_ms"], fields["target_ms"] = millis(r.spent), r.route.LatencyTarget.Milliseconds()
+	fields["age_ms"] = r.g.age(now).Milliseconds()
 	fields["attempts"] = r.attemptLines(a.Code == result.OK)
 	if missing := r.missingParts(); len(missing) > 0 {
 		fields["missing"] = missing
@@ -68,7 +108,7 @@
 		if ok && (r.route.Gather != nil || slowOnly) && a.Cause == fanout.First && a.took <= r.hedgeAfter {
 			continue
 		}
-		line := attemptLine{Part: r.services[a.Part], Upstream: a.Upstream, Cause: a.Cause.String(), AtMS: millis(a.startedAt.Sub(r.request.Arrived)), Status: "running"}
+		line := attemptLine{Part: r.services[a.Part], Upstream: a.Upstream, Cause: a.Cause.String(), AtMS: millis(a.startedAt.Sub(r.request.Arrived)), Status: "running", Factor: round(a.factor), Failing: round(a.failing), InFlight: a.inFlight}
 		if a.reply != nil {
 			line.TookMS, line.Status, line.HTTP, line.Detail = millis(a.took), a.reply.Status.String(), a.reply.HTTP, a.reply.Detail
 		}
@@ -115,6 +155,10 @@
 		priority = priorityName(route)
 	}
 	g.ports.Metrics.Refused(a.Code, priority)
+	if !g.lines.allow(now, false) {
+		g.ports.Metrics.LogLineSuppressed()
+		return
+	}
 	event.Info(g.ports.Log, event.RequestFinished, g.requestFields(r, route, a, took), "a request was refused")
 }
 
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -48,6 +48,9 @@
 	startedAt time.Time
 	took      time.Duration
 	reply     *Reply
+	// factor, failing and inFlight are what was known of the upstream.
+	factor, failing float64
+	inFlight        int
 }
 
 type finished struct {
@@ -146,6 +149,7 @@
 func (r *run) start(now time.Time, starts []fanout.Start) {
 	for _, s := range starts {
 		r.attempts = append(r.attempts, attempt{Start: s, startedAt: now})
+		a := &r.attempts[len(r.attempts)-1]
 		r.g.countAttempt(s.Cause)
 		service := r.view.services[r.services[s.Part]]
 		service.mu.Lock()
@@ -156,6 +160,8 @@
 			r.finished <- finished{attempt: s.Attempt, reply: &Reply{Status: fanout.NotSent, Detail: "the upstream is no longer listed"}}
 			continue
 		}
+		a.factor, a.failing = u.Faded(now)
+		a.inFlight = u.InFlight()
 		u.Begin(now)
 		entry := u.Upstream
 		service.mu.Unlock()
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -112,6 +112,7 @@
 	quarantines         tally.Counter
 	restarts            tally.Counter
 	pauses              tally.Counter
+	suppressedLines     tally.Counter
 
 	queued          *family[tally.Gauge]
 	inFlight        *family[tally.Gauge]
@@ -171,6 +172,7 @@
 		quarantines:         scope.Counter(nameQuarantines),
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
+		suppressedLines:     scope.Counter(nameSuppressedLines),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
 		inFlight:            gauges(nameInFlight, tagGroup),
 		members:             gauges(nameMembers, tagState),
@@ -358,6 +360,13 @@
 	}
 }
 
+// LogLineSuppressed counts a log line about a request that exceeded the limit.
+func (m *Metrics) LogLineSuppressed() {
+	if m != nil {
+		m.suppressedLines.Inc(1)
+	}
+}
+
 // QueueDelay records the time that a request waited in a queue.
 func (m *Metrics) QueueDelay(priority string, d time.Duration) {
 	if m != nil {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -25,6 +25,7 @@
 	nameQuarantines         = "quarantines_total"
 	nameRestarts            = "query_restarts_total"
 	namePauses              = "pauses_total"
+	nameSuppressedLines     = "suppressed_log_lines_total"
 )
 
 // Names of gauges.
--- /dev/null
+++ b/pkg/requestlog/requestlog.go
@@ -0,0 +1,265 @@
+// Package requestlog finds the story of a request in the log lines of several
+// instances: its own line, which holds the decisions about it, and what the
+// instance and the upstreams concerned went through at the time.
+package requestlog
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+)
+
+const (
+	// contextBefore is how long before a request other events may explain it: the
+	// longest time that an instance remembers an upstream's slowness.
+	contextBefore = 10 * time.Second
+	// maxLineBytes bounds a log line.
+	maxLineBytes = 1 << 20
+	// minSkew is the difference of two clocks from which on it is corrected. Below
+	// it, it may be the time that a change takes from one instance to another.
+	minSkew = 1500 * time.Millisecond
+)
+
+// Line is a log line. Only the fields that are needed are decoded.
+type Line struct {
+	Event    event.ID   `json:"event"`
+	Time     time.Time  `json:"time"`
+	Instance string     `json:"instance"`
+	Message  string     `json:"msg"`
+	Request  string     `json:"request"`
+	Code     string     `json:"code"`
+	Ran      string     `json:"ran"`
+	Verdict  string     `json:"verdict"`
+	Route    string     `json:"route"`
+	Config   uint64     `json:"config"`
+	Version  uint64     `json:"version"`
+	Revision uint64     `json:"revision"`
+	Upstream string     `json:"upstream"`
+	TookMS   float64    `json:"took_ms"`
+	SpentMS  float64    `json:"spent_ms"`
+	WaitMS   float64    `json:"wait_ms"`
+	TargetMS float64    `json:"target_ms"`
+	AgeMS    float64    `json:"age_ms"`
+	RetryMS  float64    `json:"retry_after_ms"`
+	Attempts []Attempt  `json:"attempts"`
+	Missing  MissingMap `json:"missing"`
+	// text is the whole line.
+	text string
+}
+
+// MissingMap says for each missing part why it is missing.
+type MissingMap map[string]string
+
+// Attempt is an attempt of a request.
+type Attempt struct {
+	Part     string  `json:"part"`
+	Upstream string  `json:"upstream"`
+	Cause    string  `json:"cause"`
+	AtMS     float64 `json:"at_ms"`
+	TookMS   float64 `json:"took_ms"`
+	Status   string  `json:"status"`
+	HTTP     int     `json:"http"`
+	Detail   string  `json:"detail"`
+	Factor   float64 `json:"factor"`
+	Failing  float64 `json:"failing"`
+	InFlight int     `json:"in_flight"`
+}
+
+// Read returns the log lines of a stream. Text before a line's JSON and lines
+// without any are skipped, because the output of several programs may be mixed.
+func Read(r io.Reader) ([]Line, error) {
+	var out []Line
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		text := scanner.Bytes()[start:]
+		var l Line
+		if err := json.Unmarshal(text, &l); err == nil && l.Event != 0 {
+			l.text = string(text)
+			out = append(out, l)
+		}
+	}
+	if err := scanner.Err(); err != nil {
+		return nil, fmt.Errorf("read the log: %w", err)
+	}
+	return out, nil
+}
+
+// Story writes what the lines say about a request and returns false if they hold
+// no line of it.
+func Story(w io.Writer, lines []Line, id string) bool {
+	i := slices.IndexFunc(lines, func(l Line) bool { return l.Request == id && l.Event == event.RequestFinished })
+	if i < 0 {
+		return false
+	}
+	own := lines[i]
+	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
+	p("request %s at %s, %s", id, own.Instance, own.Time.Format(time.RFC3339Nano))
+	p("  outcome: %s (%s) after %.1f ms; route %s, configuration %d", own.Code, cmp.Or(own.Ran, "unknown"), own.TookMS, cmp.Or(own.Route, "none"), own.Config)
+	p("  times: caller waits %.0f ms and had spent %.0f ms before; latency target %.0f ms", own.WaitMS, own.SpentMS, own.TargetMS)
+	for _, a := range own.Attempts {
+		p("  %8.1f ms %-5s %s to %s (latency factor %.1f, failure rate %.2f, %d in flight): %s", a.AtMS, a.Cause, a.Part, a.Upstream, a.Factor, a.Failing, a.InFlight, outcome(a))
+	}
+	for _, part := range slices.Sorted(maps(own.Missing)) {
+		p("  missing: %s, %s", part, own.Missing[part])
+	}
+	p("  cause: %s", Cause(own))
+	context := contextOf(lines, own)
+	if len(context) > 0 {
+		p("  before, at this instance and about the upstreams concerned:")
+	}
+	for _, l := range context {
+		p("    %8.1f s %s %d %s %s", l.Time.Sub(own.Time).Seconds(), l.Instance, l.Event, l.Message, strings.TrimSpace(l.Upstream))
+	}
+	return true
+}
+
+func maps(m MissingMap) func(func(string) bool) {
+	return func(yield func(string) bool) {
+		for k := range m {
+			if !yield(k) {
+				return
+			}
+		}
+	}
+}
+
+func outcome(a Attempt) string {
+	text := a.Status
+	if a.TookMS > 0 {
+		text += fmt.Sprintf(" after %.1f ms", a.TookMS)
+	}
+	if a.HTTP != 0 {
+		text += fmt.Sprintf(", status %d", a.HTTP)
+	}
+	if a.Detail != "" {
+		text += ", " + a.Detail
+	}
+	return text
+}
+
+// Cause says in a sentence why the request ended as it did.
+func Cause(l Line) string {
+	switch l.Code {
+	case "not_ready":
+		return "the instance had no configuration, or none that was confirmed lately enough to deny the route"
+	case "unknown_route":
+		return "no route of the configuration matches"
+	case "quarantined":
+		return "the request has crashed upstreams before"
+	case "no_upstream":
+		return "no upstream of the service was listed"
+	}
+	if text := worst(l); text != "" {
+		return text
+	}
+	if l.SpentMS > 0 && l.SpentMS+l.TookMS > l.TargetMS {
+		return fmt.Sprintf("the caller had spent %.0f ms of %.0f ms before it sent this attempt", l.SpentMS, l.TargetMS)
+	}
+	return "all attempts were slow: see their times"
+}
+
+// worst describes the attempts of the parts that are missing, or all of them.
+func worst(l Line) string {
+	counts := make(map[string]int)
+	for _, a := range l.Attempts {
+		if _, missing := l.Missing[a.Part]; len(l.Missing) > 0 && !missing {
+			continue
+		}
+		switch {
+		case a.Status == "running":
+			counts["did not answer in time"]++
+		case a.Status == "unknown" || a.Status == "not_sent":
+			counts["ended without an answer ("+a.Detail+")"]++
+		case a.Status == "failed":
+			counts[fmt.Sprintf("failed with status %d", a.HTTP)]++
+		case a.Status == "declined":
+			counts["declined the request"]++
+		}
+	}
+	for _, reason := range l.Missing {
+		switch reason {
+		case "no_upstream":
+			counts["had no other upstream to go to"]++
+		case "budget_used":
+			counts["was not sent again because the retry budget was used up"]++
+		}
+	}
+	var parts []string
+	for text, n := range counts {
+		parts = append(parts, fmt.Sprintf("%d× %s", n, text))
+	}
+	slices.Sort(parts)
+	if len(parts) == 0 {
+		return ""
+	}
+	return "of the attempts and parts concerned: " + strings.Join(parts, "; ")
+}
+
+// contextOf returns the lines before the request about its instance and its
+// upstreams, in order of time, with the clocks of other instances corrected.
+func contextOf(lines []Line, own Line) []Line {
+	upstreams := make(map[string]bool)
+	for _, a := range own.Attempts {
+		upstreams[a.Upstream] = true
+	}
+	skew := skews(lines, own.Instance)
+	var out []Line
+	for _, l := range lines {
+		if l.Event == event.RequestFinished {
+			continue
+		}
+		local := l.Instance == own.Instance && l.Upstream == ""
+		if !local && !upstreams[l.Upstream] {
+			continue
+		}
+		l.Time = l.Time.Add(-skew[l.Instance])
+		if age := own.Time.Sub(l.Time); age >= 0 && age <= contextBefore {
+			out = append(out, l)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	return out
+}
+
+// skews estimates how far the clock of each instance is ahead of that of the
+// reference, from the changes that both logged.
+func skews(lines []Line, reference string) map[string]time.Duration {
+	type change struct {
+		event    event.ID
+		revision uint64
+		upstream string
+	}
+	seen := make(map[change]time.Time)
+	for _, l := range lines {
+		if l.Instance == reference && l.Revision > 0 {
+			seen[change{l.Event, l.Revision, l.Upstream}] = l.Time
+		}
+	}
+	differences := make(map[string][]time.Duration)
+	for _, l := range lines {
+		if at, ok := seen[change{l.Event, l.Revision, l.Upstream}]; ok && l.Instance != reference {
+			differences[l.Instance] = append(differences[l.Instance], l.Time.Sub(at))
+		}
+	}
+	out := make(map[string]time.Duration)
+	for instance, d := range differences {
+		slices.Sort(d)
+		if median := d[len(d)/2]; median.Abs() >= minSkew {
+			out[instance] = median
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/pkg/requestlog/requestlog_test.go
@@ -0,0 +1,41 @@
+package requestlog
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/shoenig/test/must"
+)
+
+const log = `  20.1 front-b {"event":300,"instance":"b","msg":"a configuration is in force","revision":7,"time":"2026-01-01T00:01:05Z","version":4}
+  20.1 front-a {"event":300,"instance":"a","msg":"a configuration is in force","revision":7,"time":"2026-01-01T00:00:05Z","version":4}
+not a line {
+  21.0 front-b {"event":401,"instance":"b","msg":"an upstream was avoided","upstream":"u2","time":"2026-01-01T00:01:08Z"}
+  22.0 front-a {"event":408,"instance":"a","request":"r1","code":"partial_answer","ran":"ran","verdict":"partial","route":"q","config":4,"took_ms":75,"wait_ms":800,"target_ms":80,"time":"2026-01-01T00:00:10Z","msg":"m","missing":{"s2":"in_progress"},"attempts":[{"part":"s1","upstream":"u1","cause":"hedge","at_ms":20,"took_ms":5,"status":"succeeded","http":200},{"part":"s2","upstream":"u2","cause":"first","at_ms":0.1,"status":"running"}]}
+  23.0 front-a {"event":408,"instance":"a","request":"r2","code":"not_ready","ran":"not_run","time":"2026-01-01T00:00:11Z","msg":"m"}
+`
+
+// TestStory guards against a story that misses the cause, or shows what happened
+// elsewhere at another time because of a clock that is a minute ahead.
+func TestStory(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	must.NoError(t, err)
+	must.Len(t, 5, lines)
+	var out strings.Builder
+	must.True(t, Story(&out, lines, "r1"))
+	must.StrContains(t, out.String(), "missing: s2, in_progress")
+	must.StrContains(t, out.String(), "cause: of the attempts and parts concerned: 1× did not answer in time\n")
+	must.StrContains(t, out.String(), "-5.0 s a 300 a configuration is in force")
+	must.StrContains(t, out.String(), "-2.0 s b 401 an upstream was avoided u2")
+	must.StrNotContains(t, out.String(), "b 300")
+	must.False(t, Story(&out, lines, "r3"))
+}
+
+// TestCause guards against refusals without an explanation.
+func TestCause(t *testing.T) {
+	lines, err := Read(strings.NewReader(log))
+	must.NoError(t, err)
+	must.StrContains(t, Cause(lines[4]), "no configuration")
+	must.StrContains(t, Cause(Line{Code: "ok", SpentMS: 200, TookMS: 10, TargetMS: 80}), "had spent 200 ms")
+	must.StrContains(t, Cause(Line{Code: "coverage_too_low", Missing: MissingMap{"s": "budget_used"}}), "retry budget")
+}
