Do not wait for a shard that does not answer; open fewer connections at a start

Change: a part whose only upstreams did not answer the last attempts is not waited for alone; such an upstream gets one attempt at a time; first attempts assume 25 ms; the instances together use three quarters of the connection limit. Strikes are no longer logged as quarantined requests at peers.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -92,6 +92,15 @@
 // Blocked reports whether the upstream is avoided after failures.
 func (u *Upstream) Blocked(now time.Time) bool { return now.Before(u.blockedUntil) }
 
+// Doubtful reports whether attempts in a row have ended without an answer. A
+// doubtful upstream gets one attempt at a time, which shows whether it is back.
+func (u *Upstream) Doubtful() bool { return u.failures > 1 }
+
+// avoided reports whether the upstream should get no attempt now.
+func (u *Upstream) avoided(now time.Time) bool {
+	return u.Blocked(now) || u.Doubtful() && len(u.inFlight) > 0
+}
+
 // BlockedFor returns how much longer the upstream is avoided.
 func (u *Upstream) BlockedFor(now time.Time) time.Duration { return u.blockedUntil.Sub(now) }
 
@@ -150,7 +159,7 @@
 		if slices.Contains(excluded, u.ID) {
 			continue
 		}
-		if u.Blocked(now) && !blocked {
+		if u.avoided(now) && !blocked {
 			continue
 		}
 		cost := s.cost(now, u, usual)
@@ -179,8 +188,8 @@
 	if u.DataCentre != s.local {
 		cost += max(minCrossZoneCost, time.Duration(crossZoneShare*float64(usual)))
 	}
-	if u.Blocked(now) {
-		cost += u.blockedUntil.Sub(now) + maxBlock
+	if u.avoided(now) {
+		cost += max(0, u.BlockedFor(now)) + maxBlock
 	}
 	return cost
 }
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -78,6 +78,23 @@
 	must.False(t, u.Blocked(start.Add(maxBlock)))
 }
 
+// TestDoubtfulUpstream guards against a wave of attempts on an upstream that is
+// silent, each time that its block ends.
+func TestDoubtfulUpstream(t *testing.T) {
+	s := newService("near", "far")
+	u := s.Find("u0")
+	finish(u, start, usual, Lost)
+	must.False(t, u.Doubtful())
+	finish(u, start, usual, Lost)
+	must.True(t, u.Doubtful())
+	later := start.Add(time.Minute)
+	must.Eq(t, "u0", s.Pick(later, usual, nil, false).ID)
+	u.Begin(later)
+	must.Eq(t, "u1", s.Pick(later, usual, nil, false).ID)
+	u.Finished(later, later, usual, Succeeded)
+	must.False(t, u.Doubtful())
+}
+
 // TestShedding guards against an upstream that declines part of its requests and
 // is chosen again at once because it answers the others.
 func TestShedding(t *testing.T) {
--- a/pkg/balancer/latency.go
+++ b/pkg/balancer/latency.go
@@ -10,8 +10,9 @@
 	sampleCount = 128
 	// refreshEvery is the number of new samples after which it is taken anew.
 	refreshEvery = 16
-	// initialUsual is assumed before there are samples.
-	initialUsual = 10 * time.Millisecond
+	// initialUsual is assumed before there are samples. The first attempts open
+	// connections, which hedges would only double.
+	initialUsual = 25 * time.Millisecond
 )
 
 // Latency keeps the usual latency of one kind of request.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -30,8 +30,9 @@
 // Upstreams chooses upstreams; the implementation keeps what it knows of them.
 type Upstreams interface {
 	// Pick returns an upstream of the service that is not excluded. A first
-	// attempt may go to one that failed lately when there is no other.
-	Pick(service string, excluded []string, first bool) (string, bool)
+	// attempt may go to one that failed lately when there is no other; doubtful
+	// is then true if it has not answered the last attempts.
+	Pick(service string, excluded []string, first bool) (upstream string, doubtful, ok bool)
 	// HedgeDelay is the time after which an attempt is unusually slow.
 	HedgeDelay(service string) time.Duration
 	// TakeExtra reserves an extra attempt in the budget of the service. One that
@@ -150,8 +151,11 @@
 	running, ran, declined, notSent int
 	done                            bool
 	lost                            bool
-	reason                          Missing
-	hedgeAt                         time.Time
+	// doubtful is true while the part waits for an upstream that has not answered
+	// the last attempts; the request does not wait for such a part alone.
+	doubtful bool
+	reason   Missing
+	hedgeAt  time.Time
 }
 
 // Query is the state of one request.
@@ -162,6 +166,7 @@
 	attempts  []attempt
 	succeeded int
 	lost      int
+	doubtful  int
 	verdict   Verdict
 	begun     time.Time
 }
@@ -187,11 +192,15 @@
 
 func (q *Query) first(now time.Time, i int, out []Start) []Start {
 	p := &q.parts[i]
-	u, ok := q.upstreams.Pick(p.service, nil, true)
+	u, doubtful, ok := q.upstreams.Pick(p.service, nil, true)
 	if !ok {
 		q.lose(p, NoUpstream)
 		return out
 	}
+	p.doubtful = doubtful
+	if doubtful {
+		q.doubtful++
+	}
 	return append(out, q.start(now, i, u, First))
 }
 
@@ -200,6 +209,9 @@
 	p.tried = append(p.tried, upstream)
 	p.running++
 	p.hedgeAt = now.Add(q.upstreams.HedgeDelay(p.service))
+	if c != First {
+		q.clearDoubt(p)
+	}
 	q.attempts = append(q.attempts, attempt{part: i, upstream: upstream, running: true})
 	return Start{Attempt: len(q.attempts) - 1, Part: i, Upstream: upstream, Cause: c}
 }
@@ -207,6 +219,14 @@
 func (q *Query) lose(p *part, reason Missing) {
 	p.lost, p.reason = true, reason
 	q.lost++
+	q.clearDoubt(p)
+}
+
+func (q *Query) clearDoubt(p *part) {
+	if p.doubtful {
+		p.doubtful = false
+		q.doubtful--
+	}
 }
 
 // Finished records the end of an attempt and returns what follows from it.
@@ -223,6 +243,7 @@
 		if !p.done {
 			p.done = true
 			q.succeeded++
+			q.clearDoubt(p)
 			q.advanceHedges(now)
 			if p.lost {
 				p.lost = false
@@ -269,7 +290,7 @@
 		q.lose(p, reason)
 		return out
 	}
-	u, ok := q.upstreams.Pick(p.service, p.tried, false)
+	u, _, ok := q.upstreams.Pick(p.service, p.tried, false)
 	if !ok {
 		q.lose(p, NoUpstream)
 		return out
@@ -315,7 +336,7 @@
 	if !q.mayHedge(p) || now.Before(p.hedgeAt) {
 		return out
 	}
-	u, ok := q.upstreams.Pick(p.service, p.tried, false)
+	u, _, ok := q.upstreams.Pick(p.service, p.tried, false)
 	if !ok || !q.upstreams.TakeExtra(p.service, now.Before(q.cfg.HedgeBy)) {
 		p.hedgeAt = now.Add(hedgeRetry)
 		return out
@@ -336,7 +357,7 @@
 		q.verdict = Complete
 	case q.succeeded+open < q.cfg.MinParts:
 		q.verdict = TooFew
-	case enough && open == 0:
+	case enough && open == q.doubtful:
 		q.verdict = Partial
 	case enough && !q.cfg.AnswerBy.IsZero() && !now.Before(q.cfg.AnswerBy):
 		q.verdict = Partial
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -20,15 +20,17 @@
 	extra      int
 	// urgentOnly refuses extra attempts that can wait.
 	urgentOnly bool
+	// doubtful is the service whose upstreams did not answer lately.
+	doubtful string
 }
 
-func (f *fakeUpstreams) Pick(service string, excluded []string, _ bool) (string, bool) {
+func (f *fakeUpstreams) Pick(service string, excluded []string, _ bool) (string, bool, bool) {
 	for i := range f.perService {
 		if id := fmt.Sprint(service, "/", i); !slices.Contains(excluded, id) {
-			return id, true
+			return id, service == f.doubtful, true
 		}
 	}
-	return "", false
+	return "", false, false
 }
 
 func (f *fakeUpstreams) HedgeDelay(string) time.Duration { return 10 * time.Millisecond }
@@ -91,6 +93,19 @@
 	must.Eq(t, InProgress, q.Reason(2))
 }
 
+// TestDoubtfulPart guards against answers that wait for a shard of which no
+// upstream has answered lately, and against leaving it out when it is needed.
+func TestDoubtfulPart(t *testing.T) {
+	for least, want := range map[int]Verdict{2: Partial, 3: Pending} {
+		q := New(gatherOf(3, least), &fakeUpstreams{perService: 1, doubtful: "s1"})
+		q.Begin(start)
+		_, v := q.Finished(at(5), 0, Succeeded)
+		must.Eq(t, Pending, v)
+		_, v = q.Finished(at(6), 2, Succeeded)
+		must.Eq(t, want, v)
+	}
+}
+
 // TestLateWithTooFewParts guards against giving up at the answer time when too
 // few parts are there, and against waiting on once there are enough.
 func TestLateWithTooFewParts(t *testing.T) {
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -34,18 +34,18 @@
 }
 
 // Pick implements fanout.Upstreams.
-func (r *run) Pick(name string, excluded []string, first bool) (string, bool) {
+func (r *run) Pick(name string, excluded []string, first bool) (upstream string, doubtful, ok bool) {
 	s := r.view.services[name]
 	if s == nil {
-		return "", false
+		return "", false, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	u := s.balancer.Pick(r.now(), r.usual, excluded, first)
 	if u == nil {
-		return "", false
+		return "", false, false
 	}
-	return u.ID, true
+	return u.ID, u.Doubtful(), true
 }
 
 // HedgeDelay implements fanout.Upstreams.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strings"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -174,7 +175,9 @@
 	added := g.quarantine.set.Merge(now, entries)
 	g.quarantine.Unlock()
 	for _, e := range added {
-		g.info(event.RequestQuarantined, event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}, "a peer reported a request that crashes upstreams")
+		if !strings.HasPrefix(e.Service, markPrefix) {
+			g.info(event.RequestQuarantined, event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}, "a peer reported a request that crashes upstreams")
+		}
 	}
 }
 
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -20,6 +20,9 @@
 	// maxStrikes is the number of crashed upstreams after which a request is
 	// refused everywhere.
 	maxStrikes = 2
+	// markPrefix tells the announcements of strikes from those of requests that
+	// are refused.
+	markPrefix = "strike:"
 )
 
 // checkCrash finds out whether an upstream has crashed while it ran a request. A
@@ -41,7 +44,7 @@
 	for n := 1; n < maxStrikes; n++ {
 		if mark := strikeMark(f, n); !g.blocked(now, mark) {
 			g.info(event.RequestSuspect, event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "strikes": n}, "an upstream crashed while it ran a request")
-			g.addQuarantine(now, mark, u.Service)
+			g.addQuarantine(now, mark, markPrefix+u.Service)
 			return
 		}
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -218,8 +218,9 @@
 }
 
 // connectionShare is the part of an upstream's connection limit that the
-// instances together may use; the rest covers instances that join.
-const connectionShare = 0.95
+// instances together may use. The rest covers instances that join, and connections
+// that machines without power have left behind.
+const connectionShare = 0.75
 
 // maxConnections is this instance's part of an upstream's connection limit.
 func (g *Gateway) maxConnections(s routing.Service) int {
