--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,7 @@
 GO ?= go
 BIN := bin
 
-.PHONY: all build test lint demo soak faults experiments capacity compare generate traces
+.PHONY: all build test lint demo soak fault-soak faults experiments capacity compare generate traces
 
 all: build test
 
@@ -13,7 +13,7 @@
 
 # Fails on files that gofumpt would change, and on vet and staticcheck findings.
 lint:
-	@out="$$($(GO) tool gofumpt -l cmd docs internal pkg)"; if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
+	@out="$$($(GO) tool gofumpt -l cmd docs internal pkg platform)"; if [ -n "$$out" ]; then echo "gofumpt:"; echo "$$out"; exit 1; fi
 	$(GO) vet ./...
 	$(GO) tool staticcheck ./...
 
--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -152,6 +152,7 @@
 func TestSchemaTables(t *testing.T) {
 	for page, schema := range map[string][]byte{
 		"settings.md":         settings.Schema(),
+		"gateway-settings.md": settings.GatewaySchema(),
 		"service-document.md": document.Schema(),
 	} {
 		must.StrContains(t, read(t, page), schemaTable(t, schema), must.Sprint(page))
@@ -268,7 +269,7 @@
 	}
 	client := &http.Client{Transport: &http.Transport{DialContext: toServer}}
 	seen := make(map[string]bool)
-	for _, page := range []string{"README.md", "docs/OPERATIONS.md", "docs/service-document.md", "docs/settings.md"} {
+	for _, page := range []string{"README.md", "docs/OPERATIONS.md", "docs/service-document.md", "docs/settings.md", "docs/gateway-settings.md"} {
 		for _, block := range shellBlock.FindAllStringSubmatch(read(t, page), -1) {
 			for line := range strings.Lines(block[1]) {
 				args := strings.Fields(strings.ReplaceAll(line, "'", ""))
@@ -282,6 +283,7 @@
 					var out strings.Builder
 					p := &cli.Program{Stdout: &out, Stderr: io.Discard, Client: client}
 					p.Serve = func(context.Context, settings.Settings) error { return nil }
+					p.Gateway = func(context.Context, settings.Gateway) error { return nil }
 					must.Eq(t, cli.ExitOK, p.Run(t.Context(), args[1:]), must.Sprint(page, line))
 					if args[1] == "check" {
 						must.StrContains(t, read(t, "README.md"), out.String())
@@ -293,5 +295,5 @@
 			}
 		}
 	}
-	must.MapContainsKeys(t, seen, []string{"check", "query", "serve"})
+	must.MapContainsKeys(t, seen, []string{"check", "gateway", "query", "serve", "trace"})
 }
