Read the store sooner after a restart, with a test of stops on whole processes

A restarted instance asks the others for 30 ms only. TestRestartedFleet now asks for 100 ms and failed before. TestStopLosesNoRequest runs a whole gateway: every request that reached an upstream while it was stopped must have been answered.

--- /dev/null
+++ b/pkg/app/gateway_test.go
@@ -0,0 +1,230 @@
+package app
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/settings"
+)
+
+// storeStub publishes keys like the platform's store.
+type storeStub struct {
+	mu       sync.Mutex
+	revision int
+	items    map[string]map[string]any
+	changed  chan struct{}
+}
+
+func newStoreStub() *storeStub {
+	return &storeStub{revision: 1, items: make(map[string]map[string]any), changed: make(chan struct{})}
+}
+
+func (s *storeStub) put(key string, value any) {
+	text, err := json.Marshal(value)
+	if err != nil {
+		panic(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.revision++
+	s.items[key] = map[string]any{"key": key, "value": text, "rev": s.revision}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *storeStub) after(revision int) (items []map[string]any, at int, changed <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	items = []map[string]any{}
+	for _, item := range s.items {
+		if item["rev"].(int) > revision {
+			items = append(items, item)
+		}
+	}
+	return items, s.revision, s.changed
+}
+
+// ServeHTTP implements http.Handler.
+func (s *storeStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	name, revision := "items", 0
+	if r.URL.Path == "/api/kv-watch" {
+		name = "events"
+		_, _ = fmt.Sscan(r.URL.Query().Get("after"), &revision)
+	}
+	items, at, changed := s.after(revision)
+	if name == "events" && len(items) == 0 {
+		select {
+		case <-changed:
+		case <-time.After(time.Second):
+		case <-r.Context().Done():
+		}
+		items, at, _ = s.after(revision)
+	}
+	_ = json.NewEncoder(w).Encode(map[string]any{name: items, "at_rev": at, "has_more": false})
+}
+
+// upstreamStub answers after a delay and remembers the requests that it ran.
+type upstreamStub struct {
+	delay time.Duration
+	mu    sync.Mutex
+	ran   map[string]int
+}
+
+// ServeHTTP implements http.Handler.
+func (u *upstreamStub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("X-Request-Id")
+	u.mu.Lock()
+	u.ran[id]++
+	u.mu.Unlock()
+	time.Sleep(u.delay)
+	w.Header().Set("X-Request-Id", id)
+	w.Header().Set("X-Server-Stamp", "signature of "+id)
+	_, _ = io.WriteString(w, "answer to "+id)
+}
+
+func freePort(t *testing.T) uint16 {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	defer func() { _ = l.Close() }()
+	return netip.MustParseAddrPort(l.Addr().String()).Port()
+}
+
+// startGateway runs a gateway on a store with one unsafe route to one upstream,
+// and returns its settings and what stops it and waits for its end.
+func startGateway(t *testing.T, u *upstreamStub) (settings.Gateway, func() error) {
+	t.Helper()
+	upstream := httptest.NewServer(u)
+	t.Cleanup(upstream.Close)
+	store := newStoreStub()
+	storeServer := httptest.NewServer(store)
+	t.Cleanup(storeServer.Close)
+	store.put("op/config", map[string]any{
+		"version": 1,
+		"routes": []any{map[string]any{
+			"name": "r", "host": "a.example", "prefix": "/", "kind": "unsafe", "timeout_ms": 2000, "latency_target_ms": 500, "max_attempts": 2, "service": "s",
+		}},
+		"services": []any{map[string]any{"name": "s", "max_conns": 500}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+	})
+	store.put("servers/i-1", map[string]any{
+		"service": "s", "address": upstream.Listener.Addr().String(), "zone": "z", "slots": 100, "state": "ready", "cold_left_ms": 0, "sequence": 1,
+	})
+	s := settings.Gateway{
+		Name: "g", DataCentre: "z", IP: "127.0.0.1", PeerPort: freePort(t),
+		CallerAddress:   fmt.Sprint("127.0.0.1:", freePort(t)),
+		OperatorAddress: fmt.Sprint("127.0.0.1:", freePort(t)),
+		StoreAddress:    storeServer.Listener.Addr().String(),
+		LogLevel:        "error", StopMS: 6000,
+		Budget: settings.RetryBudget{Ratio: 0.2, Allowance: 50, WindowS: 10},
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- ServeGateway(ctx, s) }()
+	for range 200 {
+		if readyStatus(s) == http.StatusOK {
+			return s, func() error { stop(); return <-done }
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	stop()
+	t.Fatal("the gateway is not ready")
+	return s, nil
+}
+
+func readyStatus(s settings.Gateway) int {
+	resp, err := http.Get("http://" + s.OperatorAddress + "/ready")
+	if err != nil {
+		return 0
+	}
+	_ = resp.Body.Close()
+	return resp.StatusCode
+}
+
+// keptCaller sends requests on one connection for as long as the other side keeps
+// it open, and opens the next one then. It returns the ids that were answered.
+func keptCaller(name, address string, pause time.Duration, stop <-chan struct{}) map[string]bool {
+	answered := make(map[string]bool)
+	var conn net.Conn
+	var reader *bufio.Reader
+	for n := 0; ; n++ {
+		select {
+		case <-stop:
+			return answered
+		case <-time.After(pause):
+		}
+		if conn == nil {
+			var err error
+			if conn, err = net.Dial("tcp", address); err != nil {
+				conn = nil
+				continue
+			}
+			reader = bufio.NewReader(conn)
+		}
+		id := fmt.Sprint(name, "-", n)
+		_, _ = fmt.Fprintf(conn, "POST /x HTTP/1.1\r\nHost: a.example\r\nX-Request-Id: %s\r\nX-Deadline-Ms: 2000\r\nContent-Length: 0\r\n\r\n", id)
+		resp, err := http.ReadResponse(reader, nil)
+		if err == nil {
+			var body []byte
+			body, err = io.ReadAll(resp.Body)
+			answered[id] = err == nil && string(body) == "answer to "+id
+		}
+		if err != nil || resp.Close {
+			_ = conn.Close()
+			conn = nil
+		}
+	}
+}
+
+// TestStopLosesNoRequest guards against requests that are passed on and whose
+// connection ends without an answer when the process is stopped, whether callers
+// are busy or send now and then. It broke on hunted days: idle connections were
+// closed while a request was being read, and requests that were taken last were
+// cut at the end.
+func TestStopLosesNoRequest(t *testing.T) {
+	u := &upstreamStub{delay: 150 * time.Millisecond, ran: make(map[string]int)}
+	s, stop := startGateway(t, u)
+	quit := make(chan struct{})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	answered := make(map[string]bool)
+	for i := range 40 {
+		callers.Go(func() {
+			got := keptCaller(fmt.Sprint(i), s.CallerAddress, time.Duration(5+37*i)*time.Millisecond, quit)
+			mu.Lock()
+			defer mu.Unlock()
+			for id, ok := range got {
+				answered[id] = ok
+			}
+		})
+	}
+	time.Sleep(time.Second)
+	start := time.Now()
+	go func() {
+		time.Sleep(200 * time.Millisecond)
+		must.Eq(t, http.StatusServiceUnavailable, readyStatus(s))
+	}()
+	must.NoError(t, stop())
+	must.Less(t, s.StopTime(), time.Since(start))
+	close(quit)
+	callers.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	must.Greater(t, 100, len(u.ran))
+	for id, n := range u.ran {
+		must.Eq(t, 1, n, must.Sprint(id))
+		must.True(t, answered[id], must.Sprint("request ", id, " ran and was not answered"))
+	}
+}
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -40,15 +40,15 @@
 	takeoverStep = 300 * time.Millisecond
 	// maxTakeoverAge is the age at which any instance asks the platform itself.
 	maxTakeoverAge = 4 * time.Second
-	// seedJoinWait, joinWait and firstJoinWait are how long a starting instance
-	// waits for a peer that has a copy before it asks the platform itself: a seed,
-	// which all others ask first, any other, and any other when the whole system
-	// starts for the first time and there is no traffic yet.
+	// joinWait is how long a restarted instance asks the others for a copy before
+	// it asks the platform itself: callers wait for it. seedJoinWait and
+	// firstJoinWait apply when the whole system starts for the first time and there
+	// is no traffic yet, to a seed, which all others ask first, and to any other.
+	joinWait      = 30 * time.Millisecond
 	seedJoinWait  = 50 * time.Millisecond
-	joinWait      = 300 * time.Millisecond
 	firstJoinWait = 2 * time.Second
 	// joinPause is the wait between two attempts while there is no copy.
-	joinPause = 25 * time.Millisecond
+	joinPause = 10 * time.Millisecond
 	// batchPause is the wait after changes arrived, so that a series of them costs
 	// few calls. It is a small part of the time in which a configuration must be
 	// in force.
@@ -101,19 +101,15 @@
 
 // joinWait returns how long this instance waits for a peer's copy at its start.
 func (g *Gateway) joinWait() time.Duration {
+	if !g.cfg.FirstStart {
+		return joinWait
+	}
 	for _, s := range g.cfg.Seeds {
 		if s.ID == g.cfg.ID {
 			return seedJoinWait
 		}
 	}
-	switch {
-	case len(g.cfg.Seeds) == 0:
-		return seedJoinWait
-	case g.cfg.FirstStart:
-		return firstJoinWait
-	default:
-		return joinWait
-	}
+	return firstJoinWait
 }
 
 // takeover returns the age of the copy at which the instance of a rank reads the
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -165,7 +165,8 @@
 		for i := range 12 {
 			w.start(i, 3)
 		}
-		time.Sleep(500 * time.Millisecond)
+		// Callers wait 1 ms away: each tenth of a second is visible to them.
+		time.Sleep(100 * time.Millisecond)
 		for _, g := range w.gateways {
 			ready, reason := g.Ready()
 			must.True(t, ready, must.Sprint(reason))
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -191,7 +191,7 @@
 const (
 	// upkeepInterval is how often lapsed entries are removed and idle connections
 	// closed.
-	upkeepInterval = 200 * time.Millisecond
+	upkeepInterval = 500 * time.Millisecond
 	// probeInterval and suspicion are those of the failure detector. No request
 	// depends on it, only the choice of the instance that reads the platform and
 	// the number of instances that share budgets.
