Spread changes in a tree, mark lapses whoever notices the outage, keep idle connections

Each instance now gets the changes from its parent in a tree of eight children each, and goes up the tree when that fails (TestChangesSpreadInATree).

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -39,6 +39,9 @@
 // Client holds a connection pool for each upstream address.
 type Client struct {
 	clock port.Clock
+	// keepAlive is the interval of the probes that find dead connections; negative
+	// for none.
+	keepAlive time.Duration
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -48,7 +51,16 @@
 
 // New returns a client without connections.
 func New(clock port.Clock) *Client {
-	return &Client{clock: clock, pools: make(map[string]*pool)}
+	return &Client{clock: clock, keepAlive: tcpKeepAlive, pools: make(map[string]*pool)}
+}
+
+// NewWithoutProbes returns a client whose connections are not probed. Its owner
+// closes those that are idle, and all requests have deadlines; setting up the
+// probes is a third of the system calls of a new connection.
+func NewWithoutProbes(clock port.Clock) *Client {
+	c := New(clock)
+	c.keepAlive = -1
+	return c
 }
 
 // Close closes all idle connections. Attempts in flight end on their own.
@@ -120,7 +132,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[address]
 	if p == nil {
-		p = newPool(address, max(1, limit))
+		p = newPool(address, max(1, limit), c.keepAlive)
 		c.pools[address] = p
 	}
 	return p
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -43,11 +43,11 @@
 	since time.Time
 }
 
-func newPool(address string, limit int) *pool {
+func newPool(address string, limit int, keepAlive time.Duration) *pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &pool{
 		address:  address,
-		dialer:   &net.Dialer{Timeout: dialTimeout, KeepAlive: tcpKeepAlive},
+		dialer:   &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive},
 		requests: semaphore.New(limit),
 		ctx:      ctx,
 		cancel:   cancel,
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -141,7 +141,7 @@
 			newClock,
 			newGatewaySocket,
 			newGatewayPeers,
-			newUpstreams,
+			upstreamhttp.NewWithoutProbes,
 			newGateway,
 			newFeedServer,
 			newIngress,
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -45,7 +45,7 @@
 	// connectCost is added for an upstream without a recent attempt, to which a
 	// connection has to be opened; warmTime is how long one is kept.
 	connectCost = 500 * time.Microsecond
-	warmTime    = 4 * time.Second
+	warmTime    = 14 * time.Second
 	// maxRatio bounds the ratio of one latency to the usual one, so that a single
 	// pause of an upstream does not count like a lasting slowdown.
 	maxRatio = 4
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strings"
 	"time"
 
@@ -14,9 +15,10 @@
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 )
 
-// feedSources is the number of instances that are asked for changes in turn: the
-// reader of the platform and the ones that replace it.
-const feedSources = 3
+// feedFanout is the number of instances that get the changes from the same one. A
+// call for changes takes about a fifth of a millisecond of processor time, twice a
+// second, so that the instances form a tree below the reader of the platform.
+const feedFanout = 8
 
 func (g *Gateway) joinSeeds(now time.Time) {
 	listed := make([]port.ListedInstance, 0, len(g.cfg.Seeds))
@@ -119,23 +121,41 @@
 }
 
 // feedSources returns the instance's rank in the order of readers of the
-// platform, and the other instances in that order.
+// platform, and the instances to get the changes from: its parent in the tree,
+// the parent's parent and so on to the reader, and then those that follow the
+// reader in the order.
 func (g *Gateway) feedSources() (rank int, sources []model.InstanceID) {
 	g.control.Lock()
 	defer g.control.Unlock()
 	members := g.control.membership.Members()
 	order := placement.FeedReaders(members, len(members))
-	rank = len(order)
-	for i, id := range order {
-		if id == g.cfg.ID {
-			rank = i
-			continue
+	if rank = slices.Index(order, g.cfg.ID); rank < 0 {
+		rank = len(order)
+	}
+	for i := rank; i > 0; {
+		i = (i - 1) / feedFanout
+		sources = append(sources, order[i])
+	}
+	for _, id := range order {
+		if id != g.cfg.ID && !slices.Contains(sources, id) && len(sources) < maxSources {
+			sources = append(sources, id)
 		}
-		sources = append(sources, id)
 	}
 	return rank, sources
 }
 
+// feedDepth is the number of steps from the instance of a rank to the reader.
+func feedDepth(rank int) int {
+	depth := 0
+	for ; rank > 0; rank = (rank - 1) / feedFanout {
+		depth++
+	}
+	return depth
+}
+
+// maxSources bounds the instances that are asked in turn.
+const maxSources = 6
+
 func (g *Gateway) setPlatformUnreachable(unreachable bool) {
 	g.control.Lock()
 	defer g.control.Unlock()
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -26,8 +26,8 @@
 	peerWait = 500 * time.Millisecond
 	// peerTimeout is added to peerWait for the answer.
 	peerTimeout = 400 * time.Millisecond
-	// maxPeerAge is the age of a peer's copy beyond which another is asked: a
-	// watch's wait and its answer.
+	// maxPeerAge is the age of the reader's copy beyond which another instance is
+	// asked: a watch's wait and its answer. Each step in the tree adds a poll's.
 	maxPeerAge = storeWait + 500*time.Millisecond
 	// sourceReturn is how long another source than the first is asked after a
 	// failure.
@@ -74,6 +74,8 @@
 	// again: a copy from further down the order is older.
 	next     int
 	returnAt time.Time
+	// asked counts the calls for a first copy.
+	asked int
 }
 
 // runFeed keeps the copy of the published keys up to date.
@@ -91,8 +93,10 @@
 		switch {
 		case (due || known && len(sources) == 0) && !now.Before(l.nextRead):
 			l.read(ctx)
-		case len(sources) > 0 || !known:
-			l.follow(ctx, sources)
+		case !known:
+			l.join(ctx, sources)
+		case len(sources) > 0:
+			l.follow(ctx, rank, sources)
 		default:
 			pause(ctx, joinPause)
 		}
@@ -138,6 +142,7 @@
 // read makes one call of the platform.
 func (l *feedLoop) read(ctx context.Context) {
 	g := l.g
+	known, age := g.copyAge(g.ports.Clock.Now())
 	d, err := l.call(ctx, g.revision())
 	now := g.ports.Clock.Now()
 	if ctx.Err() != nil {
@@ -148,6 +153,10 @@
 		l.failed(now, err)
 		return
 	}
+	if known && age > maxPeerAge {
+		// Nobody could read the platform for a while, whoever noticed it.
+		g.endOutage(now)
+	}
 	l.recovered(now)
 	g.apply(now, l.markLapsed(now, d), now, "platform")
 	if len(d.Changes) > 0 {
@@ -191,7 +200,13 @@
 	l.g.info(event.PlatformRestored, event.Fields{"outage_ms": now.Sub(l.downSince).Milliseconds(), "failures": l.failures}, "the platform can be read again")
 	l.failures, l.down, l.nextRead = 0, false, time.Time{}
 	l.g.setPlatformUnreachable(false)
-	p := &l.g.published
+	l.g.endOutage(now)
+}
+
+// endOutage records that the platform answers again: removals that are learned
+// now may be lapses.
+func (g *Gateway) endOutage(now time.Time) {
+	p := &g.published
 	p.Lock()
 	defer p.Unlock()
 	p.outageEnd = now
@@ -213,43 +228,54 @@
 	return d
 }
 
-// follow gets the changes from a peer. The readers are asked in turn until one
-// has a recent copy; any other instance serves while this one has none.
-func (l *feedLoop) follow(ctx context.Context, sources []model.InstanceID) {
-	g := l.g
-	after, wait := g.revision(), joinPause
-	if after == 0 {
-		sources = g.withSeeds(sources)
-	} else {
-		sources, wait = sources[:min(len(sources), feedSources)], peerWait
-	}
+// join asks the sources and the seeds in turn for a first copy.
+func (l *feedLoop) join(ctx context.Context, sources []model.InstanceID) {
+	sources = l.g.withSeeds(sources)
 	if len(sources) == 0 {
 		pause(ctx, joinPause)
 		return
 	}
-	if !g.ports.Clock.Now().Before(l.returnAt) {
+	l.asked++
+	if _, err := l.fetch(ctx, sources[l.asked%len(sources)], joinPause); err != nil {
+		pause(ctx, joinPause)
+	}
+}
+
+// follow gets the changes from a peer. The sources are asked in turn until one
+// has a recent copy.
+func (l *feedLoop) follow(ctx context.Context, rank int, sources []model.InstanceID) {
+	if !l.g.ports.Clock.Now().Before(l.returnAt) {
 		l.next = 0
 	}
-	to := sources[l.next%len(sources)]
-	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
-	defer cancel()
-	d, age, err := g.ports.Peers.FetchChanges(callCtx, to, after, wait)
-	now := g.ports.Clock.Now()
+	age, err := l.fetch(ctx, sources[l.next%len(sources)], peerWait)
 	if err != nil {
-		l.skip(now)
 		pause(ctx, joinPause)
-		return
 	}
-	g.apply(now, d, now.Add(-age), string(to))
-	if age > maxPeerAge {
-		l.skip(now)
+	if err != nil || age > maxPeerAge+time.Duration(feedDepth(rank)-1)*peerWait {
+		l.skip(l.g.ports.Clock.Now())
+	}
+}
+
+// fetch applies the changes that an instance has and returns the age of its copy.
+func (l *feedLoop) fetch(ctx context.Context, from model.InstanceID, wait time.Duration) (time.Duration, error) {
+	g := l.g
+	callCtx, cancel := context.WithTimeout(ctx, wait+peerTimeout)
+	defer cancel()
+	d, age, err := g.ports.Peers.FetchChanges(callCtx, from, g.revision(), wait)
+	if err != nil {
+		return 0, err
 	}
+	now := g.ports.Clock.Now()
+	g.apply(now, d, now.Add(-age), string(from))
+	return age, nil
 }
 
 // skip asks the next source for a while.
 func (l *feedLoop) skip(now time.Time) {
+	if l.next == 0 {
+		l.returnAt = now.Add(sourceReturn)
+	}
 	l.next++
-	l.returnAt = now.Add(sourceReturn)
 }
 
 // withSeeds adds the seeds, which may be running although no member is known yet.
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -199,8 +199,10 @@
 	suspicion     = 2 * time.Second
 	// maxIdle is how long a connection is kept without a request. Those that a
 	// machine without power leaves behind count against the upstream's limit, so
-	// that a fleet that comes back finds no room if there are many.
-	maxIdle = 4 * time.Second
+	// that a fleet that comes back finds no room if there are many; but a new one
+	// costs the processor time of three requests, and in a large fleet an instance
+	// uses most upstreams for hedges only, seconds apart.
+	maxIdle = 15 * time.Second
 )
 
 func (g *Gateway) runUpkeep(ctx context.Context) {
