Tell the retry budgets how large the fleet is

A budget kept the number of instances that was known when its service was first seen, so that instances which start first each used the allowance of a small fleet: TestBudgetIsShared counted 122 extra attempts where 104 were allowed. The budgets now follow the fleet, and a starting instance assumes 40 for 1.5 s.

--- /dev/null
+++ b/pkg/fanout/names.go
@@ -0,0 +1,27 @@
+package fanout
+
+// name returns the i-th name, or "undefined".
+func name[T ~int](names []string, i T) string {
+	if i < 0 || int(i) >= len(names) {
+		return "undefined"
+	}
+	return names[i]
+}
+
+// String returns the status as shown in logs.
+func (s Status) String() string {
+	return name([]string{"succeeded", "failed", "declined", "not_sent", "unknown"}, s)
+}
+
+// String returns the cause as shown in logs.
+func (c Cause) String() string { return name([]string{"first", "hedge", "retry"}, c) }
+
+// String returns the verdict as shown in logs.
+func (v Verdict) String() string {
+	return name([]string{"pending", "complete", "partial", "too_few", "expired"}, v)
+}
+
+// String returns the reason as shown in logs.
+func (m Missing) String() string {
+	return name([]string{"", "in_progress", "no_upstream", "attempts_used", "budget_used", "not_repeatable"}, m)
+}
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -171,7 +171,7 @@
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			for _, g := range gateways {
-				if _, age := g.copyAge(time.Now()); learned[g].IsZero() && age < 500*time.Millisecond {
+				if learned[g].IsZero() && g.revision() == w.revision {
 					learned[g] = time.Now()
 				}
 				if at := learned[g]; !at.IsZero() && time.Since(at) < directory.LapseGrace-200*time.Millisecond {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -48,6 +48,8 @@
 type Gateway struct {
 	cfg   Config
 	ports Ports
+	// started is the time at which the process began.
+	started time.Time
 
 	view atomic.Pointer[view]
 	// known is closed once there is a view.
@@ -116,7 +118,7 @@
 // New returns a gateway that knows nothing yet.
 func New(cfg Config, ports Ports) *Gateway {
 	now := ports.Clock.Now()
-	g := &Gateway{cfg: cfg, ports: ports, known: make(chan struct{}), workers: workers.New(), lines: newLineLimit()}
+	g := &Gateway{cfg: cfg, ports: ports, started: now, known: make(chan struct{}), workers: workers.New(), lines: newLineLimit()}
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
@@ -213,7 +215,9 @@
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			g.expireLapsed(g.ports.Clock.Now())
+			now := g.ports.Clock.Now()
+			g.expireLapsed(now)
+			g.shareBudgets(now)
 			g.ports.Upstreams.CloseIdle(maxIdle)
 		}
 	}
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -195,6 +195,42 @@
 	})
 }
 
+// TestBudgetIsShared guards against instances of a large fleet that each use the
+// allowance of a small one: what fails everywhere would be sent again too often.
+func TestBudgetIsShared(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		const instances = 30
+		w.configure(1, route("/x/", "s", true))
+		for i := range 3 {
+			w.list(directory.Upstream{ID: fmt.Sprint("u", i), Service: "s"})
+		}
+		sent := 0
+		w.answer = func(context.Context, Call) Reply {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			sent++
+			return Reply{Status: fanout.Failed, Upstream: balancer.Failed, HTTP: 500}
+		}
+		var gateways []*Gateway
+		for i := range instances {
+			// The first ones know few others when they start.
+			gateways = append(gateways, w.start(i, instances))
+			time.Sleep(100 * time.Millisecond)
+		}
+		requests, base := 0, time.Now()
+		for time.Since(base) < 9*time.Second {
+			for _, g := range gateways {
+				g.Serve(t.Context(), request("/x/1"))
+				requests++
+			}
+			time.Sleep(time.Second)
+		}
+		extra := sent - requests
+		must.LessEq(t, 50+requests/5, extra)
+		must.Positive(t, extra)
+	})
+}
+
 // TestBrokenConnectionIsNoCrash guards against refusing a request because the
 // answers to it were lost.
 func TestBrokenConnectionIsNoCrash(t *testing.T) {
--- a/pkg/gateway/publish.go
+++ b/pkg/gateway/publish.go
@@ -128,19 +128,43 @@
 	return &service{
 		name:     name,
 		balancer: balancer.NewService(g.cfg.DataCentre),
-		budget:   retrybudget.New(g.cfg.Budget, g.budgetInstances(), now),
+		budget:   retrybudget.New(g.cfg.Budget, g.budgetInstances(now), now),
 	}
 }
 
-// minBudgetInstances is the fleet size that the allowance is divided by at
-// least, because a starting instance does not know the others yet.
-const minBudgetInstances = 10
+const (
+	// minBudgetInstances is the fleet size that the allowance is divided by at
+	// least: a small fleet and the instances that join it.
+	minBudgetInstances = 10
+	// startBudgetInstances is the fleet size that is assumed for startBudgetTime
+	// after the start, in which an instance does not know the others yet.
+	startBudgetInstances = 40
+	startBudgetTime      = 1500 * time.Millisecond
+)
 
 // budgetInstances is the number of instances that share a retry allowance.
-func (g *Gateway) budgetInstances() int {
+func (g *Gateway) budgetInstances(now time.Time) int {
+	least := minBudgetInstances
+	if now.Sub(g.started) < startBudgetTime {
+		least = startBudgetInstances
+	}
 	g.control.Lock()
 	defer g.control.Unlock()
-	return max(minBudgetInstances, g.control.largest+1)
+	return max(least, g.control.largest+1)
+}
+
+// shareBudgets tells the budgets of all services how many instances share them.
+func (g *Gateway) shareBudgets(now time.Time) {
+	v := g.view.Load()
+	if v == nil {
+		return
+	}
+	n := g.budgetInstances(now)
+	for _, s := range v.services {
+		s.mu.Lock()
+		s.budget.SetInstances(n)
+		s.mu.Unlock()
+	}
 }
 
 // expireLapsed removes upstreams whose lapsed entries did not come back.
