--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -34,6 +34,8 @@
 	upstreams map[uint64]directory.Upstream
 	changed   chan struct{}
 	gateways  map[string]*Gateway
+	// dark is true while calls of instances that are not running hang.
+	dark bool
 	// refused holds the instances that the store turns away.
 	refused map[string]bool
 	// calls counts the calls of the store by instance, and polls those of an
@@ -197,7 +199,11 @@
 	a.mu.Lock()
 	g := a.gateways[string(to)]
 	a.polls[string(to)]++
+	dark := a.dark
 	a.mu.Unlock()
+	if g == nil && dark {
+		<-ctx.Done()
+	}
 	if g == nil {
 		return feed.Delta{}, 0, io.EOF
 	}
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -236,7 +236,10 @@
 		return
 	}
 	l.asked++
-	if _, err := l.fetch(ctx, sources[l.asked%len(sources)], joinPause); err != nil {
+	// A machine without power does not answer at all, and all may have lost it.
+	callCtx, cancel := context.WithTimeout(ctx, joinWait)
+	defer cancel()
+	if _, err := l.fetch(callCtx, sources[l.asked%len(sources)], joinPause); err != nil {
 		pause(ctx, joinPause)
 	}
 }
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -187,6 +187,19 @@
 	})
 }
 
+// TestSeedsWithoutPower guards against an instance that waits for seeds that do not
+// answer at all, while callers wait for it.
+func TestSeedsWithoutPower(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		w.dark = true
+		g := w.start(5, 3)
+		time.Sleep(100 * time.Millisecond)
+		ready, reason := g.Ready()
+		must.True(t, ready, must.Sprint(reason))
+	})
+}
+
 // TestRestartedFleet guards against a fleet that starts at once, without a copy
 // anywhere, and waits for itself.
 func TestRestartedFleet(t *testing.T) {
