--- a/pkg/adapter/peergrpc/feed.go
+++ b/pkg/adapter/peergrpc/feed.go
@@ -7,7 +7,6 @@
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/keepalive"
 	"google.golang.org/grpc/status"
 
 	"github.com/sardineturn/sardineturn/pkg/feed"
@@ -28,12 +27,7 @@
 
 // NewFeedServer returns a server that reads from handler.
 func NewFeedServer(handler port.FeedHandler) *FeedServer {
-	s := &FeedServer{handler: handler}
-	s.grpc = grpc.NewServer(
-		grpc.MaxSendMsgSize(maxMessageBytes),
-		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
-		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTimeout, PermitWithoutStream: true}),
-	)
+	s := &FeedServer{handler: handler, grpc: grpc.NewServer(serverOptions()...)}
 	wire.RegisterPeerServer(s.grpc, s)
 	return s
 }
--- a/pkg/adapter/peergrpc/server.go
+++ b/pkg/adapter/peergrpc/server.go
@@ -36,14 +36,18 @@
 // NewServer returns a server that passes messages to handler.
 func NewServer(handler port.PeerHandler, clock port.Clock) *Server {
 	s := &Server{handler: handler, clock: clock}
-	s.grpc = grpc.NewServer(
-		grpc.MaxRecvMsgSize(maxMessageBytes),
+	s.grpc = grpc.NewServer(append(serverOptions(), grpc.MaxRecvMsgSize(maxMessageBytes))...)
+	wire.RegisterPeerServer(s.grpc, s)
+	return s
+}
+
+// serverOptions are the options that all servers for other instances share.
+func serverOptions() []grpc.ServerOption {
+	return []grpc.ServerOption{
 		grpc.MaxSendMsgSize(maxMessageBytes),
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: keepaliveInterval, Timeout: keepaliveTimeout}),
 		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: keepaliveTimeout, PermitWithoutStream: true}),
-	)
-	wire.RegisterPeerServer(s.grpc, s)
-	return s
+	}
 }
 
 // Serve blocks until the listener fails or the server is stopped.
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -6,6 +6,7 @@
 	"cmp"
 	"context"
 	"errors"
+	"io"
 	"math/rand/v2"
 	"net"
 	"net/http"
@@ -109,15 +110,20 @@
 func newClock() port.Clock { return port.SystemClock{} }
 
 func newLogger(s settings.Settings) (logrus.FieldLogger, error) {
+	return jsonLogger(s.LogLevel, os.Stderr, s.InstanceID)
+}
+
+// jsonLogger returns a logger of JSON lines that name the instance.
+func jsonLogger(levelName string, out io.Writer, instance any) (logrus.FieldLogger, error) {
 	log := logrus.New()
-	level, err := logrus.ParseLevel(s.LogLevel)
+	level, err := logrus.ParseLevel(levelName)
 	if err != nil {
 		return nil, err
 	}
 	log.SetLevel(level)
-	log.SetOutput(os.Stderr)
+	log.SetOutput(out)
 	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	return log.WithField("instance", s.InstanceID), nil
+	return log.WithField("instance", instance), nil
 }
 
 // metricsResult provides the metrics and their scrape handler.
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -153,15 +153,7 @@
 func newLogQueue() *logqueue.Queue { return logqueue.New(os.Stdout, logqueue.DefaultLines) }
 
 func newGatewayLogger(s settings.Gateway, q *logqueue.Queue) (logrus.FieldLogger, error) {
-	log := logrus.New()
-	level, err := logrus.ParseLevel(s.LogLevel)
-	if err != nil {
-		return nil, err
-	}
-	log.SetLevel(level)
-	log.SetOutput(q)
-	log.SetFormatter(&logrus.JSONFormatter{TimestampFormat: time.RFC3339Nano})
-	return log.WithField("instance", s.Name), nil
+	return jsonLogger(s.LogLevel, q, s.Name)
 }
 
 func newGatewaySocket(s settings.Gateway) (*peerudp.Socket, error) {
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -245,10 +245,6 @@
 			q.succeeded++
 			q.clearDoubt(p)
 			q.advanceHedges(now)
-			if p.lost {
-				p.lost = false
-				q.lost--
-			}
 		}
 	case Failed, Unknown:
 		p.ran++
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -66,7 +66,6 @@
 		changed chan struct{}
 		// outageEnd is when the platform answered again after an outage.
 		outageEnd time.Time
-		invalid   map[string]uint64
 	}
 
 	control struct {
@@ -122,7 +121,6 @@
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
-	g.published.invalid = make(map[string]uint64)
 	g.quarantine.set = quarantine.New(0)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.control.membership = membership.New(membership.Config{
--- a/pkg/gateway/publish.go
+++ b/pkg/gateway/publish.go
@@ -221,10 +221,8 @@
 
 // age returns the time since the copy was confirmed.
 func (g *Gateway) age(now time.Time) time.Duration {
-	p := &g.published
-	p.Lock()
-	defer p.Unlock()
-	return now.Sub(p.confirmedAt)
+	_, age := g.copyAge(now)
+	return age
 }
 
 // maxDenialAge is the greatest age of the configuration with which an unknown
--- a/pkg/requestlog/requestlog.go
+++ b/pkg/requestlog/requestlog.go
@@ -10,6 +10,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -37,22 +38,16 @@
 	Request  string     `json:"request"`
 	Code     string     `json:"code"`
 	Ran      string     `json:"ran"`
-	Verdict  string     `json:"verdict"`
 	Route    string     `json:"route"`
 	Config   uint64     `json:"config"`
-	Version  uint64     `json:"version"`
 	Revision uint64     `json:"revision"`
 	Upstream string     `json:"upstream"`
 	TookMS   float64    `json:"took_ms"`
 	SpentMS  float64    `json:"spent_ms"`
 	WaitMS   float64    `json:"wait_ms"`
 	TargetMS float64    `json:"target_ms"`
-	AgeMS    float64    `json:"age_ms"`
-	RetryMS  float64    `json:"retry_after_ms"`
 	Attempts []Attempt  `json:"attempts"`
 	Missing  MissingMap `json:"missing"`
-	// text is the whole line.
-	text string
 }
 
 // MissingMap says for each missing part why it is missing.
@@ -84,10 +79,8 @@
 		if start < 0 {
 			continue
 		}
-		text := scanner.Bytes()[start:]
 		var l Line
-		if err := json.Unmarshal(text, &l); err == nil && l.Event != 0 {
-			l.text = string(text)
+		if err := json.Unmarshal(scanner.Bytes()[start:], &l); err == nil && l.Event != 0 {
 			out = append(out, l)
 		}
 	}
@@ -112,7 +105,7 @@
 	for _, a := range own.Attempts {
 		p("  %8.1f ms %-5s %s to %s (latency factor %.1f, failure rate %.2f, %d in flight): %s", a.AtMS, a.Cause, a.Part, a.Upstream, a.Factor, a.Failing, a.InFlight, outcome(a))
 	}
-	for _, part := range slices.Sorted(maps(own.Missing)) {
+	for _, part := range slices.Sorted(maps.Keys(own.Missing)) {
 		p("  missing: %s, %s", part, own.Missing[part])
 	}
 	p("  cause: %s", Cause(own))
@@ -126,16 +119,6 @@
 	return true
 }
 
-func maps(m MissingMap) func(func(string) bool) {
-	return func(yield func(string) bool) {
-		for k := range m {
-			if !yield(k) {
-				return
-			}
-		}
-	}
-}
-
 func outcome(a Attempt) string {
 	text := a.Status
 	if a.TookMS > 0 {
