--- /dev/null
+++ b/pkg/delegation/delegation_test.go
@@ -0,0 +1,153 @@
+package delegation
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+var start = time.Unix(1000, 0)
+
+const (
+	smallCapacity = 0.2
+	largeCapacity = 0.8
+	manyParts     = 50
+)
+
+func smallTable(list ...Instance) *Table {
+	t := NewTable(smallCapacity)
+	t.Update(list)
+	return t
+}
+
+var (
+	near = Instance{ID: "near", Near: true, Capacity: largeCapacity}
+	far  = Instance{ID: "far", Capacity: largeCapacity}
+)
+
+// TestPick guards against queries that a small instance runs itself although a
+// larger one would be faster, and against calls that cost more than they save.
+func TestPick(t *testing.T) {
+	for name, c := range map[string]struct {
+		own    float64
+		list   []Instance
+		parts  int
+		active int
+		want   model.InstanceID
+	}{
+		"many parts":        {own: smallCapacity, list: []Instance{far, near}, parts: manyParts, want: "near"},
+		"only a far one":    {own: smallCapacity, list: []Instance{far}, parts: manyParts, want: "far"},
+		"few parts":         {own: smallCapacity, list: []Instance{near}, parts: 1},
+		"busy with few":     {own: smallCapacity, list: []Instance{near}, parts: 8, active: 5, want: "near"},
+		"of the same size":  {own: largeCapacity, list: []Instance{near}, parts: manyParts, active: 5},
+		"unknown capacity":  {own: 0, list: []Instance{near}, parts: manyParts},
+		"nobody else":       {own: smallCapacity, parts: manyParts},
+		"others unknown":    {own: smallCapacity, list: []Instance{{ID: "x", Near: true}}, parts: manyParts},
+		"larger but slower": {own: smallCapacity, list: []Instance{{ID: "x", Capacity: 0.31}}, parts: 4},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := NewTable(c.own)
+			table.Update(c.list)
+			got, ok := table.Pick(start, c.parts, c.active)
+			must.Eq(t, c.want, got)
+			must.Eq(t, c.want != "", ok)
+		})
+	}
+}
+
+// TestFailedInstanceIsLeftAlone guards against queries that are sent again and
+// again to an instance that is gone, and against one that is never tried again.
+func TestFailedInstanceIsLeftAlone(t *testing.T) {
+	table := smallTable(near)
+	now, block := start, minBlock
+	for range 8 {
+		_, ok := table.Pick(now, manyParts, 0)
+		must.True(t, ok)
+		table.Begin("near")
+		table.Finished(now, "near", Failed, 0)
+		_, ok = table.Pick(now.Add(block-time.Millisecond), manyParts, 0)
+		must.False(t, ok)
+		now = now.Add(block)
+		block = min(2*block, maxBlock)
+	}
+	table.Finished(now, "near", Answered, 0)
+	table.Finished(now, "near", Failed, 0)
+	_, ok := table.Pick(now.Add(minBlock), manyParts, 0)
+	must.True(t, ok)
+}
+
+// TestLoadSpreads guards against all queries going to one of two instances, and
+// against a loaded instance that gets more than one that is free.
+func TestLoadSpreads(t *testing.T) {
+	table := smallTable(near, Instance{ID: "near2", Near: true, Capacity: largeCapacity})
+	count := make(map[model.InstanceID]int)
+	for range 20 {
+		id, ok := table.Pick(start, manyParts, 0)
+		must.True(t, ok)
+		table.Begin(id)
+		count[id]++
+		if len(count) == 2 && count["near"] == 2 && count["near2"] == 2 {
+			break
+		}
+	}
+	must.Eq(t, count["near"], count["near2"])
+	table = smallTable(near, Instance{ID: "near2", Near: true, Capacity: largeCapacity})
+	table.Finished(start, "near", Declined, 6)
+	for range 4 {
+		id, _ := table.Pick(start, manyParts, 0)
+		must.Eq(t, "near2", id)
+	}
+}
+
+// TestAccepts guards against a larger instance that takes on more than it can do
+// in time.
+func TestAccepts(t *testing.T) {
+	const target = 40 * time.Millisecond
+	must.True(t, Accepts(largeCapacity, manyParts, 0, target))
+	must.False(t, Accepts(largeCapacity, manyParts, 10, target))
+	must.False(t, Accepts(smallCapacity, manyParts, 0, target))
+	must.False(t, Accepts(0, 1, 0, target))
+}
+
+// TestTableStaysConsistent guards against counts of queries in flight that become
+// negative or are kept for instances that have gone, for any order of calls.
+func TestTableStaysConsistent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		table := NewTable(smallCapacity)
+		now := start
+		ids := []model.InstanceID{"a", "b", "c"}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 3000).Draw(t, "ms")) * time.Millisecond)
+			id := rapid.SampledFrom(ids).Draw(t, "id")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				var list []Instance
+				for _, id := range ids {
+					if rapid.Bool().Draw(t, "listed") {
+						list = append(list, Instance{ID: id, Near: rapid.Bool().Draw(t, "near"), Capacity: rapid.Float64Range(0, 1).Draw(t, "capacity")})
+					}
+				}
+				table.Update(list)
+			case 1:
+				if id, ok := table.Pick(now, manyParts, 0); ok {
+					c := table.find(id)
+					if c == nil || c.Capacity < minCapacityRatio*smallCapacity || now.Before(c.blockedUntil) {
+						t.Fatalf("picked %v", c)
+					}
+					table.Begin(id)
+				}
+			case 2, 3:
+				table.Finished(now, id, Outcome(rapid.IntRange(0, 3).Draw(t, "outcome")), rapid.IntRange(0, 9).Draw(t, "active"))
+			}
+			for _, c := range table.candidates {
+				if c.inFlight < 0 {
+					t.Fatal("negative count")
+				}
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/gateway/delegate_test.go
@@ -0,0 +1,164 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// startUnequal starts a small and a large instance on a query over many shards,
+// and counts the calls of upstreams.
+func startUnequal(w *world) (small, large *Gateway, calls func() int) {
+	var services []string
+	for i := range 40 {
+		name := fmt.Sprint("s", i)
+		services = append(services, name)
+		w.list(directory.Upstream{ID: "u" + name, Service: name})
+	}
+	var mu sync.Mutex
+	n := 0
+	w.answer = func(_ context.Context, c Call) Reply {
+		mu.Lock()
+		n++
+		mu.Unlock()
+		time.Sleep(5 * time.Millisecond)
+		return ok(c, "0123456789abcdef")
+	}
+	w.configure(1, gatherRoute(3, services...))
+	small = w.startWith(0, 2, Config{Capacity: 0.2})
+	large = w.startWith(1, 2, Config{Capacity: 0.8})
+	time.Sleep(settleTime)
+	return small, large, func() int {
+		mu.Lock()
+		defer mu.Unlock()
+		return n
+	}
+}
+
+// TestLargerInstanceRunsQueries guards against queries that a small instance runs
+// itself, which on machines of 0.2 cores took longer than the latency target.
+func TestLargerInstanceRunsQueries(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		small, large, calls := startUnequal(w)
+		a := small.Serve(t.Context(), request("/q/1"))
+		must.Eq(t, result.OK, a.Code)
+		must.SliceLen(t, 40, a.Merged.Signatures)
+		must.Eq(t, 1, w.delegated)
+		a = large.Serve(t.Context(), request("/q/1"))
+		must.Eq(t, result.OK, a.Code)
+		must.Eq(t, 1, w.delegated)
+		must.Eq(t, 80, calls())
+	})
+}
+
+// TestDeclinedQueryRunsHere guards against a query that is lost, late or run under
+// another configuration because the larger instance cannot run it.
+func TestDeclinedQueryRunsHere(t *testing.T) {
+	for name, prevent := range map[string]func(w *world, large *Gateway){
+		"stopping": func(_ *world, large *Gateway) { large.stopping.Store(true) },
+		"other configuration": func(_ *world, large *Gateway) {
+			v := *large.view.Load()
+			table := *v.table
+			table.Version = 9
+			v.table = &table
+			large.view.Store(&v)
+		},
+		"stale": func(_ *world, large *Gateway) {
+			large.published.Lock()
+			large.published.confirmedAt = time.Now().Add(-maxDenialAge - time.Second)
+			large.published.Unlock()
+		},
+		"overloaded": func(_ *world, large *Gateway) { large.queries.Store(50) },
+		"gone":       func(w *world, large *Gateway) { delete(w.gateways, string(large.cfg.ID)) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, w *world) {
+				small, large, calls := startUnequal(w)
+				defer large.Stop()
+				prevent(w, large)
+				a := small.Serve(t.Context(), request("/q/1"))
+				delete(w.gateways, string(large.cfg.ID))
+				must.Eq(t, result.OK, a.Code)
+				must.Eq(t, 1, w.delegated)
+				must.Eq(t, 40, calls())
+			})
+		})
+	}
+}
+
+// TestLostQueryIsNotRunAgain guards against a query whose parts run on more
+// upstreams than its route allows: one that was sent again after a silent instance
+// broke the limit on 31 requests of a day. The caller gets its answer in time to
+// send again, and the instance is left alone.
+func TestLostQueryIsNotRunAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		fail func(w *world)
+		code result.Code
+		took time.Duration
+	}{
+		"silent":  {func(w *world) { w.dark = true }, result.NoAnswerInTime, 200 * time.Millisecond},
+		"cut off": {func(w *world) { w.lost = true }, result.OutcomeUnknown, time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, w *world) {
+				small, _, calls := startUnequal(w)
+				c.fail(w)
+				start := time.Now()
+				a := small.Serve(t.Context(), request("/q/1"))
+				must.Eq(t, c.code, a.Code)
+				must.NotEq(t, model.NotRun, a.Ran)
+				must.LessEq(t, c.took, time.Since(start))
+				must.Eq(t, 0, calls())
+				a = small.Serve(t.Context(), request("/q/2"))
+				must.Eq(t, result.OK, a.Code)
+				must.Eq(t, 1, w.delegated)
+			})
+		})
+	}
+}
+
+// TestCallerLeavesDelegatedQuery guards against work that goes on at another
+// instance and at upstreams after the caller has gone.
+func TestCallerLeavesDelegatedQuery(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		small, _, _ := startUnequal(w)
+		var mu sync.Mutex
+		running := 0
+		count := func(n int) {
+			mu.Lock()
+			defer mu.Unlock()
+			running += n
+		}
+		w.mu.Lock()
+		w.answer = func(ctx context.Context, c Call) Reply {
+			count(1)
+			defer count(-1)
+			select {
+			case <-ctx.Done():
+				return Reply{Status: fanout.Unknown, Upstream: balancer.Abandoned}
+			case <-time.After(10 * time.Second):
+				return ok(c, "")
+			}
+		}
+		w.mu.Unlock()
+		ctx, leave := context.WithCancel(t.Context())
+		done := make(chan Answer, 1)
+		go func() { done <- small.Serve(ctx, request("/q/1")) }()
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, 40, running)
+		leave()
+		must.Eq(t, result.CancelledWhileRun, (<-done).Code)
+		time.Sleep(10 * time.Millisecond)
+		must.Eq(t, 0, running)
+	})
+}
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -19,6 +19,7 @@
 	"github.com/sardineturn/sardineturn/pkg/feed"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/retrybudget"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
@@ -34,6 +35,10 @@
 	upstreams map[uint64]directory.Upstream
 	changed   chan struct{}
 	gateways  map[string]*Gateway
+	// delegated counts the queries that other instances were asked to run, and
+	// lost is true while the connection ends with each.
+	delegated int
+	lost      bool
 	// dark is true while calls of instances that are not running hang.
 	dark bool
 	// refused holds the instances that the store turns away.
@@ -214,6 +219,28 @@
 	return d, age, nil
 }
 
+// RunQuery implements port.QueryPeers.
+func (a access) RunQuery(ctx context.Context, to model.InstanceID, q port.PeerQuery) (port.PeerAnswer, error) {
+	a.mu.Lock()
+	g, dark, lost := a.gateways[string(to)], a.dark, a.lost
+	a.delegated++
+	a.mu.Unlock()
+	switch {
+	case dark:
+		<-ctx.Done()
+		return port.PeerAnswer{}, result.Wrap(result.PeerLost, ctx.Err())
+	case lost:
+		return port.PeerAnswer{}, result.Wrap(result.PeerLost, io.EOF)
+	case g == nil:
+		return port.PeerAnswer{}, result.Wrap(result.PeerUnreachable, io.EOF)
+	default:
+		return g.HandleRunQuery(ctx, q), nil
+	}
+}
+
+// Connect implements port.QueryPeers.
+func (access) Connect(model.InstanceID) {}
+
 // sender implements port.Control.
 type sender struct{ access }
 
@@ -254,8 +281,13 @@
 // start runs an instance that knows the ids of all others as seeds.
 func (w *world) start(n int, total int) *Gateway { return w.startAs(n, total, false) }
 
-// startAs starts an instance that knows the first seeds ones.
+// startAs starts an instance that knows the first seedCount ones.
 func (w *world) startAs(n, seedCount int, firstStart bool) *Gateway {
+	return w.startWith(n, seedCount, Config{FirstStart: firstStart})
+}
+
+// startWith starts an instance with some settings of its own.
+func (w *world) startWith(n, seedCount int, cfg Config) *Gateway {
 	id := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 	var seeds []Seed
 	for i := range seedCount {
@@ -264,11 +296,10 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	a := access{world: w, id: id(n)}
-	g := New(Config{
-		ID: model.InstanceID(a.id), Cluster: "c", DataCentre: "z", ControlAddress: a.id, Seeds: seeds, FirstStart: firstStart,
-		Budget: retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second},
-	}, Ports{
-		Clock: port.SystemClock{}, Upstreams: caller{w}, Decoder: w, Store: a, Peers: a, Control: sender{a}, Log: log,
+	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Seeds = model.InstanceID(a.id), "c", "z", a.id, seeds
+	cfg.Budget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
+	g := New(cfg, Ports{
+		Clock: port.SystemClock{}, Upstreams: caller{w}, Decoder: w, Store: a, Peers: a, Queries: a, Control: sender{a}, Log: log,
 	})
 	w.mu.Lock()
 	w.gateways[a.id] = g
