--- a/Makefile
+++ b/Makefile
@@ -30,6 +30,15 @@
 soak:
 	$(GO) test -count=1 -timeout 30m -v -run '^TestSoakLong$$' ./pkg/instance -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.kinds=$(KINDS)
 
+# Runs gateways as separate processes with random faults from outside, for SEEDS
+# seeds from FIRST on; 0 takes the time of day. Logs of failed runs are kept under
+# out/soak.
+PARALLEL ?= 4
+INSTANCES ?= 5
+fault-soak: build
+	mkdir -p out/soak
+	$(GO) test -count=1 -timeout 60m -v -run '^TestLongSoak$$' ./internal/soak -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.parallel=$(PARALLEL) -soak.instances=$(INSTANCES) -soak.program=$(CURDIR)/$(BIN)/sardineturn -soak.keep=$(CURDIR)/out/soak
+
 # Runs load and faults against nine instances as separate processes, for the
 # product and the baseline in turn, and writes figures and pictures.
 SEED ?= 1
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -26,7 +26,11 @@
 	stopGrace = 6 * time.Second
 	// restartDelay is the time after which a process that ended starts again.
 	restartDelay = 200 * time.Millisecond
-	// callersNode and upstreamsNode are the relay's names for the ends of the links of an instance.
+	// Every largeEvery-th instance says that it has far more processor time than
+	// the others, so that they let it run their queries.
+	largeEvery             = 3
+	largeShare, smallShare = 0.8, 0.02
+	// callersNode, gatewayNode and storeNode are the relay's names for the ends of the links of an instance.
 	callersNode = "callers"
 	gatewayNode = "gateways"
 	storeNode   = "store"
@@ -90,7 +94,10 @@
 	g.settings = settings.Gateway{
 		Name: g.name, DataCentre: model.DataCentre(g.zone), IP: g.ip, PeerPort: peerPort, PeerBindIP: bind, Seeds: seeds, FirstStart: true,
 		CallerAddress: net.JoinHostPort(g.ip, callerPort), OperatorAddress: net.JoinHostPort(g.ip, operatorPort),
-		LogLevel: "info", StopMS: int(stopGrace.Milliseconds()), Cores: 1, MemoryMB: 284, Budget: budget,
+		LogLevel: "info", StopMS: int(stopGrace.Milliseconds()), Cores: 1, CoreShare: smallShare, MemoryMB: 284, Budget: budget,
+	}
+	if i%largeEvery == 0 {
+		g.settings.CoreShare = largeShare
 	}
 	peer := g.settings.PeerBindAddress()
 	err := f.relay.Add(relay.Node{Name: g.name, PeerAdvertised: g.settings.PeerAddress(), ControlAdvertised: g.settings.PeerAddress(), Peer: peer, Control: peer})
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -7,6 +7,8 @@
 	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/feed"
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -18,6 +20,9 @@
 	// is cut off silently is noticed after it, well within the time in which a
 	// configuration must be in force.
 	storeWait = time.Second
+	// takeoverWait takes its place in the first call of an instance that becomes
+	// the reader: the copies of the others grow old until it is answered.
+	takeoverWait = 50 * time.Millisecond
 	// storeTimeout is added to storeWait for the answer.
 	storeTimeout = 700 * time.Millisecond
 	// listTimeout bounds reading the whole content.
@@ -50,6 +55,11 @@
 	// readerSettleTime is how long after its start an instance does not yet know
 	// all others, so that its place in the order of readers says little.
 	readerSettleTime = 2500 * time.Millisecond
+	// firstJoinHold is how long a source holds a call for a first copy when the
+	// whole system starts, and firstJoinTimeout bounds the call: small machines
+	// take long to open connections to each other, and there is no traffic yet.
+	firstJoinHold    = time.Second
+	firstJoinTimeout = 1500 * time.Millisecond
 	// joinPause is the wait between two attempts while there is no copy.
 	joinPause = 10 * time.Millisecond
 	// batchPause is the wait after changes arrived, so that a series of them costs
@@ -88,21 +98,22 @@
 const settledLast = 1000
 
 // settle returns the place in the order of readers and the sources of an instance
-// that has just started. When the whole system starts, the seeds read, in their
-// order, because all instances know them. An instance that starts alone follows
-// the one that gave it its copy. If no instance had one, the whole system was
-// restarted, and the order that is known so far has to do.
-func (l *feedLoop) settle(rank int, sources []model.InstanceID) (int, []model.InstanceID) {
-	switch {
-	case l.g.cfg.FirstStart:
-		if i := l.g.seedIndex(); i >= 0 {
-			return i, l.g.withSeeds(nil)
-		}
-		return settledLast, l.g.withSeeds(nil)
-	case l.fromPeer:
+// that has just started. One that starts alone follows those that gave it its
+// copy. When the whole system starts, the seeds read, in their order, because all
+// instances know them, and the others follow them.
+func (l *feedLoop) settle(sources []model.InstanceID) (int, []model.InstanceID) {
+	seeds := l.g.withSeeds(nil)
+	switch i := l.g.seedIndex(); {
+	case l.fromPeer && !l.g.cfg.FirstStart:
 		return settledLast, l.g.withSeeds(sources)
+	case i >= 0:
+		return i, seeds
+	case len(seeds) > 0:
+		// Each follows another seed first.
+		n := int(xxhash.Sum64String(string(l.g.cfg.ID)) % uint64(len(seeds)))
+		return settledLast, append(seeds[n:], seeds[:n]...)
 	default:
-		return rank, sources
+		return settledLast, sources
 	}
 }
 
@@ -115,7 +126,7 @@
 		rank, sources := g.feedSources()
 		known, age := g.copyAge(now)
 		if now.Sub(started) < readerSettleTime {
-			rank, sources = l.settle(rank, sources)
+			rank, sources = l.settle(sources)
 		}
 		due := age >= takeover(rank)
 		if !known {
@@ -178,7 +189,11 @@
 func (l *feedLoop) read(ctx context.Context) {
 	g := l.g
 	known, age := g.copyAge(g.ports.Clock.Now())
-	d, err := l.call(ctx, g.revision())
+	wait := storeWait
+	if age > storeWait/2 {
+		wait = takeoverWait
+	}
+	d, err := l.call(ctx, g.revision(), wait)
 	now := g.ports.Clock.Now()
 	if ctx.Err() != nil {
 		return
@@ -204,12 +219,12 @@
 
 // call lists the content if there is no copy or its history is gone, and
 // otherwise waits for changes.
-func (l *feedLoop) call(ctx context.Context, after uint64) (feed.Delta, error) {
+func (l *feedLoop) call(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
 	g := l.g
 	if after > 0 {
-		watchCtx, cancel := context.WithTimeout(ctx, storeWait+storeTimeout)
+		watchCtx, cancel := context.WithTimeout(ctx, wait+storeTimeout)
 		defer cancel()
-		d, err := g.ports.Store.Watch(watchCtx, after, storeWait)
+		d, err := g.ports.Store.Watch(watchCtx, after, wait)
 		if !errors.Is(err, port.ErrHistoryGone) {
 			return d, err
 		}
@@ -276,9 +291,13 @@
 	l.asked++
 	l.fromPeer = true
 	// A machine without power does not answer at all, and all may have lost it.
-	callCtx, cancel := context.WithTimeout(ctx, joinWait)
+	timeout, wait := joinWait, joinPause
+	if l.g.cfg.FirstStart && l.g.seedIndex() < 0 {
+		timeout, wait = firstJoinTimeout, firstJoinHold
+	}
+	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
-	if _, err := l.fetch(callCtx, sources[l.asked%len(sources)], joinPause); err != nil {
+	if _, err := l.fetch(callCtx, sources[l.asked%len(sources)], wait); err != nil {
 		pause(ctx, joinPause)
 	}
 }
