--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -25,9 +25,10 @@
 	Failed
 	// Unreachable: no connection could be opened.
 	Unreachable
-	// Lost: the connection ended without a complete answer, or no answer came in
-	// time.
+	// Lost: the connection ended without a complete answer.
 	Lost
+	// Silent: no answer came in time.
+	Silent
 	// Replaced: another process has the address.
 	Replaced
 	// Abandoned: the attempt was cancelled and says little about the upstream.
@@ -81,8 +82,10 @@
 	inFlight []time.Time
 	// usedAt is the end of the last answered attempt.
 	usedAt time.Time
-	// failures counts attempts in a row without an answer.
+	// failures counts attempts in a row without an answer, and silences those of
+	// them that got none in time.
 	failures     int
+	silences     int
 	blockedUntil time.Time
 }
 
@@ -96,6 +99,12 @@
 // doubtful upstream gets one attempt at a time, which shows whether it is back.
 func (u *Upstream) Doubtful() bool { return u.failures > 1 }
 
+// Probed reports whether an attempt is on its way that shows whether an upstream
+// that does not answer is back.
+func (u *Upstream) Probed() bool {
+	return u.Doubtful() && u.silences > 1 && len(u.inFlight) > 0
+}
+
 // avoided reports whether the upstream should get no attempt now.
 func (u *Upstream) avoided(now time.Time) bool {
 	return u.Blocked(now) || u.Doubtful() && len(u.inFlight) > 0
@@ -227,19 +236,22 @@
 	switch o {
 	case Succeeded:
 		u.observe(now, float64(took)/float64(max(usual, time.Millisecond)), 0)
-		u.failures, u.blockedUntil = 0, time.Time{}
+		u.failures, u.silences, u.blockedUntil = 0, 0, time.Time{}
 		u.usedAt = now
 	case Failed:
 		u.observe(now, -1, 1)
-		u.failures = 0
+		u.failures, u.silences = 0, 0
 	case Shed:
 		u.observe(now, -1, 1)
 		u.blockedUntil = now.Add(shedBlock)
 	case Unreachable, Replaced:
 		u.observe(now, -1, 1)
 		u.block(now)
-	case Lost:
+	case Lost, Silent:
 		u.observe(now, -1, 1)
+		if o == Silent {
+			u.silences++
+		}
 		if u.failures++; u.failures > 1 {
 			u.block(now)
 		}
--- a/pkg/gateway/choice.go
+++ b/pkg/gateway/choice.go
@@ -45,6 +45,11 @@
 	if u == nil {
 		return "", false, false
 	}
+	if r.route.Gather != nil && u.Probed() {
+		// The query would not wait for this part, and requests that nobody waits
+		// for keep an overloaded upstream in that state.
+		return "", false, false
+	}
 	return u.ID, u.Doubtful(), true
 }
 
