--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -283,7 +283,7 @@
 					var out strings.Builder
 					p := &cli.Program{Stdout: &out, Stderr: io.Discard, Client: client}
 					p.Serve = func(context.Context, settings.Settings) error { return nil }
-					p.Gateway = func(context.Context, settings.Gateway) error { return nil }
+					p.Gateway = func(context.Context, settings.Gateway, func() (settings.Gateway, error)) error { return nil }
 					must.Eq(t, cli.ExitOK, p.Run(t.Context(), args[1:]), must.Sprint(page, line))
 					if args[1] == "check" {
 						must.StrContains(t, read(t, "README.md"), out.String())
--- /dev/null
+++ b/pkg/adapter/connlimit/connlimit_test.go
@@ -0,0 +1,84 @@
+package connlimit
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+)
+
+const (
+	limit = 100 * time.Millisecond
+	// slack is added to the time after which a connection must be closed.
+	slack = 2 * time.Second
+)
+
+// serve starts a tracked server whose requests take longer than the limits.
+func serve(t *testing.T, l Limits) string {
+	t.Helper()
+	tracker := New()
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(3 * limit)
+	}))
+	server.Config.ConnState = tracker.State
+	server.Listener = tracker.Listener(server.Listener)
+	server.Start()
+	t.Cleanup(server.Close)
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	go func() {
+		for {
+			select {
+			case <-stop:
+				return
+			case <-time.After(limit / 10):
+				tracker.Close(l)
+			}
+		}
+	}()
+	return server.Listener.Addr().String()
+}
+
+// send opens a connection and writes a text, and returns what comes back until
+// the connection ends, and after how long that is.
+func send(t *testing.T, address, text string) (string, time.Duration) {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	start := time.Now()
+	_, err = io.WriteString(conn, text)
+	must.NoError(t, err)
+	must.NoError(t, conn.SetReadDeadline(start.Add(slack)))
+	// The other side closes with a reset if it has not read everything.
+	got, _ := io.ReadAll(conn)
+	return string(got), time.Since(start)
+}
+
+// TestLimits guards against callers that hold connections for ever, and against
+// cutting a request that takes long to be served.
+func TestLimits(t *testing.T) {
+	const request = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	for name, c := range map[string]struct {
+		text     string
+		limits   Limits
+		from, to time.Duration
+		answered bool
+	}{
+		"no request":  {"", Limits{Idle: limit}, limit, slack, false},
+		"half header": {request[:20], Limits{Header: limit}, limit, slack, false},
+		"slow answer": {request, Limits{Header: limit, Idle: limit}, 4 * limit, slack, true},
+		"no limits":   {request[:20], Limits{}, slack, 2 * slack, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			got, took := send(t, serve(t, c.limits), c.text)
+			must.Eq(t, c.answered, len(got) > 0)
+			must.Between(t, c.from, took, c.to)
+		})
+	}
+}
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -58,18 +58,19 @@
 )
 
 // ServeGateway runs a gateway until SIGTERM, SIGINT or the end of ctx, then
-// stops it gracefully. SIGHUP, which says that the settings file has changed, is
-// taken note of: all settings are bound to listeners or to the machine and hold
-// until the next start.
-func ServeGateway(ctx context.Context, s settings.Gateway) error {
+// stops it gracefully. SIGHUP says that the settings file has changed: reload
+// reads it, and the retry budget and the seeds are taken over. All other settings
+// are bound to listeners or to the machine and hold until the next start.
+func ServeGateway(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error)) error {
 	limitRuntime(s)
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	var log logrus.FieldLogger
 	var queue *logqueue.Queue
+	var g *gateway.Gateway
 	failures := make(listenerFailures, 1)
-	app := fx.New(GatewayModule(s), fx.Supply(failures), fx.Populate(&log, &queue))
+	app := fx.New(GatewayModule(s), fx.Supply(failures), fx.Populate(&log, &queue, &g))
 	if err := app.Err(); err != nil {
 		return err
 	}
@@ -78,7 +79,7 @@
 	event.Info(log, event.ProcessStarted, event.Fields{"settings": s}, "the gateway starts")
 	err := app.Start(startCtx)
 	if err == nil {
-		err = waitForStop(ctx, log, signals, failures)
+		err = waitForStop(ctx, signals, failures, func() { reloadGateway(log, g, reload) })
 		event.Info(log, event.ShutdownStarted, event.Fields{"error": errorText(err)}, "the gateway stops")
 		stopCtx, cancelStop := context.WithTimeout(context.Background(), s.StopTime())
 		defer cancelStop()
@@ -102,14 +103,14 @@
 
 // waitForStop returns the error of a listener that failed, or nil when the
 // process is to stop.
-func waitForStop(ctx context.Context, log logrus.FieldLogger, signals <-chan os.Signal, failures <-chan error) error {
+func waitForStop(ctx context.Context, signals <-chan os.Signal, failures <-chan error, reload func()) error {
 	for {
 		select {
 		case s := <-signals:
 			if s != syscall.SIGHUP {
 				return nil
 			}
-			event.Info(log, event.SettingsChanged, nil, "the settings file has changed; it is read at the next start")
+			reload()
 		case <-ctx.Done():
 			return nil
 		case err := <-failures:
@@ -118,6 +119,17 @@
 	}
 }
 
+// reloadGateway takes over the settings that may change while a gateway runs.
+func reloadGateway(log logrus.FieldLogger, g *gateway.Gateway, reload func() (settings.Gateway, error)) {
+	s, err := reload()
+	if err != nil {
+		event.Warn(log, event.SettingsInvalid, event.Fields{"error": err.Error()}, "the changed settings cannot be used; those in force stay")
+		return
+	}
+	g.Reconfigure(gatewaySeeds(s), retryLimits(s))
+	event.Info(log, event.SettingsChanged, event.Fields{"settings": s}, "the settings were read again; budget and seeds are in force")
+}
+
 // limitRuntime keeps the runtime within the machine's limits.
 func limitRuntime(s settings.Gateway) {
 	if s.Cores > 0 {
@@ -177,23 +189,15 @@
 
 func newGateway(p gatewayParams) *gateway.Gateway {
 	s := p.Settings
-	var seeds []gateway.Seed
-	for _, address := range s.SeedAddresses() {
-		seeds = append(seeds, gateway.Seed{ID: model.InstanceID(address), ControlAddress: address})
-	}
 	return gateway.New(gateway.Config{
 		ID:             model.InstanceID(s.PeerAddress()),
 		Cluster:        gatewayCluster,
 		DataCentre:     s.DataCentre,
 		ControlAddress: s.PeerAddress(),
-		Seeds:          seeds,
+		Seeds:          gatewaySeeds(s),
 		FirstStart:     s.FirstStart,
 		Capacity:       s.Capacity(),
-		Budget: retrybudget.Limits{
-			Ratio:     s.Budget.Ratio,
-			Allowance: s.Budget.Allowance,
-			Window:    time.Duration(s.Budget.WindowS * float64(time.Second)),
-		},
+		Budget:         retryLimits(s),
 	}, gateway.Ports{
 		Clock:     p.Clock,
 		Upstreams: platform.NewUpstreams(p.Upstreams, p.Clock),
@@ -207,6 +211,22 @@
 	})
 }
 
+func gatewaySeeds(s settings.Gateway) []gateway.Seed {
+	var seeds []gateway.Seed
+	for _, address := range s.SeedAddresses() {
+		seeds = append(seeds, gateway.Seed{ID: model.InstanceID(address), ControlAddress: address})
+	}
+	return seeds
+}
+
+func retryLimits(s settings.Gateway) retrybudget.Limits {
+	return retrybudget.Limits{
+		Ratio:     s.Budget.Ratio,
+		Allowance: s.Budget.Allowance,
+		Window:    time.Duration(s.Budget.WindowS * float64(time.Second)),
+	}
+}
+
 func newGatewayServer(g *gateway.Gateway) *peergrpc.GatewayServer {
 	return peergrpc.NewGatewayServer(g)
 }
@@ -256,6 +276,7 @@
 	serve := func(name string, run func() error) { serveListener(r.Log, r.Failures, name, run) }
 	go serve("peer", func() error { return r.Server.Serve(peers) })
 	go serve("caller", func() error { return r.Ingress.Serve(callers) })
+	go r.Ingress.EnforceLimits()
 	return nil
 }
 
--- a/pkg/app/gateway_test.go
+++ b/pkg/app/gateway_test.go
@@ -132,7 +132,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- ServeGateway(ctx, s) }()
+	go func() { done <- ServeGateway(ctx, s, func() (settings.Gateway, error) { return s, nil }) }()
 	for range 200 {
 		if readyStatus(s) == http.StatusOK {
 			return s, func() error { stop(); return <-done }
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -95,6 +95,23 @@
 	must.False(t, u.Doubtful())
 }
 
+// TestProbed guards against queries that send their part to an upstream that does
+// not answer while an attempt is on its way already, and against giving up one
+// that resets a part of its connections and answers the rest.
+func TestProbed(t *testing.T) {
+	for outcome, probed := range map[Outcome]bool{Silent: true, Lost: false} {
+		u := newService("near").Find("u0")
+		finish(u, start, usual, outcome)
+		finish(u, start, usual, outcome)
+		must.False(t, u.Probed())
+		u.Begin(start)
+		must.Eq(t, probed, u.Probed())
+		u.Finished(start, start, usual, Succeeded)
+		u.Begin(start)
+		must.False(t, u.Probed())
+	}
+}
+
 // TestShedding guards against an upstream that declines part of its requests and
 // is chosen again at once because it answers the others.
 func TestShedding(t *testing.T) {
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -29,9 +29,9 @@
 	// Serve runs an instance until it is stopped. It is nil in programs that
 	// are linked without one.
 	Serve func(ctx context.Context, s settings.Settings) error
-	// Gateway runs a gateway until it is stopped. It is nil in programs that are
-	// linked without one.
-	Gateway func(ctx context.Context, s settings.Gateway) error
+	// Gateway runs a gateway until it is stopped; reload reads its settings again.
+	// It is nil in programs that are linked without one.
+	Gateway func(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error)) error
 	// Client sends requests to listeners; nil means the default client.
 	Client *http.Client
 }
--- a/pkg/cli/gateway.go
+++ b/pkg/cli/gateway.go
@@ -30,5 +30,5 @@
 	if p.Gateway == nil {
 		return errors.New("this program is linked without a gateway")
 	}
-	return p.Gateway(ctx, s)
+	return p.Gateway(ctx, s, func() (settings.Gateway, error) { return settings.LoadGateway(c.Settings) })
 }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -19,6 +19,7 @@
 	PauseDetected    ID = 104
 	ListenerFailed   ID = 105
 	SettingsChanged  ID = 106
+	SettingsInvalid  ID = 107
 
 	MemberJoined     ID = 200
 	MemberSuspect    ID = 201
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -21,8 +21,8 @@
 const feedFanout = 8
 
 func (g *Gateway) joinSeeds(now time.Time) {
-	listed := make([]port.ListedInstance, 0, len(g.cfg.Seeds))
-	for _, s := range g.cfg.Seeds {
+	listed := make([]port.ListedInstance, 0, len(g.seeds()))
+	for _, s := range g.seeds() {
 		listed = append(listed, port.ListedInstance{ID: s.ID, ControlAddress: s.ControlAddress})
 	}
 	g.control.Lock()
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -159,7 +159,7 @@
 
 // seedIndex returns the place of this instance among the seeds, or -1.
 func (g *Gateway) seedIndex() int {
-	return slices.IndexFunc(g.cfg.Seeds, func(s Seed) bool { return s.ID == g.cfg.ID })
+	return slices.IndexFunc(g.seeds(), func(s Seed) bool { return s.ID == g.cfg.ID })
 }
 
 // takeover returns the age of the copy at which the instance of a rank reads the
@@ -341,7 +341,7 @@
 
 // withSeeds adds the seeds, which may be running although no member is known yet.
 func (g *Gateway) withSeeds(sources []model.InstanceID) []model.InstanceID {
-	for _, s := range g.cfg.Seeds {
+	for _, s := range g.seeds() {
 		if s.ID != g.cfg.ID && !slices.Contains(sources, s.ID) {
 			sources = append(sources, s.ID)
 		}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -55,6 +55,13 @@
 	// started is the time at which the process began.
 	started time.Time
 
+	// settings holds what may change while the process runs.
+	settings struct {
+		sync.Mutex
+		seeds  []Seed
+		budget retrybudget.Limits
+	}
+
 	view atomic.Pointer[view]
 	// known is closed once there is a view.
 	known chan struct{}
@@ -128,6 +135,7 @@
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
+	g.settings.seeds, g.settings.budget = cfg.Seeds, cfg.Budget
 	g.quarantine.set = quarantine.New(0)
 	g.delegates.table = delegation.NewTable(cfg.Capacity)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
@@ -158,12 +166,34 @@
 	g.wg.Go(func() { g.runUpkeep(ctx) })
 }
 
+// Reconfigure replaces the seeds and the limits of the retry budgets.
+func (g *Gateway) Reconfigure(seeds []Seed, budget retrybudget.Limits) {
+	g.settings.Lock()
+	g.settings.seeds, g.settings.budget = seeds, budget
+	g.settings.Unlock()
+	now := g.ports.Clock.Now()
+	g.joinSeeds(now)
+	g.shareBudgets(now)
+}
+
 // Stop ends the background work.
 func (g *Gateway) Stop() {
 	g.cancel()
 	g.wg.Wait()
 }
 
+func (g *Gateway) seeds() []Seed {
+	g.settings.Lock()
+	defer g.settings.Unlock()
+	return g.settings.seeds
+}
+
+func (g *Gateway) budgetLimits() retrybudget.Limits {
+	g.settings.Lock()
+	defer g.settings.Unlock()
+	return g.settings.budget
+}
+
 // Ready reports whether the gateway can serve, and otherwise why not.
 func (g *Gateway) Ready() (bool, string) {
 	switch {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"testing"
 	"time"
 
@@ -13,6 +14,7 @@
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/retrybudget"
 )
 
 // settleTime is long enough for a change to be in force everywhere.
@@ -277,3 +279,71 @@
 	by, _ = times(r, &target, 200*time.Millisecond, 8*time.Millisecond)
 	must.Eq(t, 100*time.Millisecond, by.Sub(r.Arrived))
 }
+
+// TestSilentUpstreamGetsOneAttempt guards against requests that nobody waits for
+// on the only upstream of a shard, which kept it overloaded.
+func TestSilentUpstreamGetsOneAttempt(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, gatherRoute(3, "s0", "s1", "s2"))
+		for _, s := range []string{"s0", "s1", "s2"} {
+			w.list(directory.Upstream{ID: "u" + s, Service: s})
+		}
+		var mu sync.Mutex
+		sent := 0
+		w.answer = func(ctx context.Context, c Call) Reply {
+			if c.Upstream.ID != "us2" {
+				return ok(c, "0123456789abcdef")
+			}
+			mu.Lock()
+			sent++
+			mu.Unlock()
+			time.Sleep(time.Until(c.Deadline))
+			return Reply{Status: fanout.Unknown, Upstream: balancer.Silent}
+		}
+		g := w.start(0, 1)
+		time.Sleep(settleTime)
+		for range 3 {
+			must.Eq(t, result.PartialAnswer, g.Serve(t.Context(), request("/q/1")).Code)
+			time.Sleep(200 * time.Millisecond)
+		}
+		before := sent
+		for range 20 {
+			must.Eq(t, result.PartialAnswer, g.Serve(t.Context(), request("/q/1")).Code)
+		}
+		must.LessEq(t, before+1, sent)
+	})
+}
+
+// TestReconfigure guards against a changed retry budget that is not in force until
+// the process is restarted, and against seeds that are not contacted.
+func TestReconfigure(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, route("/x/", "s", true))
+		w.list(directory.Upstream{ID: "u1", Service: "s"})
+		w.list(directory.Upstream{ID: "u2", Service: "s"})
+		w.answer = func(_ context.Context, _ Call) Reply {
+			return Reply{Status: fanout.Failed, Upstream: balancer.Failed}
+		}
+		g, other := w.start(0, 1), w.start(1, 2)
+		time.Sleep(settleTime)
+		sent := func() int {
+			n := 0
+			w.mu.Lock()
+			w.answer = func(_ context.Context, _ Call) Reply {
+				n++
+				return Reply{Status: fanout.Failed, Upstream: balancer.Failed}
+			}
+			w.mu.Unlock()
+			for range 20 {
+				g.Serve(t.Context(), request("/x/1"))
+			}
+			return n
+		}
+		must.Greater(t, 20, sent())
+		g.Reconfigure([]Seed{{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)}}, retrybudget.Limits{})
+		time.Sleep(20 * time.Second)
+		// One attempt in a window is always allowed.
+		must.LessEq(t, 21, sent())
+		must.SliceContains(t, g.seeds(), Seed{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)})
+	})
+}
--- a/pkg/gateway/publish.go
+++ b/pkg/gateway/publish.go
@@ -128,7 +128,7 @@
 	return &service{
 		name:     name,
 		balancer: balancer.NewService(g.cfg.DataCentre),
-		budget:   retrybudget.New(g.cfg.Budget, g.budgetInstances(now), now),
+		budget:   retrybudget.New(g.budgetLimits(), g.budgetInstances(now), now),
 	}
 }
 
@@ -159,10 +159,10 @@
 	if v == nil {
 		return
 	}
-	n := g.budgetInstances(now)
+	n, limits := g.budgetInstances(now), g.budgetLimits()
 	for _, s := range v.services {
 		s.mu.Lock()
-		s.budget.SetInstances(n)
+		s.budget.SetLimits(limits, n)
 		s.mu.Unlock()
 	}
 }
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -52,8 +52,12 @@
 	return &Budget{limits: l, instances: max(1, instances), start: now}
 }
 
-// SetInstances changes the number of instances that share the allowance.
-func (b *Budget) SetInstances(n int) { b.instances = max(1, n) }
+// SetLimits changes the limits and the number of instances that share them. The
+// length of the window stays.
+func (b *Budget) SetLimits(l Limits, instances int) {
+	l.Window = b.limits.Window
+	b.limits, b.instances = l, max(1, instances)
+}
 
 // Request accounts for the first attempt of a request.
 func (b *Budget) Request(now time.Time) {
