--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -178,10 +178,13 @@
 // checkLoss checks that no request is cut that was passed on, above all around
 // planned stops.
 func (l *ledger) checkLoss(id string, r *request, counts map[string]int) {
-	if r.failure == "" || r.sent.IsZero() || !l.calm(r.sent, r.ended) {
+	if r.sent.IsZero() || r.ended.IsZero() || !l.calm(r.sent, r.ended) {
 		return
 	}
 	l.checked("no request cut")
+	if r.failure == "" {
+		return
+	}
 	took := r.ended.Sub(r.sent)
 	ran, broken := false, false
 	for _, e := range l.executions[id] {
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -86,6 +86,7 @@
 	if changed {
 		members = g.control.membership.Members()
 		g.control.largest = max(g.control.largest, len(members))
+		g.control.capacity = max(g.control.capacity, totalCapacity(members))
 		readers := placement.FeedReaders(members, 1)
 		g.control.reader = len(readers) == 0 || readers[0] == g.cfg.ID
 	}
@@ -102,6 +103,18 @@
 	}
 }
 
+// totalCapacity returns the processor time of the members that may be running, in
+// cores.
+func totalCapacity(members []membership.Member) float64 {
+	total := 0.0
+	for i := range members {
+		if members[i].State != membership.Dead {
+			total += float64(members[i].Capacity) / 1000
+		}
+	}
+	return total
+}
+
 func (g *Gateway) reportReader(isReader bool) {
 	if isReader {
 		g.info(event.ReaderRoleGained, nil, "this instance reads the platform for the others")
--- a/pkg/gateway/delegate_test.go
+++ b/pkg/gateway/delegate_test.go
@@ -14,6 +14,7 @@
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
 // startUnequal starts a small and a large instance on a query over many shards,
@@ -162,3 +163,30 @@
 		must.Eq(t, 0, running)
 	})
 }
+
+// TestConnectionShares guards against instances that together hold more connections
+// to an upstream than it accepts, and against a large one, which runs the queries
+// of others, that gets as few as a small one.
+func TestConnectionShares(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		w.configure(1, gatherRoute(3, "s0"))
+		large := w.startWith(0, 9, Config{Capacity: 0.8})
+		var small []*Gateway
+		for i := range 8 {
+			small = append(small, w.startWith(1+i, 9, Config{Capacity: 0.2}))
+		}
+		time.Sleep(settleTime)
+		limit := routing.Service{MaxConnections: 60}
+		most := large.maxConnections(limit)
+		must.Eq(t, 15, most)
+		for _, g := range small {
+			must.Eq(t, 5, g.maxConnections(limit))
+			most += g.maxConnections(limit)
+		}
+		must.LessEq(t, limit.MaxConnections, most)
+		delete(w.gateways, string(small[0].cfg.ID))
+		small[0].Stop()
+		time.Sleep(10 * time.Second)
+		must.Eq(t, 15, large.maxConnections(limit))
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -85,7 +85,10 @@
 		seenVersion uint64
 		// largest is the greatest number of live members seen.
 		largest int
-		reader  bool
+		// capacity is the greatest processor time of all live members together that
+		// was seen, in cores.
+		capacity float64
+		reader   bool
 	}
 
 	quarantine struct {
@@ -265,12 +268,16 @@
 // that machines without power have left behind.
 const connectionShare = 0.75
 
-// maxConnections is this instance's part of an upstream's connection limit.
+// maxConnections is this instance's part of an upstream's connection limit. Larger
+// instances, which run queries for others, get more.
 func (g *Gateway) maxConnections(s routing.Service) int {
 	g.control.Lock()
-	n := g.control.largest
+	part := 1 / float64(g.control.largest)
+	if total := g.control.capacity; total > 0 {
+		part = max(part, min(1, g.cfg.Capacity/total))
+	}
 	g.control.Unlock()
-	return max(1, int(float64(s.MaxConnections)*connectionShare/float64(n)))
+	return max(1, int(float64(s.MaxConnections)*connectionShare*part))
 }
 
 func (g *Gateway) info(id event.ID, f event.Fields, msg string) {
