--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -161,6 +161,17 @@
 		w.store.forget()
 		return "", nothing
 	}},
+	{name: "address reused while the store is down", run: func(w *world, r *rand.Rand) (string, func()) {
+		w.store.set(func() { w.store.modes[""] = storeSilent })
+		u := w.services.any(r)
+		w.services.crash(u, 0)
+		w.running.Go(func() {
+			if w.wait(reuseTime) {
+				_, _ = w.services.startUpstream("q", u.zone, u.address, u.work)
+			}
+		})
+		return u.id, func() { w.store.set(func() { delete(w.store.modes, "") }) }
+	}},
 	{name: "forged entry", run: func(w *world, r *rand.Rand) (string, func()) {
 		w.store.putText("servers/forged", []string{"not json", `{"service":"p","address":7}`, `{"service":"p","address":"127.0.0.1:9","zone":"z1","slots":1,"state":"new","cold_left_ms":0,"sequence":1}`}[r.IntN(3)])
 		return "", nothing
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -13,6 +13,7 @@
 	perService  = 3
 	lapseTime   = time.Second
 	drainTime   = 3 * time.Second
+	reuseTime   = 2 * time.Second
 	topRecords  = 10
 	minShare    = 0.7
 	maxAttempts = 3
@@ -144,9 +145,13 @@
 	return out
 }
 
-// any returns a random running upstream of a service that has another one.
+// any returns a random running upstream of a service that has another one. Those
+// of orders come more often: most promises are about them.
 func (s *services) any(r *rand.Rand) *upstream {
 	all := s.live(func(u *upstream) bool { return u.service != "v" })
+	if orders := s.live(func(u *upstream) bool { return u.service == "o" }); len(orders) > 1 && r.IntN(3) == 0 {
+		all = orders
+	}
 	for range 50 {
 		u := all[r.IntN(len(all))]
 		if len(s.live(func(o *upstream) bool { return o.service == u.service })) > 1 {
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -197,6 +197,35 @@
 	})
 }
 
+// TestUpstreamsCrashTogether guards against blaming a query for the crash of many
+// upstreams at the same moment. In an incident on shevitsa-search-grown 26 queries
+// were refused everywhere after it.
+func TestUpstreamsCrashTogether(t *testing.T) {
+	simulate(t, func(t *testing.T, w *world) {
+		shards := []string{"s0", "s1", "s2", "s3"}
+		w.configure(1, gatherRoute(3, shards...))
+		for _, s := range shards {
+			w.list(directory.Upstream{ID: "u" + s, Service: s})
+		}
+		down := true
+		w.answer = func(_ context.Context, c Call) Reply {
+			w.mu.Lock()
+			defer w.mu.Unlock()
+			w.crashed[c.Upstream.Address] = down
+			if down {
+				return Reply{Status: fanout.Unknown, Upstream: balancer.Lost, Broken: true}
+			}
+			return ok(c, "0123456789abcdef")
+		}
+		g := w.start(0, 1)
+		time.Sleep(settleTime)
+		must.Eq(t, result.CoverageTooLow, g.Serve(t.Context(), request("/q/1")).Code)
+		time.Sleep(settleTime)
+		down = false
+		must.Eq(t, result.OK, g.Serve(t.Context(), request("/q/1")).Code)
+	})
+}
+
 // TestBudgetIsShared guards against instances of a large fleet that each use the
 // allowance of a small one: what fails everywhere would be sent again too often.
 func TestBudgetIsShared(t *testing.T) {
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/balancer"
@@ -44,6 +45,9 @@
 	// last is the latest outcome of a request with one part.
 	last *Reply
 	gone bool
+	// struck is true once a broken connection was looked into: when many upstreams
+	// crash together, all parts of a query are lost, and it is not their cause.
+	struck atomic.Bool
 }
 
 // attempt is what a run keeps of an attempt, also for its log line.
@@ -219,7 +223,7 @@
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
 	}
-	if reply.Broken {
+	if reply.Broken && r.struck.CompareAndSwap(false, true) {
 		go r.g.checkCrash(r.fingerprint, call.Upstream)
 	}
 	r.finished <- finished{attempt: number, reply: &reply}
