Merge the parts of a query with a bounded heap; allocate the lists of its attempts at once

BenchmarkQuery (36 shards, 40 records a part, upstreams in the same process): 244 KB a query before, 41% of it the sorted list of all records.

--- a/internal/minheap/minheap.go
+++ b/internal/minheap/minheap.go
@@ -26,6 +26,13 @@
 // Pop removes and returns the least item. The heap must not be empty.
 func (h *Heap[T]) Pop() T { return heap.Pop(&h.items).(T) }
 
+// ReplaceMin puts an item in the place of the least one. The heap must not be
+// empty.
+func (h *Heap[T]) ReplaceMin(item T) {
+	h.items.list[0] = item
+	heap.Fix(&h.items, 0)
+}
+
 // DeleteFunc removes all items for which drop returns true.
 func (h *Heap[T]) DeleteFunc(drop func(T) bool) {
 	h.items.list = slices.DeleteFunc(h.items.list, drop)
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -173,9 +173,13 @@
 
 // New returns a request before its first attempts.
 func New(cfg Config, u Upstreams) *Query {
-	q := &Query{cfg: cfg, upstreams: u, parts: make([]part, len(cfg.Services))}
+	n := len(cfg.Services)
+	// A quarter more than the first attempts covers the usual hedges.
+	q := &Query{cfg: cfg, upstreams: u, parts: make([]part, n), attempts: make([]attempt, 0, n*5/4+1)}
+	tried := make([]string, n)
 	for i, s := range cfg.Services {
 		q.parts[i].service = s
+		q.parts[i].tried = tried[i : i : i+1]
 	}
 	return q
 }
@@ -183,7 +187,7 @@
 // Begin sends the first attempt of each part.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.begun = now
-	var out []Start
+	out := make([]Start, 0, len(q.parts))
 	for i := range q.parts {
 		out = q.first(now, i, out)
 	}
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
-	"slices"
 
+	"github.com/sardineturn/sardineturn/internal/minheap"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
@@ -71,14 +71,25 @@
 }
 
 // Top returns the n greatest records of the bodies, the greatest first. A
-// remainder that is shorter than a record is ignored.
+// remainder that is shorter than a record is ignored. It keeps n records at a time:
+// a list of all of them was two fifths of the memory that a query over 36 shards
+// allocated.
 func Top(bodies [][]byte, n int) []byte {
-	var records [][]byte
+	greatest := minheap.New(func(a, b []byte) bool { return bytes.Compare(a, b) < 0 })
 	for _, b := range bodies {
 		for ; len(b) >= RecordBytes; b = b[RecordBytes:] {
-			records = append(records, b[:RecordBytes])
+			record := b[:RecordBytes]
+			switch {
+			case greatest.Len() < n:
+				greatest.Push(record)
+			case n > 0 && bytes.Compare(record, greatest.Min()) > 0:
+				greatest.ReplaceMin(record)
+			}
 		}
 	}
-	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	return bytes.Join(records[:min(n, len(records))], nil)
+	out := make([]byte, greatest.Len()*RecordBytes)
+	for at := len(out) - RecordBytes; at >= 0; at -= RecordBytes {
+		copy(out[at:], greatest.Pop())
+	}
+	return out
 }
--- /dev/null
+++ b/pkg/gateway/answer_test.go
@@ -0,0 +1,31 @@
+package gateway
+
+import (
+	"bytes"
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// TestTop guards against records that are lost, doubled, cut or out of order, by
+// comparison with a sort of all of them.
+func TestTop(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		// Few different bytes make equal records likely.
+		record := rapid.SliceOfN(rapid.ByteRange(0, 2), RecordBytes, RecordBytes)
+		var bodies, all [][]byte
+		for range rapid.IntRange(0, 6).Draw(t, "bodies") {
+			records := rapid.SliceOfN(record, 0, 8).Draw(t, "records")
+			all = append(all, records...)
+			rest := rapid.SliceOfN(rapid.Byte(), 0, RecordBytes-1).Draw(t, "rest")
+			bodies = append(bodies, append(bytes.Join(records, nil), rest...))
+		}
+		n := rapid.IntRange(0, 20).Draw(t, "n")
+		slices.SortFunc(all, func(a, b []byte) int { return bytes.Compare(b, a) })
+		want := bytes.Join(all[:min(n, len(all))], nil)
+		if got := Top(bodies, n); !bytes.Equal(got, want) {
+			t.Fatalf("got %x, want %x", got, want)
+		}
+	})
+}
--- a/pkg/gateway/run.go
+++ b/pkg/gateway/run.go
@@ -84,6 +84,8 @@
 	}
 	r.query = fanout.New(r.config, r)
 	r.replies = make([]*Reply, len(r.services))
+	// A quarter more than the first attempts covers the usual hedges.
+	r.attempts = make([]attempt, 0, len(r.services)*5/4+1)
 	r.finished = make(chan finished, fanout.MaxPartAttempts(r.route.MaxAttempts)*len(r.services))
 	r.ctx, r.cancel = context.WithCancel(context.Background())
 	r.needed, r.settled = context.WithCancel(r.ctx)
