--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -273,6 +273,12 @@
 		w.services.drain(u, reuse)
 		return u.id, nothing
 	}},
+	{name: "unlisted", planned: true, run: func(w *world, r *rand.Rand) (string, func()) {
+		u := w.services.any(r)
+		_, _ = w.services.startUpstream(u.service, u.zone, "", u.work)
+		w.services.unlist(u)
+		return u.id, nothing
+	}},
 	{name: "scale out", planned: true, run: func(w *world, r *rand.Rand) (string, func()) {
 		u := w.services.any(r)
 		_, _ = w.services.startUpstream(u.service, u.zone, "", u.work)
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -8,12 +8,14 @@
 )
 
 const (
-	host        = "soak.example"
-	poisonMark  = "poison"
-	perService  = 3
-	lapseTime   = time.Second
-	drainTime   = 3 * time.Second
-	reuseTime   = 2 * time.Second
+	host       = "soak.example"
+	poisonMark = "poison"
+	perService = 3
+	lapseTime  = time.Second
+	drainTime  = 3 * time.Second
+	reuseTime  = 2 * time.Second
+	// leaveTime is how long an upstream serves after it has said that it leaves.
+	leaveTime   = drainTime + 3*time.Second
 	topRecords  = 10
 	minShare    = 0.7
 	maxAttempts = 3
@@ -182,7 +184,7 @@
 	s.register(u, "draining")
 	s.ledger.withdraw(u.id)
 	go func() {
-		time.Sleep(drainTime + time.Second)
+		time.Sleep(leaveTime)
 		u.stop()
 		s.store.remove("servers/" + u.id)
 		if reuseBy != "" {
@@ -192,6 +194,13 @@
 	}()
 }
 
+// unlist removes the entry of an upstream that goes on serving for a while.
+func (s *services) unlist(u *upstream) {
+	s.store.remove("servers/" + u.id)
+	s.ledger.withdraw(u.id)
+	time.AfterFunc(leaveTime, u.stop)
+}
+
 // configure changes the routes and publishes them as a new version.
 func (s *services) configure(change func(map[string]routeSpec)) {
 	s.mu.Lock()
