A restarted instance reads the platform as soon as the others expect it; a change of readers is no outage

The next one took over after 1.7 s, took the gap for an outage and kept a removed upstream for two seconds more: requests reached it 3.9 s after the store's ack. Test: TestRestartedReader (fails without the change).

--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -205,8 +205,12 @@
 	return strings.Join(out, ", ")
 }
 
-// shortSeeds are played by each run of the tests.
-var shortSeeds = []uint64{1, 2, 3}
+// shortSeeds are played by each run of the tests. Those that ever failed stay:
+//
+//	104: an instance that was restarted was taken for the reader of the platform by
+//	     all others and did not read yet; what was removed meanwhile was kept for
+//	     longer, as if the platform had been down.
+var shortSeeds = []uint64{1, 2, 3, 104}
 
 // TestShortSoak guards against changes that break a promise under faults of all
 // kinds, with real processes.
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -52,9 +52,16 @@
 	joinWait      = 30 * time.Millisecond
 	seedJoinWait  = 50 * time.Millisecond
 	firstJoinWait = 2 * time.Second
-	// readerSettleTime is how long after its start an instance does not yet know
-	// all others, so that its place in the order of readers says little.
-	readerSettleTime = 2500 * time.Millisecond
+	// firstSettleTime and joinSettleTime are how long after its start an instance does
+	// not yet know all others, so that its place in the order of readers says little:
+	// when the whole system starts, and when it starts alone. The others take one
+	// that started alone for the reader at once if it is first in the order.
+	firstSettleTime = 2500 * time.Millisecond
+	joinSettleTime  = 500 * time.Millisecond
+	// outageAge is the age of the copy from which on entries may have lapsed because
+	// the platform was away: an entry lives for three report intervals of 1.2 s, and
+	// its upstream must have missed two.
+	outageAge = 2400 * time.Millisecond
 	// firstJoinHold is how long a source holds a call for a first copy when the
 	// whole system starts, and firstJoinTimeout bounds the call: small machines
 	// take long to open connections to each other, and there is no traffic yet.
@@ -97,6 +104,14 @@
 // know the others yet. It reads the platform only if nobody else seems to.
 const settledLast = 1000
 
+// settleTime returns how long the instance settles after its start.
+func (l *feedLoop) settleTime() time.Duration {
+	if l.fromPeer && !l.g.cfg.FirstStart {
+		return joinSettleTime
+	}
+	return firstSettleTime
+}
+
 // settle returns the place in the order of readers and the sources of an instance
 // that has just started. One that starts alone follows those that gave it its
 // copy. When the whole system starts, the seeds read, in their order, because all
@@ -125,7 +140,7 @@
 		now := g.ports.Clock.Now()
 		rank, sources := g.feedSources()
 		known, age := g.copyAge(now)
-		if now.Sub(started) < readerSettleTime {
+		if now.Sub(started) < l.settleTime() {
 			rank, sources = l.settle(sources)
 		}
 		due := age >= takeover(rank)
@@ -203,7 +218,7 @@
 		l.failed(now, err)
 		return
 	}
-	if known && age > maxPeerAge {
+	if known && age > outageAge {
 		// Nobody could read the platform for a while, whoever noticed it.
 		g.endOutage(now)
 	}
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -233,3 +233,33 @@
 		must.LessEq(t, seeds+1, len(by), must.Sprint(by))
 	})
 }
+
+// TestRestartedReader guards against changes that nobody learns because the reader
+// of the platform was restarted, and against taking that for an outage: upstreams
+// that left got requests for 3.9 s (soak, seed 104).
+func TestRestartedReader(t *testing.T) {
+	const instances = 5
+	for n := range 4 * instances {
+		restarted, delay := n%instances, time.Duration(100+300*(n/instances))*time.Millisecond
+		simulate(t, func(t *testing.T, w *world) {
+			w.configure(1, route("/x/", "s", true))
+			w.list(directory.Upstream{ID: "u", Service: "s"})
+			gateways := startFleet(w, instances)
+			g := gateways[restarted]
+			g.Leave()
+			time.Sleep(2500 * time.Millisecond)
+			g.Stop()
+			w.mu.Lock()
+			delete(w.gateways, string(g.cfg.ID))
+			w.mu.Unlock()
+			time.Sleep(200 * time.Millisecond)
+			gateways[restarted] = w.start(restarted, instances)
+			time.Sleep(delay)
+			w.unlist("u")
+			time.Sleep(2 * time.Second)
+			for _, g := range gateways {
+				must.Eq(t, result.NoUpstream, g.Serve(t.Context(), request("/x/1")).Code, must.Sprint(restarted, g.cfg.ID))
+			}
+		})
+	}
+}
