--- a/pkg/adapter/peergrpc/query.go
+++ b/pkg/adapter/peergrpc/query.go
@@ -20,7 +20,7 @@
 		ConfigVersion: w.GetConfigVersion(),
 	})
 	return &wire.RunQueryReply{
-		Declined: a.Declined, Code: int32(a.Code), RunState: int32(a.Ran), RetryAfterUs: a.RetryAfter.Microseconds(),
+		Declined: a.Declined, Reason: a.Reason, Code: int32(a.Code), RunState: int32(a.Ran), RetryAfterUs: a.RetryAfter.Microseconds(),
 		Body: a.Body, Signatures: a.Signatures, Missing: int32(a.Missing), Active: int32(a.Active),
 	}, nil
 }
@@ -37,7 +37,7 @@
 		return port.PeerAnswer{}, err
 	}
 	return port.PeerAnswer{
-		Declined: reply.GetDeclined(), Code: result.Code(reply.GetCode()), Ran: model.RunState(reply.GetRunState()),
+		Declined: reply.GetDeclined(), Reason: reply.GetReason(), Code: result.Code(reply.GetCode()), Ran: model.RunState(reply.GetRunState()),
 		RetryAfter: time.Duration(reply.GetRetryAfterUs()) * time.Microsecond,
 		Body:       reply.GetBody(), Signatures: reply.GetSignatures(), Missing: int(reply.GetMissing()), Active: int(reply.GetActive()),
 	}, nil
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -12,6 +12,7 @@
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
 // delegateReturn is added to the way of an answer that another instance returns
@@ -29,6 +30,8 @@
 	to      model.InstanceID
 	outcome delegation.Outcome
 	took    time.Duration
+	// reason says why a query was declined.
+	reason string
 }
 
 // peerOutcome is the end of a call to another instance.
@@ -118,6 +121,7 @@
 		return r.reported(o.verdict(), peerAnswer(o.answer))
 	case o.err == nil:
 		r.finishDelegate(start, to, delegation.Declined, o.answer.Active)
+		r.delegate.reason = o.answer.Reason
 		return r.serve()
 	case result.CodeOf(o.err) == result.PeerUnreachable:
 		r.finishDelegate(start, to, delegation.Failed, 0)
@@ -164,19 +168,13 @@
 	g.active.Add(1)
 	defer g.active.Add(-1)
 	now := g.ports.Clock.Now()
-	declined := port.PeerAnswer{Declined: true, Active: int(g.queries.Load())}
+	active := int(g.queries.Load())
 	v := g.view.Load()
-	if v == nil || g.stopping.Load() || v.table.Version != q.ConfigVersion || !g.fresh(now) {
-		return declined
-	}
-	route := v.table.Match(q.Host, pathOf(q.Target))
-	if route == nil || route.Gather == nil || !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), declined.Active, route.LatencyTarget) {
-		return declined
+	route, reason := g.acceptQuery(now, v, q, active)
+	if reason != "" {
+		return port.PeerAnswer{Declined: true, Reason: reason, Active: active}
 	}
 	fingerprint := quarantine.Fingerprint(q.Method+" "+q.Host, q.Target, q.Body)
-	if g.blocked(now, fingerprint) {
-		return declined
-	}
 	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, Wait: q.Wait, Arrived: now}
 	run := g.newRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.Way)
 	run.callerGone = ctx.Done()
@@ -187,3 +185,25 @@
 	}
 	return out
 }
+
+// acceptQuery returns the route of another instance's query, or why it is declined.
+func (g *Gateway) acceptQuery(now time.Time, v *view, q port.PeerQuery, active int) (*routing.Route, string) {
+	switch {
+	case v == nil || g.stopping.Load():
+		return nil, "not ready"
+	case v.table.Version != q.ConfigVersion:
+		return nil, "another configuration is in force"
+	case !g.fresh(now):
+		return nil, "the copy of the platform's keys is old"
+	}
+	route := v.table.Match(q.Host, pathOf(q.Target))
+	switch {
+	case route == nil || route.Gather == nil:
+		return nil, "no query over shards"
+	case !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget):
+		return nil, "too many queries are in progress"
+	case g.blocked(now, quarantine.Fingerprint(q.Method+" "+q.Host, q.Target, q.Body)):
+		return nil, "the request is in quarantine"
+	}
+	return route, ""
+}
--- a/pkg/gateway/report.go
+++ b/pkg/gateway/report.go
@@ -94,6 +94,9 @@
 	fields["attempts"] = r.attemptLines(a.Code == result.OK)
 	if d := r.delegate; d != nil {
 		fields["delegate"], fields["delegate_outcome"], fields["delegate_ms"] = d.to, d.outcome.String(), millis(d.took)
+		if d.reason != "" {
+			fields["delegate_reason"] = d.reason
+		}
 	}
 	if missing := r.missingParts(); len(missing) > 0 {
 		fields["missing"] = missing
--- a/pkg/port/query.go
+++ b/pkg/port/query.go
@@ -22,15 +22,17 @@
 
 // PeerAnswer is the answer to a PeerQuery.
 type PeerAnswer struct {
-	// Declined is true if nothing was sent to upstreams and will not be.
+	// Declined is true if nothing was sent to upstreams and will not be; Reason says
+	// why, for logs.
 	Declined   bool
+	Reason     string
 	Code       result.Code
 	Ran        model.RunState
 	RetryAfter time.Duration
 	Body       []byte
 	Signatures []string
 	Missing    int
-	// Active is the number of requests in progress at the other instance.
+	// Active is the number of queries in progress at the other instance.
 	Active int
 }
 
--- a/pkg/requestlog/requestlog.go
+++ b/pkg/requestlog/requestlog.go
@@ -31,21 +31,27 @@
 
 // Line is a log line. Only the fields that are needed are decoded.
 type Line struct {
-	Event    event.ID   `json:"event"`
-	Time     time.Time  `json:"time"`
-	Instance string     `json:"instance"`
-	Message  string     `json:"msg"`
-	Request  string     `json:"request"`
-	Code     string     `json:"code"`
-	Ran      string     `json:"ran"`
-	Route    string     `json:"route"`
-	Config   uint64     `json:"config"`
-	Revision uint64     `json:"revision"`
-	Upstream string     `json:"upstream"`
-	TookMS   float64    `json:"took_ms"`
-	SpentMS  float64    `json:"spent_ms"`
-	WaitMS   float64    `json:"wait_ms"`
-	TargetMS float64    `json:"target_ms"`
+	Event    event.ID  `json:"event"`
+	Time     time.Time `json:"time"`
+	Instance string    `json:"instance"`
+	Message  string    `json:"msg"`
+	Request  string    `json:"request"`
+	Code     string    `json:"code"`
+	Ran      string    `json:"ran"`
+	Route    string    `json:"route"`
+	Config   uint64    `json:"config"`
+	Revision uint64    `json:"revision"`
+	Upstream string    `json:"upstream"`
+	TookMS   float64   `json:"took_ms"`
+	SpentMS  float64   `json:"spent_ms"`
+	WaitMS   float64   `json:"wait_ms"`
+	TargetMS float64   `json:"target_ms"`
+	// Delegate is the instance that was asked to run the query.
+	Delegate        string  `json:"delegate"`
+	DelegateOutcome string  `json:"delegate_outcome"`
+	DelegateReason  string  `json:"delegate_reason"`
+	DelegateMS      float64 `json:"delegate_ms"`
+
 	Attempts []Attempt  `json:"attempts"`
 	Missing  MissingMap `json:"missing"`
 }
@@ -93,23 +99,24 @@
 // Story writes what the lines say about a request and returns false if they hold
 // no line of it.
 func Story(w io.Writer, lines []Line, id string) bool {
-	i := slices.IndexFunc(lines, func(l Line) bool { return l.Request == id && l.Event == event.RequestFinished })
-	if i < 0 {
+	own, other := linesOf(lines, id)
+	if own == nil {
 		return false
 	}
-	own := lines[i]
 	p := func(format string, args ...any) { _, _ = fmt.Fprintf(w, format+"\n", args...) }
 	p("request %s at %s, %s", id, own.Instance, own.Time.Format(time.RFC3339Nano))
 	p("  outcome: %s (%s) after %.1f ms; route %s, configuration %d", own.Code, cmp.Or(own.Ran, "unknown"), own.TookMS, cmp.Or(own.Route, "none"), own.Config)
 	p("  times: caller waits %.0f ms and had spent %.0f ms before; latency target %.0f ms", own.WaitMS, own.SpentMS, own.TargetMS)
-	for _, a := range own.Attempts {
-		p("  %8.1f ms %-5s %s to %s (latency factor %.1f, failure rate %.2f, %d in flight): %s", a.AtMS, a.Cause, a.Part, a.Upstream, a.Factor, a.Failing, a.InFlight, outcome(a))
+	if own.Delegate != "" {
+		p("  delegated to %s: %s after %.1f ms %s", own.Delegate, own.DelegateOutcome, own.DelegateMS, own.DelegateReason)
 	}
-	for _, part := range slices.Sorted(maps.Keys(own.Missing)) {
-		p("  missing: %s, %s", part, own.Missing[part])
+	writeAttempts(p, own)
+	if other != nil {
+		p("  at %s: %s after %.1f ms", other.Instance, other.Code, other.TookMS)
+		writeAttempts(p, other)
 	}
-	p("  cause: %s", Cause(own))
-	context := contextOf(lines, own)
+	p("  cause: %s", causeOf(own, other))
+	context := contextOf(lines, *own)
 	if len(context) > 0 {
 		p("  before, at this instance and about the upstreams concerned:")
 	}
@@ -119,6 +126,49 @@
 	return true
 }
 
+// linesOf returns the line of the instance that the caller asked and, if that one
+// delegated the query, the line of the instance that ran it.
+func linesOf(lines []Line, id string) (own, other *Line) {
+	for i := range lines {
+		l := &lines[i]
+		if l.Request != id || l.Event != event.RequestFinished {
+			continue
+		}
+		switch {
+		case own == nil:
+			own = l
+		case l.Delegate != "" && own.Delegate == "":
+			own, other = l, own
+		case l.Instance != own.Instance:
+			other = l
+		}
+	}
+	return own, other
+}
+
+func writeAttempts(p func(format string, args ...any), l *Line) {
+	for _, a := range l.Attempts {
+		p("  %8.1f ms %-5s %s to %s (latency factor %.1f, failure rate %.2f, %d in flight): %s", a.AtMS, a.Cause, a.Part, a.Upstream, a.Factor, a.Failing, a.InFlight, outcome(a))
+	}
+	for _, part := range slices.Sorted(maps.Keys(l.Missing)) {
+		p("  missing: %s, %s", part, l.Missing[part])
+	}
+}
+
+// causeOf says why a request that may have been delegated ended as it did.
+func causeOf(own, other *Line) string {
+	switch {
+	case own.DelegateOutcome == "failed" && len(own.Attempts) == 0:
+		return "the instance that was asked to run the query gave no answer in time"
+	case own.DelegateOutcome == "answered" && other != nil:
+		return Cause(*other)
+	case own.DelegateOutcome == "answered" && own.Code == "ok":
+		return "the query was whole and in time at the other instance; the time was spent between the two, or before it arrived"
+	default:
+		return Cause(*own)
+	}
+}
+
 func outcome(a Attempt) string {
 	text := a.Status
 	if a.TookMS > 0 {
--- a/pkg/requestlog/requestlog_test.go
+++ b/pkg/requestlog/requestlog_test.go
@@ -39,3 +39,25 @@
 	must.StrContains(t, Cause(Line{Code: "ok", SpentMS: 200, TookMS: 10, TargetMS: 80}), "had spent 200 ms")
 	must.StrContains(t, Cause(Line{Code: "coverage_too_low", Missing: MissingMap{"s": "budget_used"}}), "retry budget")
 }
+
+// TestDelegatedStory guards against a story that ends at the instance that the
+// caller asked when another one ran the query.
+func TestDelegatedStory(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"event":408,"instance":"large","request":"r1","code":"partial_answer","took_ms":30,"time":"2026-01-01T00:00:10Z","missing":{"s2":"in_progress"},"attempts":[{"part":"s2","upstream":"u2","cause":"first","status":"running"}]}
+{"event":408,"instance":"small","request":"r1","code":"partial_answer","took_ms":34,"time":"2026-01-01T00:00:10Z","delegate":"10.0.0.1:1","delegate_outcome":"answered","delegate_ms":32}
+{"event":408,"instance":"small","request":"r2","code":"no_answer_in_time","time":"2026-01-01T00:00:11Z","delegate":"10.0.0.1:1","delegate_outcome":"failed","delegate_ms":80}
+{"event":408,"instance":"small","request":"r3","code":"ok","spent_ms":0,"took_ms":90,"target_ms":80,"time":"2026-01-01T00:00:12Z","delegate":"10.0.0.1:1","delegate_outcome":"declined","delegate_reason":"not ready","delegate_ms":2}
+`))
+	must.NoError(t, err)
+	for id, wanted := range map[string][]string{
+		"r1": {"request r1 at small", "delegated to 10.0.0.1:1: answered after 32.0 ms", "at large: partial_answer", "1× did not answer in time"},
+		"r2": {"gave no answer in time"},
+		"r3": {"declined after 2.0 ms not ready", "all attempts were slow"},
+	} {
+		var out strings.Builder
+		must.True(t, Story(&out, lines, id))
+		for _, text := range wanted {
+			must.StrContains(t, out.String(), text)
+		}
+	}
+}
