--- a/pkg/cli/trace.go
+++ b/pkg/cli/trace.go
@@ -2,7 +2,10 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
+	"slices"
+	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/requestlog"
 )
@@ -38,8 +41,14 @@
 		}
 		lines = append(lines, more...)
 	}
-	if !requestlog.Story(p.Stdout, lines, c.Request) {
-		return fmt.Errorf("the logs hold no line of request %s: it was answered whole and in time, or its line was dropped", c.Request)
+	if requestlog.Story(p.Stdout, lines, c.Request) {
+		return nil
 	}
-	return nil
+	ends := requestlog.Ends(lines)
+	for _, name := range slices.Sorted(maps.Keys(ends)) {
+		for _, at := range ends[name] {
+			_, _ = fmt.Fprintf(p.Stdout, "%s ended without stopping and started again at %s\n", name, at.Format(time.RFC3339Nano))
+		}
+	}
+	return fmt.Errorf("the logs hold no line of request %s: it was answered whole and in time, never arrived, was at an instance that ended, or its line was dropped", c.Request)
 }
--- a/pkg/requestlog/requestlog_test.go
+++ b/pkg/requestlog/requestlog_test.go
@@ -61,3 +61,18 @@
 		}
 	}
 }
+
+// TestEnds guards against blaming a request without a line on nothing when its
+// instance was killed, and against taking a planned stop for that.
+func TestEnds(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"event":100,"instance":"a","time":"2026-01-01T00:00:01Z"}
+{"event":100,"instance":"b","time":"2026-01-01T00:00:01Z"}
+{"event":102,"instance":"b","time":"2026-01-01T00:00:05Z"}
+{"event":100,"instance":"b","time":"2026-01-01T00:00:09Z"}
+{"event":100,"instance":"a","time":"2026-01-01T00:00:09Z"}
+`))
+	must.NoError(t, err)
+	ends := Ends(lines)
+	must.MapLen(t, 1, ends)
+	must.SliceLen(t, 1, ends["a"])
+}
