--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -217,6 +217,19 @@
 		w.leave.Store(25)
 		return "", func() { w.leave.Store(1) }
 	}},
+	{name: "callers leave silent upstreams", servers: true, run: func(w *world, r *rand.Rand) (string, func()) {
+		w.leave.Store(50)
+		silent := w.services.live(func(u *upstream) bool { return u.service == "p" })
+		for _, u := range silent {
+			u.set(behaviour{mutes: 1})
+		}
+		return "p", func() {
+			w.leave.Store(1)
+			for _, u := range silent {
+				u.set(behaviour{})
+			}
+		}
+	}},
 	{name: "burst", servers: true, run: func(w *world, r *rand.Rand) (string, func()) {
 		before := w.rate.Load()
 		w.rate.Store(before * 3)
