--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -54,7 +54,7 @@
 	memoryShare = 0.8
 	// garbagePercent trades processor time for memory: both are charged for, and
 	// the live heap of an instance is a few megabytes.
-	garbagePercent = 50
+	garbagePercent = 100
 )
 
 // ServeGateway runs a gateway until SIGTERM, SIGINT or the end of ctx, then
