--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -64,8 +64,6 @@
 	gateways []*gatewayProcess
 	zones    []string
 
-	mu      sync.Mutex
-	closing bool
 	running sync.WaitGroup
 	stop    chan struct{}
 }
