Bound the wait for a connection to the instance that runs a query

Cause: a delegated query to an instance without power waited for a connection longer than until it was late, and was answered 504 although nothing was sent. Test: TestSilentPeerIsGivenUpEarly.

--- a/pkg/adapter/peergrpc/client.go
+++ b/pkg/adapter/peergrpc/client.go
@@ -123,8 +123,8 @@
 
 // ready waits until the connection stands. Its errors carry
 // result.PeerUnreachable and mean that nothing was sent.
-func (p *peerConn) ready(ctx context.Context, id model.InstanceID) error {
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+func (p *peerConn) ready(ctx context.Context, id model.InstanceID, within time.Duration) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	for {
 		state := p.GetState()
@@ -137,7 +137,7 @@
 			return result.Errorf(result.PeerUnreachable, "no connection to peer %s: %s", id, state)
 		}
 		if !p.WaitForStateChange(ctx, state) {
-			return result.Errorf(result.PeerUnreachable, "no connection to peer %s within %s", id, connectTimeout)
+			return result.Errorf(result.PeerUnreachable, "no connection to peer %s within %s", id, within)
 		}
 	}
 }
--- a/pkg/adapter/peergrpc/conn.go
+++ b/pkg/adapter/peergrpc/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -24,12 +25,17 @@
 // call sends a message once a connection stands. An error without an answer
 // after that carries result.PeerLost.
 func call[T any](ctx context.Context, c *Client, to model.InstanceID, send func(wire.PeerClient) (T, error)) (T, error) {
+	return callWithin(ctx, c, to, connectTimeout, send)
+}
+
+// callWithin is call with its own bound on the time until a connection stands.
+func callWithin[T any](ctx context.Context, c *Client, to model.InstanceID, within time.Duration, send func(wire.PeerClient) (T, error)) (T, error) {
 	var none T
 	conn, before, err := c.acquire(to)
 	if err != nil {
 		return none, err
 	}
-	if err := conn.ready(ctx, to); err != nil {
+	if err := conn.ready(ctx, to, within); err != nil {
 		c.notSent(to, conn)
 		return none, err
 	}
--- /dev/null
+++ b/pkg/adapter/peergrpc/query_test.go
@@ -0,0 +1,71 @@
+package peergrpc
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+// queryHandler keeps a query and answers it.
+type queryHandler struct {
+	got    port.PeerQuery
+	answer port.PeerAnswer
+}
+
+func (h *queryHandler) HandleRunQuery(_ context.Context, q port.PeerQuery) port.PeerAnswer {
+	h.got = q
+	return h.answer
+}
+
+func (*queryHandler) HandleFetchChanges(context.Context, uint64, time.Duration) (feed.Delta, time.Duration, bool) {
+	return feed.Delta{}, 0, false
+}
+
+// TestQuerySurvivesTheWire guards against a field of a delegated query or of its
+// answer that is lost on the way.
+func TestQuerySurvivesTheWire(t *testing.T) {
+	h := &queryHandler{answer: port.PeerAnswer{
+		Declined: true, Reason: "r", Code: result.PartialAnswer, Ran: model.Ran, RetryAfter: time.Second, Body: []byte("b"),
+		Signatures: []string{"s1", "s2"}, Missing: 3, Active: 4,
+	}}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	server := NewGatewayServer(h)
+	go func() { _ = server.Serve(l) }()
+	client := NewClient(port.SystemClock{})
+	t.Cleanup(func() { client.Close(); server.Stop() })
+	sent := port.PeerQuery{
+		ID: "i", Method: "GET", Host: "h", Target: "/t?q", Head: []byte("head"), Body: []byte("body"),
+		Wait: time.Second, Spent: time.Millisecond, Way: 2 * time.Millisecond, Connect: time.Second, ConfigVersion: 7,
+	}
+	to := model.InstanceID(l.Addr().String())
+	client.Connect(to)
+	answer, err := client.RunQuery(t.Context(), to, sent)
+	must.NoError(t, err)
+	must.Eq(t, h.answer, answer)
+	// How long the sender waits for a connection stays with it.
+	sent.Connect = 0
+	must.Eq(t, sent, h.got)
+}
+
+// TestSilentPeerIsGivenUpEarly guards against a query that waits for an instance
+// without power until it is late, although nothing was sent.
+func TestSilentPeerIsGivenUpEarly(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	must.NoError(t, err)
+	t.Cleanup(func() { _ = l.Close() })
+	client := NewClient(port.SystemClock{})
+	t.Cleanup(client.Close)
+	start := time.Now()
+	_, err = client.RunQuery(t.Context(), model.InstanceID(l.Addr().String()), port.PeerQuery{Connect: 20 * time.Millisecond})
+	must.Eq(t, result.PeerUnreachable, result.CodeOf(err))
+	must.Less(t, connectTimeout, time.Since(start))
+}
--- a/pkg/port/query.go
+++ b/pkg/port/query.go
@@ -16,6 +16,8 @@
 	// Wait is how long the caller still waits, Spent what it had spent before,
 	// and Way the time between the answer's return here and the caller.
 	Wait, Spent, Way time.Duration
+	// Connect bounds the wait for a connection to the other instance.
+	Connect time.Duration
 	// ConfigVersion is the sender's configuration.
 	ConfigVersion uint64
 }
