--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -21,8 +21,8 @@
 	services *services
 	number   int
 	random   *rand.Rand
-	// rate is the number of requests a second, in thousandths, shared by all
-	// callers of a run; leave is the percentage that goes away early.
+	// rate and leave are those of the world; nil for a caller that sends single
+	// requests and stays.
 	rate, leave *atomic.Int64
 	stop        <-chan struct{}
 
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -23,21 +24,17 @@
 
 // world is what faults act on.
 type world struct {
-	ledger      *ledger
-	store       *store
-	fleet       *fleet
-	services    *services
-	rate, leave rateControl
+	ledger   *ledger
+	store    *store
+	fleet    *fleet
+	services *services
+	// rate is that of each caller, in thousandths of a request a second, and leave
+	// the percentage of requests whose caller goes away early.
+	rate, leave atomic.Int64
 	running     sync.WaitGroup
 	stop        chan struct{}
 }
 
-// rateControl is a value that faults change for a time.
-type rateControl interface {
-	Load() int64
-	Store(int64)
-}
-
 func (w *world) gateway(r *rand.Rand) *gatewayProcess {
 	return w.fleet.gateways[r.IntN(len(w.fleet.gateways))]
 }
@@ -395,7 +392,7 @@
 // sendPoison sends a request that crashes each upstream that runs it, again and
 // again, as its caller does.
 func (w *world) sendPoison(seed uint64) {
-	c := &caller{ledger: w.ledger, fleet: w.fleet, services: w.services, number: int(seed % 1000), random: rand.New(rand.NewPCG(seed, 1)), rate: nil, leave: nil}
+	c := &caller{ledger: w.ledger, fleet: w.fleet, services: w.services, number: int(seed % 1000), random: rand.New(rand.NewPCG(seed, 1))}
 	for range 20 {
 		if !w.wait(350 * time.Millisecond) {
 			return
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -168,7 +168,7 @@
 func (s *services) crash(u *upstream, down time.Duration) {
 	u.stop()
 	go func() {
-		time.Sleep(min(lapseTime, max(down, lapseTime)))
+		time.Sleep(lapseTime)
 		s.store.remove("servers/" + u.id)
 		s.ledger.withdraw(u.id)
 		if down > 0 {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -99,7 +99,7 @@
 	sv := newServices(l, s, f, zones)
 	must.NoError(t, sv.startAll())
 	must.NoError(t, f.start())
-	w := &world{ledger: l, store: s, fleet: f, services: sv, rate: &atomic.Int64{}, leave: &atomic.Int64{}, stop: make(chan struct{})}
+	w := &world{ledger: l, store: s, fleet: f, services: sv, stop: make(chan struct{})}
 	w.rate.Store(callerRate)
 	w.leave.Store(1)
 	started := time.Now()
@@ -120,7 +120,7 @@
 func (w *world) startCallers(seed uint64) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for i := range callersPerRun {
-		c := &caller{ledger: w.ledger, fleet: w.fleet, services: w.services, number: i, random: rand.New(rand.NewPCG(seed, uint64(i+1))), rate: w.rate.(*atomic.Int64), leave: w.leave.(*atomic.Int64), stop: w.stop}
+		c := &caller{ledger: w.ledger, fleet: w.fleet, services: w.services, number: i, random: rand.New(rand.NewPCG(seed, uint64(i+1))), rate: &w.rate, leave: &w.leave, stop: w.stop}
 		wg.Go(c.run)
 	}
 	return &wg
