--- a/pkg/adapter/peergrpc/gateway.go
+++ b/pkg/adapter/peergrpc/gateway.go
@@ -73,3 +73,27 @@
 	}
 	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
 }
+
+// FetchMembers implements wire.PeerServer.
+func (s *GatewayServer) FetchMembers(_ context.Context, w *wire.FetchMembersRequest) (*wire.FetchMembersReply, error) {
+	reply := &wire.FetchMembersReply{}
+	for _, id := range s.handler.HandleFetchMembers(w.GetDigest()) {
+		reply.Ids = append(reply.Ids, string(id))
+	}
+	return reply, nil
+}
+
+// FetchMembers implements port.FeedPeers.
+func (c *Client) FetchMembers(ctx context.Context, to model.InstanceID, digest uint64) ([]model.InstanceID, error) {
+	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.FetchMembersReply, error) {
+		return peer.FetchMembers(ctx, &wire.FetchMembersRequest{Digest: digest})
+	})
+	if err != nil {
+		return nil, err
+	}
+	ids := make([]model.InstanceID, 0, len(reply.GetIds()))
+	for _, id := range reply.GetIds() {
+		ids = append(ids, model.InstanceID(id))
+	}
+	return ids, nil
+}
--- a/pkg/adapter/peergrpc/query_test.go
+++ b/pkg/adapter/peergrpc/query_test.go
@@ -25,6 +25,13 @@
 	return h.answer
 }
 
+func (*queryHandler) HandleFetchMembers(digest uint64) []model.InstanceID {
+	if digest == 7 {
+		return nil
+	}
+	return []model.InstanceID{"10.0.0.1:1", "10.0.0.2:1"}
+}
+
 func (*queryHandler) HandleFetchChanges(context.Context, uint64, time.Duration) (feed.Delta, time.Duration, bool) {
 	return feed.Delta{}, 0, false
 }
@@ -51,6 +58,11 @@
 	answer, err := client.RunQuery(t.Context(), to, sent)
 	must.NoError(t, err)
 	must.Eq(t, h.answer, answer)
+	for digest, want := range map[uint64]int{7: 0, 8: 2} {
+		members, err := client.FetchMembers(t.Context(), to, digest)
+		must.NoError(t, err)
+		must.SliceLen(t, want, members)
+	}
 	// How long the sender waits for a connection stays with it.
 	sent.Connect = 0
 	must.Eq(t, sent, h.got)
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -27,6 +27,7 @@
 	MemberLeaving    ID = 203
 	InstanceListFail ID = 204
 	MessageInvalid   ID = 205
+	MembersCompared  ID = 206
 
 	DocumentAdopted  ID = 300
 	DocumentInvalid  ID = 301
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -21,15 +21,21 @@
 const feedFanout = 8
 
 func (g *Gateway) joinSeeds(now time.Time) {
-	listed := make([]port.ListedInstance, 0, len(g.seeds()))
-	for _, s := range g.seeds() {
-		listed = append(listed, port.ListedInstance{ID: s.ID, ControlAddress: s.ControlAddress})
-	}
+	listed := g.listedSeeds()
 	g.control.Lock()
 	defer g.control.Unlock()
 	g.control.membership.SetListed(now, listed)
 }
 
+func (g *Gateway) listedSeeds() []port.ListedInstance {
+	seeds := g.seeds()
+	listed := make([]port.ListedInstance, 0, len(seeds))
+	for _, s := range seeds {
+		listed = append(listed, port.ListedInstance{ID: s.ID, ControlAddress: s.ControlAddress})
+	}
+	return listed
+}
+
 // runControl runs the failure detector.
 func (g *Gateway) runControl(ctx context.Context) {
 	timer := time.NewTimer(0)
--- a/pkg/gateway/fake_test.go
+++ b/pkg/gateway/fake_test.go
@@ -39,6 +39,10 @@
 	// lost is true while the connection ends with each.
 	delegated int
 	lost      bool
+	// silent is true while members cannot be compared, and largest bounds the
+	// control datagrams that arrive, in bytes; zero for no bound.
+	silent  bool
+	largest int
 	// dark is true while calls of instances that are not running hang.
 	dark bool
 	// refused holds the instances that the store turns away.
@@ -219,6 +223,17 @@
 	return d, age, nil
 }
 
+// FetchMembers implements port.FeedPeers.
+func (a access) FetchMembers(_ context.Context, to model.InstanceID, digest uint64) ([]model.InstanceID, error) {
+	a.mu.Lock()
+	g, fails := a.gateways[string(to)], a.dark || a.silent
+	a.mu.Unlock()
+	if g == nil || fails {
+		return nil, io.EOF
+	}
+	return g.HandleFetchMembers(digest), nil
+}
+
 // RunQuery implements port.QueryPeers.
 func (a access) RunQuery(ctx context.Context, to model.InstanceID, q port.PeerQuery) (port.PeerAnswer, error) {
 	a.mu.Lock()
@@ -247,9 +262,9 @@
 // Send implements port.Control.
 func (s sender) Send(to string, datagram []byte) {
 	s.mu.Lock()
-	g := s.gateways[to]
+	g, lost := s.gateways[to], s.largest > 0 && len(datagram) > s.largest
 	s.mu.Unlock()
-	if g != nil {
+	if g != nil && !lost {
 		go g.HandleDatagram(s.id, datagram)
 	}
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -166,6 +166,7 @@
 	g.joinSeeds(g.ports.Clock.Now())
 	g.wg.Go(func() { g.runControl(ctx) })
 	g.wg.Go(func() { g.runFeed(ctx) })
+	g.wg.Go(func() { g.runMembers(ctx) })
 	g.wg.Go(func() { g.runUpkeep(ctx) })
 }
 
--- /dev/null
+++ b/pkg/gateway/members.go
@@ -0,0 +1,111 @@
+package gateway
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
+	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/port"
+)
+
+// The news that control datagrams carry are bounded in bytes and sent a limited
+// number of times, so that some are lost when a whole fleet starts: on 80 machines
+// 16 knew the seeds only, for the whole day. Each instance therefore compares its
+// members with those of another one from time to time.
+const (
+	// firstCompare is when members are compared for the first time; the time to the
+	// next doubles up to maxCompare.
+	firstCompare = time.Second
+	maxCompare   = 30 * time.Second
+	// compareTimeout bounds the call.
+	compareTimeout = time.Second
+)
+
+// runMembers compares the members until ctx ends.
+func (g *Gateway) runMembers(ctx context.Context) {
+	for wait := firstCompare; ctx.Err() == nil; wait = min(2*wait, maxCompare) {
+		pause(ctx, wait/2+rand.N(wait))
+		if from, ok := g.compareWith(); ok {
+			g.compareMembers(ctx, from)
+		}
+	}
+}
+
+// compareWith returns a seed or the source of the feed, which knows more than a
+// member at random if this instance knows few.
+func (g *Gateway) compareWith() (model.InstanceID, bool) {
+	_, sources := g.feedSources()
+	if len(sources) > 1 {
+		sources = sources[:1]
+	}
+	sources = g.withSeeds(sources)
+	if len(sources) == 0 {
+		return "", false
+	}
+	return sources[rand.N(len(sources))], true
+}
+
+func (g *Gateway) compareMembers(ctx context.Context, from model.InstanceID) {
+	callCtx, cancel := context.WithTimeout(ctx, compareTimeout)
+	defer cancel()
+	alive := g.aliveMembers()
+	ids, err := g.ports.Peers.FetchMembers(callCtx, from, digestOf(alive))
+	if err != nil || len(ids) == 0 {
+		// The failure detector reports members that are gone.
+		return
+	}
+	known := make(map[model.InstanceID]bool)
+	for _, id := range alive {
+		known[id] = true
+	}
+	listed, unknown := g.listedSeeds(), 0
+	for _, id := range ids {
+		if !known[id] {
+			unknown++
+		}
+		listed = append(listed, port.ListedInstance{ID: id, ControlAddress: string(id)})
+	}
+	g.control.Lock()
+	g.control.membership.SetListed(g.ports.Clock.Now(), listed)
+	g.control.Unlock()
+	if unknown > 0 {
+		g.info(event.MembersCompared, event.Fields{"from": from, "unknown": unknown, "known": len(known)}, "another instance sees members that are not known here")
+	}
+}
+
+// HandleFetchMembers implements port.FeedHandler.
+func (g *Gateway) HandleFetchMembers(digest uint64) []model.InstanceID {
+	alive := g.aliveMembers()
+	if digestOf(alive) == digest {
+		return nil
+	}
+	return alive
+}
+
+// aliveMembers returns the instances that this one sees alive, itself included.
+func (g *Gateway) aliveMembers() []model.InstanceID {
+	g.control.Lock()
+	members := g.control.membership.Members()
+	g.control.Unlock()
+	var out []model.InstanceID
+	for i := range members {
+		if members[i].State == membership.Alive {
+			out = append(out, members[i].ID)
+		}
+	}
+	return out
+}
+
+// digestOf returns a value that is the same for the same ids in any order.
+func digestOf(ids []model.InstanceID) uint64 {
+	var digest uint64
+	for _, id := range ids {
+		digest ^= xxhash.Sum64String(string(id))
+	}
+	return digest
+}
--- a/pkg/port/feed.go
+++ b/pkg/port/feed.go
@@ -28,10 +28,16 @@
 	// FetchChanges returns the changes after a revision, waiting for one if
 	// there is none, and the time since the peer's copy was confirmed.
 	FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error)
+	// FetchMembers returns the instances that a peer sees alive, or none if their
+	// digest is the given one.
+	FetchMembers(ctx context.Context, to model.InstanceID, digest uint64) ([]model.InstanceID, error)
 }
 
 // FeedHandler serves the published keys to other instances.
 type FeedHandler interface {
 	// HandleFetchChanges returns false if no keys are known yet.
 	HandleFetchChanges(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, time.Duration, bool)
+	// HandleFetchMembers returns the instances that this one sees alive, or none if
+	// their digest is the given one.
+	HandleFetchMembers(digest uint64) []model.InstanceID
 }
