--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -211,6 +211,7 @@
 	case cut && len(text) > 1:
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, text[:len(text)/2])
+		_ = http.NewResponseController(w).Flush()
 		panic(http.ErrAbortHandler)
 	case extra:
 		u.answerTwice(w, e)
