Compute a request's fingerprint once, and say things once in the gateway's change

A delegated query hashed its body twice at the instance that runs it; Request now has a fingerprint of its own, which Serve uses, too. Members state their capacity in cores through one pair of conversions, and one method lists members to the failure detector. Probed tests only the condition that implies the other. The soak's faults share their choice of the other instances and of the way in which the store fails. Comments that left out delegated queries are corrected. No behaviour is meant to change.

--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -76,11 +76,11 @@
 	}},
 	{name: "partition", run: func(w *world, r *rand.Rand) (string, func()) {
 		one := w.subset(r)
-		return w.cut(one, slices.DeleteFunc(w.fleet.names(), func(n string) bool { return slices.Contains(one, n) }), r)
+		return w.cut(one, w.others(one), r)
 	}},
 	{name: "peers one way", run: func(w *world, r *rand.Rand) (string, func()) {
 		one := w.subset(r)
-		other := slices.DeleteFunc(w.fleet.names(), func(n string) bool { return slices.Contains(one, n) })
+		other := w.others(one)
 		w.fleet.relay.Cut(one, other, relay.Silent)
 		return strings.Join(one, " "), func() { w.fleet.relay.Cut(one, other, relay.Open) }
 	}},
@@ -107,16 +107,26 @@
 	return names[:1+r.IntN(max(1, len(names)/2))]
 }
 
+// others returns the instances that are not among the given ones.
+func (w *world) others(names []string) []string {
+	return slices.DeleteFunc(w.fleet.names(), func(n string) bool { return slices.Contains(names, n) })
+}
+
 func (w *world) cut(one, other []string, r *rand.Rand) (string, func()) {
 	mode := []relay.Mode{relay.Silent, relay.Broken}[r.IntN(2)]
 	w.fleet.relay.Separate(one, other, mode)
 	return strings.Join(one, " "), func() { w.fleet.relay.Separate(one, other, relay.Open) }
 }
 
+// failingMode returns a way in which the store fails.
+func failingMode(r *rand.Rand) storeMode {
+	return []storeMode{storeBusy, storeLimited, storeResets, storeSilent}[r.IntN(4)]
+}
+
 // storeFaults act on the platform's store.
 var storeFaults = []fault{
 	{name: "store down", run: func(w *world, r *rand.Rand) (string, func()) {
-		mode := []storeMode{storeBusy, storeLimited, storeResets, storeSilent}[r.IntN(4)]
+		mode := failingMode(r)
 		w.store.set(func() { w.store.modes[""] = mode })
 		lapsed := w.services.live(func(*upstream) bool { return r.IntN(4) == 0 })
 		for _, u := range lapsed {
@@ -131,7 +141,7 @@
 		}
 	}},
 	{name: "store refuses some", run: func(w *world, r *rand.Rand) (string, func()) {
-		mode := []storeMode{storeBusy, storeLimited, storeResets, storeSilent}[r.IntN(4)]
+		mode := failingMode(r)
 		names := w.subset(r)
 		w.store.set(func() {
 			for _, n := range names {
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -224,8 +224,5 @@
 	if err != nil {
 		return
 	}
-	if t, ok := conn.(*net.TCPConn); ok {
-		_ = t.SetLinger(0)
-	}
-	_ = conn.Close()
+	abort(conn)
 }
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -102,7 +102,7 @@
 // Probed reports whether an attempt is on its way that shows whether an upstream
 // that does not answer is back.
 func (u *Upstream) Probed() bool {
-	return u.Doubtful() && u.silences > 1 && len(u.inFlight) > 0
+	return u.silences > 1 && len(u.inFlight) > 0
 }
 
 // avoided reports whether the upstream should get no attempt now.
--- a/pkg/gateway/control.go
+++ b/pkg/gateway/control.go
@@ -20,11 +20,11 @@
 // second, so that the instances form a tree below the reader of the platform.
 const feedFanout = 8
 
-func (g *Gateway) joinSeeds(now time.Time) {
-	listed := g.listedSeeds()
+// list tells the failure detector which instances to ping.
+func (g *Gateway) list(listed []port.ListedInstance) {
 	g.control.Lock()
 	defer g.control.Unlock()
-	g.control.membership.SetListed(now, listed)
+	g.control.membership.SetListed(g.ports.Clock.Now(), listed)
 }
 
 func (g *Gateway) listedSeeds() []port.ListedInstance {
@@ -115,7 +115,7 @@
 	total := 0.0
 	for i := range members {
 		if members[i].State != membership.Dead {
-			total += float64(members[i].Capacity) / 1000
+			total += members[i].Cores()
 		}
 	}
 	return total
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -10,7 +10,6 @@
 	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
-	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
@@ -60,7 +59,7 @@
 	for i := range members {
 		m := &members[i]
 		if m.State == membership.Alive && m.ID != g.cfg.ID && m.Capacity > 0 {
-			list = append(list, delegation.Instance{ID: m.ID, Near: m.DataCentre == g.cfg.DataCentre, Capacity: float64(m.Capacity) / 1000})
+			list = append(list, delegation.Instance{ID: m.ID, Near: m.DataCentre == g.cfg.DataCentre, Capacity: m.Cores()})
 		}
 	}
 	g.delegates.mu.Lock()
@@ -170,12 +169,18 @@
 	now := g.ports.Clock.Now()
 	active := int(g.queries.Load())
 	v := g.view.Load()
+	declined := func(reason string) port.PeerAnswer {
+		return port.PeerAnswer{Declined: true, Reason: reason, Active: active}
+	}
 	route, reason := g.acceptQuery(now, v, q, active)
 	if reason != "" {
-		return port.PeerAnswer{Declined: true, Reason: reason, Active: active}
+		return declined(reason)
 	}
-	fingerprint := quarantine.Fingerprint(q.Method+" "+q.Host, q.Target, q.Body)
 	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, Wait: q.Wait, Arrived: now}
+	fingerprint := r.fingerprint()
+	if g.blocked(now, fingerprint) {
+		return declined("the request is in quarantine")
+	}
 	run := g.newRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.Way)
 	run.callerGone = ctx.Done()
 	a := run.serve()
@@ -202,8 +207,6 @@
 		return nil, "no query over shards"
 	case !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget):
 		return nil, "too many queries are in progress"
-	case g.blocked(now, quarantine.Fingerprint(q.Method+" "+q.Host, q.Target, q.Body)):
-		return nil, "the request is in quarantine"
 	}
 	return route, ""
 }
--- a/pkg/gateway/feed_start.go
+++ b/pkg/gateway/feed_start.go
@@ -75,9 +75,12 @@
 	}
 }
 
+// joined reports whether the instance started beside others that were running.
+func (l *feedLoop) joined() bool { return l.fromPeer && !l.g.cfg.FirstStart }
+
 // settleTime returns how long the instance settles after its start.
 func (l *feedLoop) settleTime() time.Duration {
-	if l.fromPeer && !l.g.cfg.FirstStart {
+	if l.joined() {
 		return joinSettleTime
 	}
 	return firstSettleTime
@@ -90,7 +93,7 @@
 func (l *feedLoop) settle(sources []model.InstanceID) (int, []model.InstanceID) {
 	seeds := l.g.withSeeds(nil)
 	switch i := l.g.seedIndex(); {
-	case l.fromPeer && !l.g.cfg.FirstStart:
+	case l.joined():
 		return settledLast, l.g.withSeeds(sources)
 	case i >= 0:
 		return i, seeds
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -1,8 +1,9 @@
 // Package gateway serves callers' requests along the routes of the platform's
 // configuration: it sends each to an upstream of the route's service, or to one
-// upstream of each shard, and answers with what they return. Every instance
-// calls upstreams itself; the instances share what they know of the platform
-// and of requests that crash upstreams.
+// upstream of each shard, and answers with what they return. Every instance calls
+// upstreams itself, but one with little processor time lets a larger one run its
+// queries over shards; the instances share what they know of the platform and of
+// requests that crash upstreams.
 package gateway
 
 import (
@@ -148,7 +149,7 @@
 			ControlAddress: cfg.ControlAddress,
 			DataCentre:     cfg.DataCentre,
 			Boot:           membership.NewBootID(now, random),
-			Capacity:       uint32(1000 * cfg.Capacity),
+			Capacity:       membership.CapacityOf(cfg.Capacity),
 		},
 		Cluster:   cfg.Cluster,
 		Rand:      random,
@@ -163,7 +164,7 @@
 func (g *Gateway) Start() {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.cancel = cancel
-	g.joinSeeds(g.ports.Clock.Now())
+	g.list(g.listedSeeds())
 	g.wg.Go(func() { g.runControl(ctx) })
 	g.wg.Go(func() { g.runFeed(ctx) })
 	g.wg.Go(func() { g.runMembers(ctx) })
@@ -175,9 +176,8 @@
 	g.settings.Lock()
 	g.settings.seeds, g.settings.budget = seeds, budget
 	g.settings.Unlock()
-	now := g.ports.Clock.Now()
-	g.joinSeeds(now)
-	g.shareBudgets(now)
+	g.list(g.listedSeeds())
+	g.shareBudgets(g.ports.Clock.Now())
 }
 
 // Stop ends the background work.
@@ -236,8 +236,8 @@
 	// closed.
 	upkeepInterval = 500 * time.Millisecond
 	// probeInterval and suspicion are those of the failure detector. No request
-	// depends on it, only the choice of the instance that reads the platform and
-	// the number of instances that share budgets.
+	// depends on it, only the choice of the instance that reads the platform, the
+	// instances that run queries for others, and the number that share budgets.
 	probeInterval = 500 * time.Millisecond
 	suspicion     = 2 * time.Second
 	// maxIdle is how long a connection is kept without a request. Those that a
--- a/pkg/gateway/members.go
+++ b/pkg/gateway/members.go
@@ -40,10 +40,7 @@
 // member at random if this instance knows few.
 func (g *Gateway) compareWith() (model.InstanceID, bool) {
 	_, sources := g.feedSources()
-	if len(sources) > 1 {
-		sources = sources[:1]
-	}
-	sources = g.withSeeds(sources)
+	sources = g.withSeeds(sources[:min(1, len(sources))])
 	if len(sources) == 0 {
 		return "", false
 	}
@@ -70,9 +67,7 @@
 		}
 		listed = append(listed, port.ListedInstance{ID: id, ControlAddress: string(id)})
 	}
-	g.control.Lock()
-	g.control.membership.SetListed(g.ports.Clock.Now(), listed)
-	g.control.Unlock()
+	g.list(listed)
 	if unknown > 0 {
 		g.info(event.MembersCompared, event.Fields{"from": from, "unknown": unknown, "known": len(known)}, "another instance sees members that are not known here")
 	}
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -14,6 +14,7 @@
 	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
@@ -36,6 +37,11 @@
 	Arrived time.Time
 }
 
+// fingerprint identifies what the request asks for.
+func (r *Request) fingerprint() model.Fingerprint {
+	return quarantine.Fingerprint(r.Method+" "+r.Host, r.Target, r.Body)
+}
+
 // Answer is what a caller gets.
 type Answer struct {
 	Code result.Code
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -7,7 +7,6 @@
 
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
-	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
@@ -43,7 +42,7 @@
 	if route == nil {
 		return g.unrouted(now, r)
 	}
-	fingerprint := quarantine.Fingerprint(r.Method+" "+r.Host, r.Target, r.Body)
+	fingerprint := r.fingerprint()
 	if g.blocked(now, fingerprint) {
 		a := refuse(result.Quarantined)
 		g.reportRefused(now, r, route, a)
