Start restarted instances from compressed copies of other instances

Change: a restarted instance with less than 0.4 cores that is not a seed ends its first read of the store after 0.3 s and asks larger members and the seeds for their copy, before it reads the store again. Large full copies between instances are compressed once for all that ask; instances of the old build still get them uncompressed. The first copy of the registry is logged in one line (event 409).

TestMassRestart fails if no instance gives way.

--- a/pkg/adapter/peergrpc/gateway.go
+++ b/pkg/adapter/peergrpc/gateway.go
@@ -31,6 +31,7 @@
 	wire.UnimplementedPeerServer
 	handler GatewayHandler
 	grpc    *grpc.Server
+	changes changesEncoder
 }
 
 // NewGatewayServer returns a server that passes requests to handler.
@@ -54,8 +55,8 @@
 		return nil, status.Error(codes.Unavailable, "no published keys are known yet")
 	}
 	reply := &wire.FetchChangesReply{Revision: delta.Revision, Full: delta.Full, Lapsed: delta.Lapsed, AgeMs: age.Milliseconds()}
-	for _, c := range delta.Changes {
-		reply.Changes = append(reply.Changes, &wire.Change{Key: c.Key, Revision: c.Revision, Value: c.Value, Deleted: c.Deleted, Lapsed: c.Lapsed})
+	if err := s.changes.encode(reply, delta, w.GetAcceptsCompressed()); err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
 	}
 	return reply, nil
 }
@@ -63,15 +64,16 @@
 // FetchChanges implements port.FeedPeers.
 func (c *Client) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
 	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.FetchChangesReply, error) {
-		return peer.FetchChanges(ctx, &wire.FetchChangesRequest{After: after, WaitMs: wait.Milliseconds()})
+		return peer.FetchChanges(ctx, &wire.FetchChangesRequest{After: after, WaitMs: wait.Milliseconds(), AcceptsCompressed: true})
 	})
 	if err != nil {
 		return feed.Delta{}, 0, err
 	}
-	delta := feed.Delta{Revision: reply.GetRevision(), Full: reply.GetFull(), Lapsed: reply.GetLapsed()}
-	for _, w := range reply.GetChanges() {
-		delta.Changes = append(delta.Changes, feed.Change{Key: w.GetKey(), Revision: w.GetRevision(), Value: w.GetValue(), Deleted: w.GetDeleted(), Lapsed: w.GetLapsed()})
+	changes, err := decodeChanges(reply)
+	if err != nil {
+		return feed.Delta{}, 0, err
 	}
+	delta := feed.Delta{Changes: changes, Revision: reply.GetRevision(), Full: reply.GetFull(), Lapsed: reply.GetLapsed()}
 	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -40,6 +40,7 @@
 	DocumentOlder    ID = 308
 	EntryInvalid     ID = 309
 	HistoryGone      ID = 310
+	FirstReadSlow    ID = 311
 
 	UpstreamEjected    ID = 400
 	UpstreamRestored   ID = 401
@@ -50,6 +51,7 @@
 	UpstreamListed     ID = 406
 	UpstreamGone       ID = 407
 	RequestFinished    ID = 408
+	UpstreamsLoaded    ID = 409
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -89,6 +89,8 @@
 	// firstCopyFromPeer becomes true when this instance first asks another one for a
 	// first copy, and false again if it then reads its first copy from the platform.
 	firstCopyFromPeer bool
+	// gaveWay becomes true when a first read of the platform ends at firstListTimeout.
+	gaveWay bool
 }
 
 // runFeed keeps the copy of the published keys up to date.
@@ -152,11 +154,21 @@
 	if age > storeWatchWait/2 {
 		wait = takeoverWatchWait
 	}
-	d, err := l.listOrWatch(ctx, g.revision(), wait)
+	readCtx, cancel := ctx, context.CancelFunc(func() {})
+	givesWay := !hasCopy && l.givesWay()
+	if givesWay {
+		readCtx, cancel = context.WithTimeout(ctx, firstListTimeout)
+	}
+	d, err := l.listOrWatch(readCtx, g.revision(), wait)
+	cancel()
 	now := g.ports.Clock.Now()
 	if ctx.Err() != nil {
 		return
 	}
+	if givesWay && errors.Is(readCtx.Err(), context.DeadlineExceeded) && err != nil {
+		l.giveWay(now)
+		return
+	}
 	g.ports.Metrics.PlatformRead(err == nil)
 	if err != nil {
 		l.recordReadFailure(now, err)
--- a/pkg/gateway/feed_start.go
+++ b/pkg/gateway/feed_start.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
@@ -22,6 +25,19 @@
 	restartCopyWait    = 30 * time.Millisecond
 	seedCopyWait       = 50 * time.Millisecond
 	firstStartCopyWait = 2 * time.Second
+	// firstListTimeout bounds the first read of the platform by a restarted instance with
+	// less than patientCapacity cores. If hundreds of instances restart at once, they
+	// share the platform's link, and all of them would get the whole content only after a
+	// second. The small ones therefore give way: the larger ones and the seeds then have
+	// their copies soon, and the copies that they send are compressed. An instance
+	// that gave way reads the platform again after a random time between
+	// firstListTimeout and twice as long.
+	firstListTimeout = 300 * time.Millisecond
+	patientCapacity  = 0.4
+	// restartPollTimeout bounds each call for a first copy after that, and restartPollWait
+	// is how long the called instance may wait for its own copy.
+	restartPollTimeout = 200 * time.Millisecond
+	restartPollWait    = 100 * time.Millisecond
 	// firstStartSettleTime and joinSettleTime are how long an instance does not rely on
 	// its rank in the order of readers after its start, because it does not know all
 	// other instances yet: firstStartSettleTime when the whole system starts,
@@ -63,6 +79,9 @@
 
 // fetchFirstCopy asks the sources and the seeds in turn for a first copy.
 func (l *feedLoop) fetchFirstCopy(ctx context.Context, sources []model.InstanceID) {
+	if l.gaveWay {
+		sources = l.g.patientMembers()
+	}
 	sources = l.g.appendSeeds(sources)
 	if len(sources) == 0 {
 		sleep(ctx, sourceRetryPause)
@@ -73,8 +92,11 @@
 	// The timeout is short because a machine that lost power does not answer at all, and
 	// all sources may have lost power.
 	timeout, wait := restartCopyWait, sourceRetryPause
-	if l.g.cfg.FirstStart && l.g.seedIndex() < 0 {
+	switch {
+	case l.g.cfg.FirstStart && l.g.seedIndex() < 0:
 		timeout, wait = firstStartPollTimeout, firstStartPollWait
+	case l.gaveWay:
+		timeout, wait = restartPollTimeout, restartPollWait
 	}
 	callCtx, cancel := context.WithTimeout(ctx, timeout)
 	defer cancel()
@@ -83,6 +105,37 @@
 	}
 }
 
+// patientMembers returns the live members that do not give way when they start, in
+// random order.
+func (g *Gateway) patientMembers() []model.InstanceID {
+	g.fleet.Lock()
+	members := g.fleet.membership.Members()
+	g.fleet.Unlock()
+	var ids []model.InstanceID
+	for i := range members {
+		if m := &members[i]; m.State == membership.Alive && m.ID != g.cfg.ID && m.Cores() >= patientCapacity {
+			ids = append(ids, m.ID)
+		}
+	}
+	rand.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	return ids
+}
+
+// givesWay reports whether the first read of the platform by this instance is bounded
+// by firstListTimeout.
+func (l *feedLoop) givesWay() bool {
+	g := l.g
+	return !l.gaveWay && !g.cfg.FirstStart && g.cfg.Capacity > 0 && g.cfg.Capacity < patientCapacity && g.seedIndex() < 0
+}
+
+// giveWay ends a first read of the platform that took longer than firstListTimeout: the
+// instance asks others for a copy, and reads the platform again later.
+func (l *feedLoop) giveWay(now time.Time) {
+	l.gaveWay = true
+	l.nextReadAt = now.Add(firstListTimeout + rand.N(firstListTimeout))
+	l.g.info(event.FirstReadSlow, event.Fields{"timeout_ms": firstListTimeout.Milliseconds()}, "the platform answers slowly, maybe because many instances start; asking other instances for a copy")
+}
+
 // joinedRunningFleet reports whether the instance is assumed to have started while
 // others were running: this is not the first start, and the instance has asked others
 // for its first copy and has not read that copy from the platform.
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -275,3 +275,31 @@
 		})
 	}
 }
+
+// TestMassRestart guards against instances that restart together and all wait for the
+// whole content from the platform, whose link they share. With 295 instances each of them
+// waited for over a second, and callers were refused for as long.
+func TestMassRestart(t *testing.T) {
+	const fullLoadTime, lightLoadTime = 1200 * time.Millisecond, 400 * time.Millisecond
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.addUpstream(directory.Upstream{ID: "u", Service: "s"})
+		ff.configure(1, route("/x/", "s", true))
+		// The store serves the instances with much processor time soon, because the
+		// others stop reading.
+		ff.listTime = func(id string) time.Duration {
+			if id == "10.0.0.0:1" {
+				return lightLoadTime
+			}
+			return fullLoadTime
+		}
+		start := time.Now()
+		gateways := []*Gateway{ff.startWith(0, 1, Config{Capacity: 0.8})}
+		for i := range 12 {
+			gateways = append(gateways, ff.startWith(1+i, 1, Config{Capacity: 0.2}))
+		}
+		for _, g := range gateways {
+			<-g.viewAvailable
+		}
+		must.Less(t, lightLoadTime+250*time.Millisecond, time.Since(start))
+	})
+}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -50,6 +50,9 @@
 	peerCallsHang bool
 	// storeRefuses holds the ids of the instances whose calls the store refuses.
 	storeRefuses map[string]bool
+	// listTime, if set, is how long the store takes to list all keys for the instance with
+	// the id.
+	listTime func(id string) time.Duration
 	// storeCalls counts the calls to the store by the calling instance. pollsReceived
 	// counts the calls for changes by the called instance.
 	storeCalls, pollsReceived map[string]int
@@ -179,10 +182,17 @@
 }
 
 // List implements port.Store.
-func (p instancePorts) List(context.Context) (feed.Delta, error) {
+func (p instancePorts) List(ctx context.Context) (feed.Delta, error) {
 	if err := p.countStoreCall(); err != nil {
 		return feed.Delta{}, err
 	}
+	if p.listTime != nil {
+		select {
+		case <-time.After(p.listTime(p.id)):
+		case <-ctx.Done():
+			return feed.Delta{}, ctx.Err()
+		}
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	d := feed.Delta{Revision: p.revision, Full: true}
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -24,8 +24,12 @@
 	if d.Revision >= before && confirmedAt.After(p.confirmedAt) {
 		p.confirmedAt = confirmedAt
 	}
+	first := before == 0
 	for _, c := range altered {
-		g.applyChange(now, c, source)
+		g.applyChange(now, c, source, first)
+	}
+	if first && len(altered) > 0 {
+		g.info(event.UpstreamsLoaded, event.Fields{"upstreams": p.directory.Len(), "revision": d.Revision, "age_ms": now.Sub(confirmedAt).Milliseconds(), "source": source}, "the first copy of the registry was loaded")
 	}
 	if len(altered) > 0 {
 		g.replaceView(now)
@@ -36,8 +40,10 @@
 	}
 }
 
-// applyChange applies one change. published must be locked.
-func (g *Gateway) applyChange(now time.Time, c feed.Change, source string) {
+// applyChange applies one change. The upstreams of the first copy are logged together
+// and not one by one, because writing several hundred lines delays the start of an
+// instance with little processor time. published must be locked.
+func (g *Gateway) applyChange(now time.Time, c feed.Change, source string, first bool) {
 	p := &g.published
 	config, ok, err := g.ports.Decoder.Config(c)
 	if ok {
@@ -55,6 +61,8 @@
 	case err != nil:
 		g.warn(event.EntryInvalid, event.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()}, "a registry entry is invalid; its upstream is removed")
 		p.directory.Remove(now, u.ID, false)
+	case first:
+		p.directory.Set(u)
 	default:
 		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "revision": c.Revision, "source": source}, "an upstream's entry changed")
 		p.directory.Set(u)
