--- a/pkg/adapter/connlimit/connlimit_test.go
+++ b/pkg/adapter/connlimit/connlimit_test.go
@@ -51,10 +51,12 @@
 // takes.
 func sendAndReadAll(t *testing.T, address, text string) (string, time.Duration) {
 	t.Helper()
+	// The clock starts before the dial, because the limits count from the accept, which
+	// may come before the dial returns.
+	start := time.Now()
 	conn, err := net.Dial("tcp", address)
 	must.NoError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	start := time.Now()
 	_, err = io.WriteString(conn, text)
 	must.NoError(t, err)
 	must.NoError(t, conn.SetReadDeadline(start.Add(readTimeout)))
--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -43,6 +43,7 @@
 	// keepAliveInterval is the interval of the TCP keep-alive probes, which find dead
 	// connections. A negative value turns them off.
 	keepAliveInterval time.Duration
+	memory            answerMemory
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -52,9 +53,13 @@
 
 // New returns a client without connections.
 func New(clock port.Clock) *Client {
-	return &Client{clock: clock, keepAliveInterval: tcpKeepAlive, pools: make(map[string]*pool)}
+	return &Client{clock: clock, keepAliveInterval: tcpKeepAlive, memory: answerMemory{limit: defaultAnswerMemory}, pools: make(map[string]*pool)}
 }
 
+// LimitAnswerMemory sets the limit, in bytes, of the memory of all answers that are being
+// read. It must be called before the first request.
+func (c *Client) LimitAnswerMemory(bytes int64) { c.memory.limit = bytes }
+
 // NewWithoutTCPKeepAlive returns a client whose connections send no TCP keep-alive
 // probes. It is for owners that close idle connections themselves and set a
 // deadline for every request. Turning on the probes takes a third of the system
@@ -136,7 +141,7 @@
 	defer c.mu.Unlock()
 	p := c.pools[address]
 	if p == nil {
-		p = newPool(address, max(1, limit), c.keepAliveInterval)
+		p = newPool(address, max(1, limit), c.keepAliveInterval, &c.memory)
 		c.pools[address] = p
 	}
 	return p
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -44,12 +44,13 @@
 	// keepAliveTimeout is how long the upstream keeps the connection open without a
 	// request, as its last answer stated; zero if that answer stated no time.
 	keepAliveTimeout time.Duration
+	memory           *answerMemory
 	onClose          func()
 	closeOnce        sync.Once
 }
 
-func newConn(raw net.Conn, onClose func()) *conn {
-	c := &conn{Conn: raw, onClose: onClose}
+func newConn(raw net.Conn, memory *answerMemory, onClose func()) *conn {
+	c := &conn{Conn: raw, memory: memory, onClose: onClose}
 	c.limited.reader = raw
 	c.reader = bufio.NewReaderSize(&c.limited, readBufferBytes)
 	return c
@@ -149,7 +150,7 @@
 		// The factor of 2 leaves room for the chunk headers of a body that is sent in
 		// small chunks.
 		c.limited.remaining = 2*m.maxBodyBytes + maxHeaderBytes
-		body, err := readAll(resp, m.maxBodyBytes)
+		body, err := c.readBody(resp, m.maxBodyBytes)
 		if m.matchesRequest != nil && !m.matchesRequest(resp.Header) {
 			a.mismatched++
 			if err != nil || resp.Close {
@@ -202,15 +203,22 @@
 	return 0
 }
 
-func readAll(resp *http.Response, limit int64) ([]byte, error) {
+// readBody returns the body of a response. It fails with errAnswerTooLarge if the body
+// is longer than the limit, or too long for the memory that is left for answers.
+func (c *conn) readBody(resp *http.Response, limit int64) ([]byte, error) {
+	r := newMeteredReader(resp.Body, c.memory)
+	defer r.release()
 	if n := resp.ContentLength; n > limit {
 		return nil, errAnswerTooLarge
 	} else if n >= 0 {
+		if n > r.covered && !r.cover(n-r.covered) {
+			return nil, errAnswerTooLarge
+		}
 		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
+		_, err := io.ReadFull(r, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, limit+1))
+	body, err := io.ReadAll(io.LimitReader(r, limit+1))
 	if err == nil && int64(len(body)) > limit {
 		err = errAnswerTooLarge
 	}
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -15,6 +15,7 @@
 // change.
 type pool struct {
 	address string
+	memory  *answerMemory
 	dialer  *net.Dialer
 	// requestSemaphore allows as many concurrent requests as connections. Further
 	// requests wait here, in order of arrival.
@@ -48,10 +49,11 @@
 	idleSince time.Time
 }
 
-func newPool(address string, limit int, keepAlive time.Duration) *pool {
+func newPool(address string, limit int, keepAlive time.Duration, memory *answerMemory) *pool {
 	ctx, cancel := context.WithCancel(context.Background())
 	return &pool{
 		address:          address,
+		memory:           memory,
 		dialer:           &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive},
 		requestSemaphore: semaphore.New(limit),
 		ctx:              ctx,
@@ -185,7 +187,7 @@
 		p.decrementOpen()
 		return
 	}
-	p.put(newConn(raw, p.decrementOpen))
+	p.put(newConn(raw, p.memory, p.decrementOpen))
 }
 
 // put makes a connection idle, or closes it if the pool is closed or has more
--- a/pkg/adapter/upstreamhttp/pool_test.go
+++ b/pkg/adapter/upstreamhttp/pool_test.go
@@ -94,7 +94,7 @@
 // after its request has ended. While an upstream is unreachable, such waits would
 // accumulate.
 func TestConnectEndsWithRequest(t *testing.T) {
-	p := newPool("127.0.0.1:1", 0, tcpKeepAlive)
+	p := newPool("127.0.0.1:1", 0, tcpKeepAlive, &answerMemory{limit: defaultAnswerMemory})
 	requestCtx, cancel := context.WithCancel(t.Context())
 	errs := make(chan error)
 	go func() {
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -161,7 +161,7 @@
 			newClock,
 			newGatewaySocket,
 			newGatewayPeers,
-			upstreamhttp.NewWithoutTCPKeepAlive,
+			newGatewayUpstreams,
 			newGateway,
 			newGatewayServer,
 			newIngress,
@@ -180,6 +180,18 @@
 	return peerudp.Listen(s.PeerBindAddress())
 }
 
+// answerMemoryShare is the share of the process's memory that answers of upstreams may
+// take while they are read.
+const answerMemoryShare = 0.25
+
+func newGatewayUpstreams(s settings.Gateway, clock port.Clock) *upstreamhttp.Client {
+	client := upstreamhttp.NewWithoutTCPKeepAlive(clock)
+	if s.MemoryMB > 0 {
+		client.LimitAnswerMemory(int64(s.MemoryMB * answerMemoryShare * (1 << 20)))
+	}
+	return client
+}
+
 func newGatewayPeers(s settings.Gateway, clock port.Clock) *peergrpc.Client {
 	return peergrpc.NewClientFrom(clock, s.PeerSource())
 }
--- a/pkg/gateway/feed_start.go
+++ b/pkg/gateway/feed_start.go
@@ -32,7 +32,7 @@
 	// their copies soon, and the copies that they send are compressed. An instance
 	// that gave way reads the platform again after a random time between
 	// firstListTimeout and twice as long.
-	firstListTimeout = 300 * time.Millisecond
+	firstListTimeout = 200 * time.Millisecond
 	patientCapacity  = 0.4
 	// restartPollTimeout bounds each call for a first copy after that, and restartPollWait
 	// is how long the called instance may wait for its own copy.
