Leave room for restarted instances at the connection limit of shards

An upstream counts the connections of before until its idle timeout. Small instances held one connection to each of many shards for 15 s, because for their first moments they run queries themselves, and with 79 instances a minimum of one each already exceeds the limit of 72.

Change: of the limit of a shard, the instances that run queries for others use 0.45 together, so that the connections of before and after a power loss fit; the others open one at most and close it after 2 s without a request instead of 15 s.

TestShardConnectionsSurvivePowerLoss fails with the connections shared by processor time only.

--- a/pkg/gateway/delegate_test.go
+++ b/pkg/gateway/delegate_test.go
@@ -184,17 +184,17 @@
 		}
 		time.Sleep(propagationTime)
 		limit := routing.Service{MaxConnections: 60}
-		total := large.maxConnections(limit)
+		total := large.maxConnections(time.Now(), limit, false)
 		must.Eq(t, 15, total)
 		for _, g := range small {
-			must.Eq(t, 5, g.maxConnections(limit))
-			total += g.maxConnections(limit)
+			must.Eq(t, 5, g.maxConnections(time.Now(), limit, false))
+			total += g.maxConnections(time.Now(), limit, false)
 		}
 		must.LessEq(t, limit.MaxConnections, total)
 		ff.withLock(func() { delete(ff.gateways, string(small[0].cfg.ID)) })
 		small[0].Stop()
 		time.Sleep(10 * time.Second)
-		must.Eq(t, 15, large.maxConnections(limit))
+		must.Eq(t, 15, large.maxConnections(time.Now(), limit, false))
 	})
 }
 
@@ -226,3 +226,35 @@
 		must.Between(t, 5, ff.delegatedQueries(), 8)
 	})
 }
+
+// TestShardConnectionsSurvivePowerLoss guards against upstreams that reset connections
+// after a power loss of all instances. They still count the connections of before, and a
+// limit that those had filled left no room for the restarted instances for six seconds.
+func TestShardConnectionsSurvivePowerLoss(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.configure(1, gatherRoute(3, "s0"))
+		var large, small []*Gateway
+		for i := range 3 {
+			large = append(large, ff.startWith(i, 3, Config{Capacity: 0.8}))
+		}
+		for i := range 9 {
+			small = append(small, ff.startWith(3+i, 3, Config{Capacity: 0.2}))
+		}
+		limit := routing.Service{MaxConnections: 30}
+		used := func() (total int) {
+			for _, g := range large {
+				total += g.maxConnections(time.Now(), limit, true)
+			}
+			return total
+		}
+		time.Sleep(propagationTime / 2)
+		must.LessEq(t, limit.MaxConnections/2, used())
+		time.Sleep(propagationTime)
+		must.Between(t, limit.MaxConnections/3, used(), limit.MaxConnections/2)
+		for _, g := range small {
+			must.Eq(t, 1, g.maxConnections(time.Now(), limit, true))
+			must.Eq(t, delegatorIdleTime, g.idleTime())
+		}
+		must.Eq(t, maxIdleTime, large[0].idleTime())
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -267,6 +267,10 @@
 	// processor time of three requests, and in a large fleet an instance uses most
 	// upstreams only for hedges, seconds apart.
 	maxIdleTime = 15 * time.Second
+	// delegatorIdleTime replaces maxIdleTime on an instance that lets others run its
+	// queries. Such an instance opens connections to many shards if it starts before it
+	// knows the others, and does not need them again.
+	delegatorIdleTime = 2 * time.Second
 )
 
 func (g *Gateway) runMaintenance(ctx context.Context) {
@@ -280,26 +284,55 @@
 			now := g.ports.Clock.Now()
 			g.expireLapsed(now)
 			g.updateRetryBudgets(now)
-			g.ports.Upstreams.CloseIdle(maxIdleTime)
+			g.ports.Upstreams.CloseIdle(g.idleTime())
 		}
 	}
 }
 
+// idleTime returns how long a connection to an upstream stays open without a request.
+func (g *Gateway) idleTime() time.Duration {
+	g.fleet.Lock()
+	defer g.fleet.Unlock()
+	if g.fleet.maxQueryRunners > 0 && !g.fleet.isQueryRunner {
+		return delegatorIdleTime
+	}
+	return maxIdleTime
+}
+
 // connectionShare is the fraction of an upstream's connection limit that all instances
 // together may use. The rest is reserved for instances that join and for connections
 // that machines left open when they lost power.
 const connectionShare = 0.75
 
-// maxConnections returns this instance's share of an upstream's connection limit.
-// Instances with more processor time get more, because they run queries for others.
-func (g *Gateway) maxConnections(s routing.Service) int {
+// runnerConnectionShare is the fraction of a shard's connection limit that the instances
+// that run queries for others may use together. It is below a half because after a power
+// loss of all instances the upstream counts the connections of before until its idle
+// timeout; with more, it reset the new ones, and most queries failed for six seconds.
+const runnerConnectionShare = 0.45
+
+// maxConnections returns this instance's share of the connection limit of an upstream of
+// the service. Instances with more processor time get more, because they run queries for
+// others. shard is true if the service is a shard of queries: the instances that let
+// others run their queries then open one connection at most.
+func (g *Gateway) maxConnections(now time.Time, s routing.Service, shard bool) int {
 	g.fleet.Lock()
+	defer g.fleet.Unlock()
+	limit := float64(s.MaxConnections)
+	if runners := g.fleet.maxQueryRunners; shard && runners > 0 && runners < g.fleet.maxMembers {
+		if !g.fleet.isQueryRunner {
+			return 1
+		}
+		if now.Sub(g.started) < startBudgetTime {
+			// Most of the others are not known yet.
+			runners = max(runners, minBudgetInstances)
+		}
+		return max(1, int(limit*runnerConnectionShare/float64(runners)))
+	}
 	share := 1 / float64(g.fleet.maxMembers)
 	if total := g.fleet.maxTotalCores; total > 0 {
 		share = max(share, min(1, g.cfg.Capacity/total))
 	}
-	g.fleet.Unlock()
-	return max(1, int(float64(s.MaxConnections)*connectionShare*share))
+	return max(1, int(limit*connectionShare*share))
 }
 
 func (g *Gateway) info(id event.ID, f event.Fields, msg string) {
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -196,14 +196,14 @@
 		a.latencyFactor, a.failureRate = u.DecayedEstimates(now)
 		a.inFlight = u.InFlight()
 		u.AttemptStarted(now)
-		entry := u.Upstream
+		entry, shard := u.Upstream, service.shard
 		service.mu.Unlock()
 		call := Call{
 			Upstream:       entry,
 			Request:        r.request,
 			Deadline:       r.attemptDeadline(now),
 			SendContext:    r.sendCtx,
-			MaxConnections: r.g.maxConnections(r.view.table.Services[entry.Service]),
+			MaxConnections: r.g.maxConnections(now, r.view.table.Services[entry.Service], shard),
 			ShardQuery:     r.route.Gather != nil,
 		}
 		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u) })
