--- a/pkg/adapter/upstreamhttp/endless_test.go
+++ b/pkg/adapter/upstreamhttp/endless_test.go
@@ -9,6 +9,7 @@
 	"testing"
 	"time"
 
+	"github.com/shoenig/test"
 	"github.com/shoenig/test/must"
 
 	"github.com/sardineturn/sardineturn/pkg/port"
@@ -93,15 +94,19 @@
 						Address: address, MaxConnections: 8, Deadline: time.Now().Add(500 * time.Millisecond),
 						Message: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Method: "GET", MaxAnswerBytes: 4 << 20,
 					})
-					must.Error(t, r.Err)
-					must.True(t, r.Sent)
+					test.Error(t, r.Err)
+					test.True(t, r.Sent)
 					var timeout net.Error
-					must.Eq(t, c.timedOut, errors.As(r.Err, &timeout) && timeout.Timeout(), must.Sprint(r.Err))
+					test.Eq(t, c.timedOut, errors.As(r.Err, &timeout) && timeout.Timeout(), test.Sprint(r.Err))
 				})
 			}
 			wg.Wait()
 			for range 8 {
-				<-closed
+				select {
+				case <-closed:
+				case <-time.After(2 * time.Second):
+					t.Fatal("the connection of a broken answer stays open")
+				}
 			}
 			must.Zero(t, client.memory.used.Load())
 		})
--- a/pkg/gateway/delegate_test.go
+++ b/pkg/gateway/delegate_test.go
@@ -240,7 +240,7 @@
 		for i := range 9 {
 			small = append(small, ff.startWith(3+i, 3, Config{Capacity: 0.2}))
 		}
-		limit := routing.Service{MaxConnections: 30}
+		limit := routing.Service{MaxConnections: 72}
 		used := func() (total int) {
 			for _, g := range large {
 				total += g.maxConnections(time.Now(), limit, true)
