--- /dev/null
+++ b/pkg/gateway/crash_test.go
@@ -0,0 +1,278 @@
+package gateway
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
+)
+
+const (
+	// crashingTarget is the target of a request that crashes each upstream that runs it.
+	crashingTarget = "/x/crash"
+	// stableWindow is how long after a disturbance an instance counts as disturbed.
+	stableWindow = 5 * time.Second
+	// crashesBeforeCheck and toleratedRetries are the platform's rule: later than
+	// stableWindow after the third crash, undisturbed instances may send three retries
+	// of the request to upstreams.
+	crashesBeforeCheck = 3
+	toleratedRetries   = 3
+)
+
+// crashEnd is the way in which the connections of a crashed upstream end.
+type crashEnd int
+
+const (
+	// connectionsBreak: open connections break, and new ones are refused.
+	connectionsBreak crashEnd = iota
+	// connectionsHang: open and new connections are silent.
+	connectionsHang
+)
+
+// crashScenario sends a request that crashes upstreams to random instances of a fleet,
+// while some of the instances are disturbed, and counts the retries that reach upstreams.
+type crashScenario struct {
+	*fakeFleet
+	t         *testing.T
+	random    *rand.Rand
+	instances int
+	end       crashEnd
+	downtime  time.Duration
+
+	// disturbedAt holds when the instance was last killed, started, cut or reconnected.
+	disturbedAt map[int]time.Time
+	starts      int64
+	sent        int
+	// crashes holds the time of each crash, and retries the ids of the requests that
+	// reached upstreams from undisturbed instances later than stableWindow after the
+	// third crash.
+	crashes []time.Time
+	retries map[string]bool
+}
+
+// newCrashScenario starts the instances and their upstreams.
+func newCrashScenario(t *testing.T, ff *fakeFleet, seed uint64, instances, upstreams int) *crashScenario {
+	s := &crashScenario{
+		fakeFleet: ff, t: t, random: rand.New(rand.NewPCG(seed, 0)), instances: instances, downtime: 2 * time.Second,
+		disturbedAt: make(map[int]time.Time), retries: make(map[string]bool),
+	}
+	ff.configure(1, route("/x/", "s", true))
+	for i := range upstreams {
+		ff.addUpstream(directory.Upstream{ID: fmt.Sprint("u", i), Service: "s", Started: 1})
+	}
+	ff.answer = s.answerOrCrash
+	for i := range instances {
+		ff.start(i, min(3, instances))
+	}
+	time.Sleep(4 * stableWindow)
+	return s
+}
+
+// answerOrCrash is the upstreams' answer function.
+func (s *crashScenario) answerOrCrash(ctx context.Context, c Call) Reply {
+	if !strings.HasPrefix(c.Request.Target, crashingTarget) {
+		return successReply(c, "")
+	}
+	s.mu.Lock()
+	down := s.crashed[c.Upstream.Address]
+	if !down {
+		s.recordArrival(c)
+		s.crashed[c.Upstream.Address] = true
+		time.AfterFunc(s.downtime, func() { s.restartUpstream(c.Upstream) })
+	}
+	s.mu.Unlock()
+	switch {
+	case s.end == connectionsHang:
+		select {
+		case <-ctx.Done():
+			return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.Cancelled}
+		case <-time.After(time.Until(c.Deadline)):
+			return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.TimedOut}
+		}
+	case down:
+		return Reply{Status: fanout.NotSent, UpstreamOutcome: balancer.Unreachable}
+	default:
+		return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.ConnectionLost, ConnectionBroken: true}
+	}
+}
+
+// recordArrival counts the crash and, if it comes late, the retry. s.mu must be locked.
+func (s *crashScenario) recordArrival(c Call) {
+	now := time.Now()
+	var from int
+	_, err := fmt.Sscanf(c.Request.ID, "from %d", &from)
+	must.NoError(s.t, err)
+	s.crashes = append(s.crashes, now)
+	if len(s.crashes) > crashesBeforeCheck && now.Sub(s.crashes[crashesBeforeCheck-1]) > stableWindow && now.Sub(s.disturbedAt[from]) > stableWindow {
+		s.retries[c.Request.ID] = true
+	}
+}
+
+// restartUpstream starts a crashed upstream again under its id.
+func (s *crashScenario) restartUpstream(u directory.Upstream) {
+	s.withLock(func() {
+		delete(s.crashed, u.Address)
+		s.starts++
+		u.Started = 1 + s.starts
+	})
+	s.addUpstream(u)
+}
+
+// sendFor sends the crashing request to random instances for the given time.
+func (s *crashScenario) sendFor(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		n := s.random.IntN(s.instances)
+		s.mu.Lock()
+		g := s.gateways[instanceAddress(n)]
+		s.mu.Unlock()
+		if g != nil {
+			s.sent++
+			r := request(crashingTarget)
+			r.ID = fmt.Sprintf("from %d: %d", n, s.sent)
+			g.Serve(s.t.Context(), r)
+		}
+		time.Sleep(200*time.Millisecond + time.Duration(s.random.Int64N(int64(600*time.Millisecond))))
+	}
+}
+
+// kill stops an instance without notice.
+func (s *crashScenario) kill(n int) {
+	var g *Gateway
+	s.withLock(func() {
+		g = s.gateways[instanceAddress(n)]
+		delete(s.gateways, instanceAddress(n))
+		s.disturbedAt[n] = time.Now()
+	})
+	g.Stop()
+}
+
+func (s *crashScenario) restart(n int) {
+	s.start(n, min(3, s.instances))
+	s.withLock(func() { s.disturbedAt[n] = time.Now() })
+}
+
+// setCut cuts an instance off from all other instances, or reconnects it.
+func (s *crashScenario) setCut(n int, cut bool) {
+	s.withLock(func() {
+		s.cut[instanceAddress(n)] = cut
+		s.disturbedAt[n] = time.Now()
+	})
+}
+
+// check fails the test if too many retries reached upstreams.
+func (s *crashScenario) check() {
+	s.t.Helper()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.t.Logf("%d sent, %d crashes, %d late retries", s.sent, len(s.crashes), len(s.retries))
+	must.LessEq(s.t, toleratedRetries, len(s.retries))
+}
+
+// TestCrashingRequestAfterRestarts guards against a restarted instance that sends a
+// request to upstreams although the others refuse it: instances announced such a request
+// only once.
+func TestCrashingRequestAfterRestarts(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			simulate(t, func(t *testing.T, ff *fakeFleet) {
+				s := newCrashScenario(t, ff, seed, 9, 6)
+				s.sendFor(4 * time.Second)
+				for n := range s.instances {
+					s.kill(n)
+					s.sendFor(time.Second)
+					s.restart(n)
+					s.sendFor(6 * time.Second)
+				}
+				s.check()
+			})
+		})
+	}
+}
+
+// TestCrashingRequestAfterCut guards against an instance that sends a request to upstreams
+// although the others refuse it, because it was cut off from them when they announced it.
+func TestCrashingRequestAfterCut(t *testing.T) {
+	for seed := range uint64(6) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			simulate(t, func(t *testing.T, ff *fakeFleet) {
+				s := newCrashScenario(t, ff, seed, 9, 6)
+				for n := range 4 {
+					s.setCut(n, true)
+				}
+				s.sendFor(8 * time.Second)
+				for n := range 4 {
+					s.setCut(n, false)
+				}
+				s.sendFor(30 * time.Second)
+				s.check()
+			})
+		})
+	}
+}
+
+// TestManyCrashingRequestsAfterRestarts guards against a restarted instance that learns
+// only some of the refused requests, because they do not fit into one datagram.
+func TestManyCrashingRequestsAfterRestarts(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		s := newCrashScenario(t, ff, 1, 9, 6)
+		const requests = 12
+		sendAll := func() {
+			for i := range requests {
+				for n := range 3 {
+					r := request(fmt.Sprint(crashingTarget, i))
+					s.sent++
+					r.ID = fmt.Sprintf("from %d: %d", n, s.sent)
+					s.gateways[instanceAddress(n)].Serve(t.Context(), r)
+					time.Sleep(2500 * time.Millisecond)
+				}
+			}
+		}
+		sendAll()
+		before := len(s.crashes)
+		for n := range s.instances {
+			s.kill(n)
+			s.restart(n)
+			time.Sleep(2 * stableWindow)
+		}
+		sendAll()
+		must.Eq(t, before, len(s.crashes))
+	})
+}
+
+// TestCrashingRequestOnSilentUpstreams guards against a request that crashes one upstream
+// after another without being recognised, because the connections of the crashed
+// upstreams fall silent and do not break.
+func TestCrashingRequestOnSilentUpstreams(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			simulate(t, func(t *testing.T, ff *fakeFleet) {
+				s := newCrashScenario(t, ff, seed, 9, 6)
+				s.end = connectionsHang
+				s.sendFor(40 * time.Second)
+				s.check()
+			})
+		})
+	}
+}
+
+// TestCrashingRequestInCalm guards against a request that crashes one upstream after
+// another because its caller sends it through different instances at the same time.
+func TestCrashingRequestInCalm(t *testing.T) {
+	for seed := range uint64(4) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			simulate(t, func(t *testing.T, ff *fakeFleet) {
+				s := newCrashScenario(t, ff, seed, 9, 6)
+				s.sendFor(40 * time.Second)
+				s.check()
+			})
+		})
+	}
+}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -48,6 +48,8 @@
 	// changes to instances that are not running hang until their context ends, and calls
 	// that fetch members fail.
 	peerCallsHang bool
+	// cut holds the ids of the instances that are cut off from all other instances.
+	cut map[string]bool
 	// storeRefuses holds the ids of the instances whose calls the store refuses.
 	storeRefuses map[string]bool
 	// listTime, if set, is how long the store takes to list all keys for the instance with
@@ -65,7 +67,7 @@
 func newFakeFleet() *fakeFleet {
 	return &fakeFleet{
 		revision: 1, configs: make(map[uint64]routing.Config), upstreams: make(map[uint64]directory.Upstream),
-		changed: make(chan struct{}), gateways: make(map[string]*Gateway), storeRefuses: make(map[string]bool),
+		changed: make(chan struct{}), gateways: make(map[string]*Gateway), storeRefuses: make(map[string]bool), cut: make(map[string]bool),
 		storeCalls: make(map[string]int), pollsReceived: make(map[string]int), crashed: make(map[string]bool),
 		answer: func(_ context.Context, c Call) Reply { return successReply(c, "0123456789abcdef") },
 	}
@@ -181,6 +183,15 @@
 	return nil
 }
 
+// reachable returns the running instance with the id, or nil if there is none or either of
+// the two instances is cut off. The lock of the fleet must be held.
+func (p instancePorts) reachable(to model.InstanceID) *Gateway {
+	if p.cut[p.id] || p.cut[string(to)] {
+		return nil
+	}
+	return p.gateways[string(to)]
+}
+
 // List implements port.Store.
 func (p instancePorts) List(ctx context.Context) (feed.Delta, error) {
 	if err := p.countStoreCall(); err != nil {
@@ -241,7 +252,7 @@
 // FetchChanges implements port.FeedPeers.
 func (p instancePorts) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
 	p.mu.Lock()
-	g := p.gateways[string(to)]
+	g := p.reachable(to)
 	p.pollsReceived[string(to)]++
 	hang := p.peerCallsHang
 	p.mu.Unlock()
@@ -261,7 +272,7 @@
 // FetchMembers implements port.FeedPeers.
 func (p instancePorts) FetchMembers(_ context.Context, to model.InstanceID, digest uint64) ([]model.InstanceID, error) {
 	p.mu.Lock()
-	g, fails := p.gateways[string(to)], p.peerCallsHang || p.memberSyncFails
+	g, fails := p.reachable(to), p.peerCallsHang || p.memberSyncFails
 	p.mu.Unlock()
 	if g == nil || fails {
 		return nil, io.EOF
@@ -272,7 +283,7 @@
 // RunQuery implements port.QueryPeers.
 func (p instancePorts) RunQuery(ctx context.Context, to model.InstanceID, q port.PeerQuery) (port.PeerAnswer, error) {
 	p.mu.Lock()
-	g, hang, connectionFails := p.gateways[string(to)], p.peerCallsHang, p.queryConnectionsFail
+	g, hang, connectionFails := p.reachable(to), p.peerCallsHang, p.queryConnectionsFail
 	p.delegated++
 	p.mu.Unlock()
 	switch {
@@ -297,7 +308,8 @@
 // Send implements port.Control.
 func (c fakeControl) Send(to string, datagram []byte) {
 	c.mu.Lock()
-	g, lost := c.gateways[to], c.maxDatagramBytes > 0 && len(datagram) > c.maxDatagramBytes
+	g := c.gateways[to]
+	lost := c.maxDatagramBytes > 0 && len(datagram) > c.maxDatagramBytes || c.cut[c.id] || c.cut[to]
 	c.mu.Unlock()
 	if g != nil && !lost {
 		go g.HandleDatagram(c.id, datagram)
@@ -338,17 +350,19 @@
 	return ff.startWith(n, seedCount, Config{FirstStart: firstStart})
 }
 
+// instanceAddress returns the address of instance n, which is also its id.
+func instanceAddress(n int) string { return fmt.Sprintf("10.0.0.%d:1", n) }
+
 // startWith starts instance n with the first seedCount instances as seeds and with the
 // given settings.
 func (ff *fakeFleet) startWith(n, seedCount int, cfg Config) *Gateway {
-	id := func(i int) string { return fmt.Sprintf("10.0.0.%d:1", i) }
 	var seeds []Seed
 	for i := range seedCount {
-		seeds = append(seeds, Seed{ID: model.InstanceID(id(i)), ControlAddress: id(i)})
+		seeds = append(seeds, Seed{ID: model.InstanceID(instanceAddress(i)), ControlAddress: instanceAddress(i)})
 	}
 	log := logrus.New()
 	log.SetOutput(io.Discard)
-	p := instancePorts{fakeFleet: ff, id: id(n)}
+	p := instancePorts{fakeFleet: ff, id: instanceAddress(n)}
 	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Seeds = model.InstanceID(p.id), "c", "z", p.id, seeds
 	cfg.RetryBudget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
 	g := New(cfg, Ports{
