Log and count each check for a crashed upstream, and crash records from others

From the logs it could not be told whether an instance had not recognised a crash, or had not learned of the crashes that others recognised: a check that confirmed no crash, and a crash record from another instance, left no line.

Event 410 and the counter crash_checks_total give the result of each check, event 411 each record received. The probe of an upstream now says whether the connection was accepted, refused or not answered. No decision changes.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -42,16 +42,18 @@
 	HistoryGone      ID = 310
 	FirstReadSlow    ID = 311
 
-	UpstreamEjected    ID = 400
-	UpstreamRestored   ID = 401
-	UpstreamDraining   ID = 402
-	AnswerDropped      ID = 403
-	RequestSuspect     ID = 404
-	RequestQuarantined ID = 405
-	UpstreamListed     ID = 406
-	UpstreamGone       ID = 407
-	RequestFinished    ID = 408
-	UpstreamsLoaded    ID = 409
+	UpstreamEjected     ID = 400
+	UpstreamRestored    ID = 401
+	UpstreamDraining    ID = 402
+	AnswerDropped       ID = 403
+	RequestSuspect      ID = 404
+	RequestQuarantined  ID = 405
+	UpstreamListed      ID = 406
+	UpstreamGone        ID = 407
+	RequestFinished     ID = 408
+	UpstreamsLoaded     ID = 409
+	CrashNotConfirmed   ID = 410
+	CrashRecordReceived ID = 411
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -32,7 +32,10 @@
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	if !g.ports.Upstreams.RefusesConnections(ctx, u.Address) {
+	probe := g.ports.Upstreams.Probe(ctx, u.Address)
+	g.ports.Metrics.CrashChecked(probe.String())
+	if probe != ProbeRefused {
+		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
 		return
 	}
 	g.recordCrash(g.ports.Clock.Now(), f, u)
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -60,8 +60,10 @@
 	storeCalls, pollsReceived map[string]int
 	// answer returns the reply of an upstream to a call.
 	answer func(ctx context.Context, c Call) Reply
-	// crashed holds the addresses of the upstreams that refuse connections.
-	crashed map[string]bool
+	// crashed holds the addresses of the upstreams that refuse connections or, if
+	// crashedSilently is true, do not answer.
+	crashed         map[string]bool
+	crashedSilently bool
 }
 
 func newFakeFleet() *fakeFleet {
@@ -327,11 +329,20 @@
 	return answer(ctx, c)
 }
 
-// RefusesConnections implements Upstreams.
-func (u fakeUpstreams) RefusesConnections(_ context.Context, address string) bool {
+// Probe implements Upstreams.
+func (u fakeUpstreams) Probe(ctx context.Context, address string) ProbeResult {
 	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.crashed[address]
+	crashed, silent := u.crashed[address], u.crashedSilently
+	u.mu.Unlock()
+	switch {
+	case crashed && silent:
+		<-ctx.Done()
+		return ProbeUnanswered
+	case crashed:
+		return ProbeRefused
+	default:
+		return ProbeAccepted
+	}
 }
 
 // Retain implements Upstreams.
--- a/pkg/gateway/membership.go
+++ b/pkg/gateway/membership.go
@@ -244,9 +244,12 @@
 	added := g.quarantine.set.Merge(now, entries)
 	g.quarantine.Unlock()
 	for _, e := range added {
-		if !strings.HasPrefix(e.Service, crashRecordPrefix) {
-			g.info(event.RequestQuarantined, event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}, "another instance quarantined a request that crashed upstreams")
+		fields := event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}
+		if strings.HasPrefix(e.Service, crashRecordPrefix) {
+			g.info(event.CrashRecordReceived, fields, "another instance recorded that a request crashed an upstream")
+			continue
 		}
+		g.info(event.RequestQuarantined, fields, "another instance quarantined a request that crashed upstreams")
 	}
 }
 
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -101,12 +101,30 @@
 	MismatchedAnswers int
 }
 
+// ProbeResult is the outcome of opening a connection to an upstream.
+type ProbeResult int
+
+// Outcomes of a probe.
+const (
+	// ProbeAccepted: the connection was opened.
+	ProbeAccepted ProbeResult = iota
+	// ProbeRefused: no process listens at the address.
+	ProbeRefused
+	// ProbeUnanswered: the address did not answer in time, or cannot be reached.
+	ProbeUnanswered
+)
+
+// String returns the result's name in logs and metrics.
+func (r ProbeResult) String() string {
+	return [...]string{"accepted", "refused", "unanswered"}[r]
+}
+
 // Upstreams sends requests to upstreams.
 type Upstreams interface {
 	// Send runs one attempt. Cancelling ctx cancels it at the upstream.
 	Send(ctx context.Context, c Call) Reply
-	// RefusesConnections reports whether new connections to the address are refused.
-	RefusesConnections(ctx context.Context, address string) bool
+	// Probe opens a connection to the address and closes it.
+	Probe(ctx context.Context, address string) ProbeResult
 	// Retain closes the connections to all addresses but the given ones.
 	Retain(addresses map[string]bool)
 	// CloseIdle closes the connections that have had no request for the given time.
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -114,6 +114,7 @@
 	controlBytes        *family[tally.Counter]
 	ejections           *family[tally.Counter]
 	quarantines         tally.Counter
+	crashChecks         *family[tally.Counter]
 	restarts            tally.Counter
 	pauses              tally.Counter
 	suppressedLines     tally.Counter
@@ -175,6 +176,7 @@
 		controlBytes:        counters(nameControlBytes, tagDirection),
 		ejections:           counters(nameEjections, tagReason),
 		quarantines:         scope.Counter(nameQuarantines),
+		crashChecks:         counters(nameCrashChecks, tagResult),
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
@@ -360,6 +362,14 @@
 	}
 }
 
+// CrashChecked counts a check of whether an upstream crashed while it ran a request. The
+// result must be a constant of the program.
+func (m *Metrics) CrashChecked(result string) {
+	if m != nil {
+		m.crashChecks.seriesFor(result).Inc(1)
+	}
+}
+
 // QueryRestarted counts a query that was restarted on a newer snapshot.
 func (m *Metrics) QueryRestarted() {
 	if m != nil {
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -34,6 +34,7 @@
 	m.ControlMessage(Sent, 1200)
 	m.UpstreamEjected(result.UpstreamLost)
 	m.RequestQuarantined()
+	m.CrashChecked("refused")
 	m.QueryRestarted()
 	m.PauseDetected()
 	m.QueueDelay("counter", time.Millisecond)
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -24,6 +24,7 @@
 	nameControlBytes        = "control_bytes_total"
 	nameEjections           = "upstream_ejections_total"
 	nameQuarantines         = "quarantines_total"
+	nameCrashChecks         = "crash_checks_total"
 	nameRestarts            = "query_restarts_total"
 	namePauses              = "pauses_total"
 	nameSuppressedLines     = "suppressed_log_lines_total"
