--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -185,18 +185,20 @@
 		slots <- struct{}{}
 		wg.Go(func() {
 			defer func() { <-slots }()
-			dir := filepath.Join(base, fmt.Sprint("seed-", seed))
-			must.NoError(t, os.MkdirAll(dir, 0o755))
-			l := runSeed(t, seed, dir)
-			mu.Lock()
-			defer mu.Unlock()
-			addCounts(checkTotals, l.checkTotals)
-			addCounts(faultTotals, l.faultTotals)
-			if len(l.violations) == 0 {
-				_ = os.RemoveAll(dir)
-				return
-			}
-			t.Errorf("seed %d (logs: %s):\n  %s", seed, dir, strings.Join(l.violations[:min(10, len(l.violations))], "\n  "))
+			t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
+				dir := filepath.Join(base, fmt.Sprint("seed-", seed))
+				must.NoError(t, os.MkdirAll(dir, 0o755))
+				l := runSeed(t, seed, dir)
+				mu.Lock()
+				defer mu.Unlock()
+				addCounts(checkTotals, l.checkTotals)
+				addCounts(faultTotals, l.faultTotals)
+				if len(l.violations) == 0 {
+					_ = os.RemoveAll(dir)
+					return
+				}
+				t.Errorf("seed %d (logs: %s):\n  %s", seed, dir, strings.Join(l.violations[:min(10, len(l.violations))], "\n  "))
+			})
 		})
 	}
 	wg.Wait()
