Send quarantine entries to instances that lack them

Callers' requests that crash upstreams reached further upstreams through instances that had been cut off, or restarted, although all others refused them.

Cause: a quarantine entry or crash record was sent a bounded number of times when it was new. An instance that these datagrams did not reach never got it later. A restarted instance got entries only in some acks of its first ten seconds, and always the same 250 bytes of them, in the order of the fingerprints: about six entries.

Every control message now carries a digest of the sender's entries. A member that sees another digest adds entries to its next pings and acks to the sender, in turn, paid from a token bucket of their own.

--- a/pkg/membership/budget.go
+++ b/pkg/membership/budget.go
@@ -4,9 +4,9 @@
 
 // In each round, an instance sends three regular pings, up to bootstrapFanout
 // pings during bootstrap, and the acks to the pings that it receives. These are
-// always allowed. In addition, it sends what four token buckets allow: further
-// probes, announcements of documents, other updates, and the member records that
-// fill up acks to new members. In a large fleet this makes about 650 bytes per
+// always allowed. In addition, it sends what five token buckets allow: further
+// probes, announcements of documents, other updates, the member records that
+// fill up acks to new members, and the quarantine entries that a member lacks. In a large fleet this makes about 650 bytes per
 // round after bootstrap. Both directions together then stay under 6.5 KB/s, and
 // with documents under the limit of 7 KB/s. A small fleet may send several times
 // as much, so that a failure of several members at once is detected without
@@ -25,14 +25,18 @@
 	documentBytesPerRound = 20
 	updateBytesPerRound   = 110
 	joinBytesPerRound     = 10
+	// quarantineBytesPerRound is for entries that are sent to members whose entries
+	// differ; new entries are paid from the update bucket.
+	quarantineBytesPerRound = 40
 	// probeBurstBytes, documentBurstBytes, updateBurstBytes and joinBurstBytes
 	// are the capacities of the buckets. A full probe bucket pays for indirect
 	// pings through three helpers at once; a full document bucket pays for
 	// announcing a change to all members.
-	probeBurstBytes    = 1300
-	documentBurstBytes = 800
-	updateBurstBytes   = 200
-	joinBurstBytes     = 1300
+	probeBurstBytes      = 1300
+	documentBurstBytes   = 800
+	updateBurstBytes     = 200
+	joinBurstBytes       = 1300
+	quarantineBurstBytes = 500
 	// DefaultSmallFleetSize is the number of other known members below which
 	// the amounts and capacities of the buckets are multiplied by
 	// smallFleetFactor.
@@ -75,6 +79,7 @@
 	m.documentBucket.refill(factor*documentBytesPerRound, factor*documentBurstBytes)
 	m.updateBucket.refill(factor*updateBytesPerRound, factor*updateBurstBytes)
 	m.joinBucket.refill(factor*joinBytesPerRound, factor*joinBurstBytes)
+	m.quarantineBucket.refill(factor*quarantineBytesPerRound, factor*quarantineBurstBytes)
 }
 
 // mayAskHelpers reports whether the probe bucket allows indirect pings. All
--- a/pkg/membership/codec.go
+++ b/pkg/membership/codec.go
@@ -3,9 +3,6 @@
 import (
 	"errors"
 	"fmt"
-	"maps"
-	"slices"
-	"strconv"
 	"time"
 
 	"google.golang.org/protobuf/encoding/protowire"
@@ -35,14 +32,6 @@
 	// cannot displace each other.
 	documentBytesPerDatagram   = 400
 	quarantineBytesPerDatagram = 250
-	// maxQuarantines bounds the number of known quarantine entries.
-	maxQuarantines = 1024
-	// maxQuarantineLifetime bounds the remaining lifetime of a received entry.
-	maxQuarantineLifetime = time.Hour
-	// quarantineExpiryTolerance is by how much later a received entry must expire
-	// than the known one to replace it. Copies of an entry differ because each hop
-	// adds its transit time.
-	quarantineExpiryTolerance = 5 * time.Second
 )
 
 const (
@@ -60,9 +49,11 @@
 	record []byte
 	// shortSender selects the short form of the sender's record.
 	shortSender bool
-	// fillWithMembers uses the free space for member records and quarantine
-	// entries, for a new member.
+	// fillWithMembers uses the free space for member records, for a new member.
 	fillWithMembers bool
+	// withKnownQuarantines adds quarantine entries, for a member whose entries
+	// differ from those of this instance.
+	withKnownQuarantines bool
 	// withoutUpdates leaves out all updates. Only the pings of an instance's own
 	// probes and the direct acks to pings carry updates, so that indirect pings
 	// do not multiply the traffic when many datagrams are lost.
@@ -116,14 +107,6 @@
 	return encode(&wire.Control{Documents: []*wire.DocumentVersion{{Service: v.Service, Revision: v.Revision, Digest: v.Digest}}})
 }
 
-func encodeQuarantine(q Quarantine, now time.Time) []byte {
-	return encode(&wire.Control{Quarantines: []*wire.Quarantine{{
-		Fingerprint: uint64(q.Fingerprint),
-		Service:     q.Service,
-		TimeLeftMs:  q.Until.Sub(now).Milliseconds(),
-	}}})
-}
-
 // encodePrefixes encodes the full and the short form of the beginning of each
 // datagram, which stays the same until this instance's record or catalog hash
 // changes. The short form leaves out the fields that never change in a process,
@@ -133,6 +116,8 @@
 		Cluster:     m.cfg.Cluster,
 		Sender:      toWire(m.self),
 		CatalogHash: m.catalogHash,
+
+		QuarantineDigest: m.quarantines.digest,
 	}
 	m.prefix = encode(c)
 	c.Sender.ControlAddress = ""
@@ -202,11 +187,11 @@
 	// If a ping or an ack is longer than usual, the additional bytes are charged
 	// to the update bucket.
 	m.updateBucket.spend(max(0, len(b)-len(m.shortPrefix)-kindAndSequenceBytes))
-	return Send{Address: address, Datagram: m.appendUpdates(now, b, msg.fillWithMembers)}
+	return Send{Address: address, Datagram: m.appendUpdates(now, b, msg)}
 }
 
 // appendUpdates appends as many updates as the buckets allow.
-func (m *Membership) appendUpdates(now time.Time, b []byte, fillWithMembers bool) []byte {
+func (m *Membership) appendUpdates(now time.Time, b []byte, msg message) []byte {
 	limit := retransmits(len(m.live.items) + 1)
 	lengthBefore := len(b)
 	room := min(MaxDatagram-lengthBefore, max(m.updateBucket.tokens, 0))
@@ -216,9 +201,13 @@
 	lengthBefore = len(b)
 	b = m.documentUpdates.fill(b, min(documentBytesPerDatagram, m.documentBucket.tokens, MaxDatagram-lengthBefore), limit, nil)
 	m.documentBucket.spend(len(b) - lengthBefore)
-	if fillWithMembers && (m.smallFleet() || m.joinBucket.tokens > 0) {
+	if msg.withKnownQuarantines {
+		lengthBefore = len(b)
+		b = m.quarantines.appendKnown(now, b, min(quarantineBytesPerDatagram, m.quarantineBucket.tokens, MaxDatagram-lengthBefore))
+		m.quarantineBucket.spend(len(b) - lengthBefore)
+	}
+	if msg.fillWithMembers && (m.smallFleet() || m.joinBucket.tokens > 0) {
 		lengthBefore = len(b)
-		b = m.appendKnownQuarantines(now, b, MaxDatagram-len(b))
 		b = m.appendMemberRecords(b, MaxDatagram-len(b))
 		m.joinBucket.spend(len(b) - lengthBefore)
 	}
@@ -244,61 +233,6 @@
 	return b
 }
 
-// appendQuarantineUpdates appends queued quarantine entries. They are encoded
-// only when they are sent, since they carry the time left until they expire.
-func (m *Membership) appendQuarantineUpdates(now time.Time, b []byte, limit, room int) []byte {
-	encodeKey := func(key string) []byte {
-		q := m.quarantined[parseQuarantineKey(key)]
-		if !q.Until.After(now) {
-			return nil
-		}
-		return encodeQuarantine(q, now)
-	}
-	return m.quarantineUpdates.fill(b, min(quarantineBytesPerDatagram, room), limit, encodeKey)
-}
-
-// appendKnownQuarantines appends all known quarantine entries that fit, for a
-// new member.
-func (m *Membership) appendKnownQuarantines(now time.Time, b []byte, room int) []byte {
-	budget := min(quarantineBytesPerDatagram, room)
-	for _, f := range slices.Sorted(maps.Keys(m.quarantined)) {
-		q := m.quarantined[f]
-		data := encodeQuarantine(q, now)
-		if !q.Until.After(now) || len(data) > budget {
-			continue
-		}
-		budget -= len(data)
-		b = append(b, data...)
-	}
-	return b
-}
-
-func quarantineKey(f model.Fingerprint) string { return strconv.FormatUint(uint64(f), 16) }
-
-func parseQuarantineKey(key string) model.Fingerprint {
-	v, _ := strconv.ParseUint(key, 16, 64)
-	return model.Fingerprint(v)
-}
-
-// addQuarantine records an entry and queues it for sending, unless the entry is
-// known already or the maximum number of entries is reached. It reports whether
-// it has recorded the entry.
-func (m *Membership) addQuarantine(now time.Time, q Quarantine) bool {
-	old, known := m.quarantined[q.Fingerprint]
-	if known && q.Until.Sub(old.Until) < quarantineExpiryTolerance {
-		return false
-	}
-	if !known && len(m.quarantined) >= maxQuarantines {
-		maps.DeleteFunc(m.quarantined, func(_ model.Fingerprint, old Quarantine) bool { return !old.Until.After(now) })
-	}
-	if !known && len(m.quarantined) >= maxQuarantines {
-		return false
-	}
-	m.quarantined[q.Fingerprint] = q
-	m.quarantineUpdates.put(quarantineKey(q.Fingerprint), nil)
-	return true
-}
-
 // Receive handles a datagram. If the datagram is malformed or belongs to
 // another cluster, it returns an error and changes nothing. If it returns
 // ErrSameID, it has processed only the sender's record, which may show that
@@ -314,6 +248,9 @@
 		return Received{}, ErrSameID
 	}
 	n := m.applySender(now, sender)
+	if n != nil {
+		n.quarantinesDiffer = c.GetQuarantineDigest() != m.quarantines.digest
+	}
 	for _, r := range members {
 		m.apply(now, r)
 	}
@@ -326,13 +263,7 @@
 	for _, d := range c.GetDocuments() {
 		out.Documents = append(out.Documents, port.DocumentVersion{Service: d.GetService(), Revision: d.GetRevision(), Digest: d.GetDigest()})
 	}
-	for _, w := range c.GetQuarantines() {
-		timeLeft := time.Duration(min(max(w.GetTimeLeftMs(), 0), maxQuarantineLifetime.Milliseconds())) * time.Millisecond
-		q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(timeLeft)}
-		if timeLeft > 0 && len(q.Service) <= maxNameBytes && m.addQuarantine(now, q) {
-			out.Quarantines = append(out.Quarantines, q)
-		}
-	}
+	out.Quarantines = m.receiveQuarantines(now, c)
 	return out, nil
 }
 
@@ -396,7 +327,7 @@
 	switch c.GetKind() {
 	case kindPing:
 		full := m.shouldFillAck(now, n)
-		msg := message{kind: kindAck, sequence: c.GetSequence(), record: m.recordForSender(n, c), shortSender: m.knownBy(n), fillWithMembers: full}
+		msg := message{kind: kindAck, sequence: c.GetSequence(), record: m.recordForSender(n, c), shortSender: m.knownBy(n), fillWithMembers: full, withKnownQuarantines: n.quarantinesDiffer}
 		return []Send{m.buildDatagram(now, from, msg)}
 	case kindIndirect:
 		return m.relayPing(now, from, c)
--- a/pkg/membership/config.go
+++ b/pkg/membership/config.go
@@ -64,7 +64,7 @@
 	// reading the datagrams that have arrived meanwhile.
 	socketReadAllowance = 50 * time.Millisecond
 	// joinWindow is the time after a process joins in which acks to it are
-	// filled up with member records and quarantine entries.
+	// filled up with member records.
 	joinWindow = 10 * time.Second
 	// meanFilledAcks is the mean number of members that fill up their ack to a
 	// new member when each member is pinged by it once.
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -24,13 +24,6 @@
 	Datagram []byte
 }
 
-// Quarantine is an entry of the quarantine list.
-type Quarantine struct {
-	Fingerprint model.Fingerprint
-	Service     string
-	Until       time.Time
-}
-
 // Received is the result of a received datagram: the replies to send, and the
 // content that concerns other components.
 type Received struct {
@@ -78,7 +71,7 @@
 	sequence   uint64
 	roundTrips roundTrips
 	// The token buckets described in budget.go.
-	probeBucket, documentBucket, updateBucket, joinBucket bucket
+	probeBucket, documentBucket, updateBucket, joinBucket, quarantineBucket bucket
 	// roundsSinceLostPing counts the rounds since a lost member was last
 	// pinged.
 	roundsSinceLostPing int
@@ -108,7 +101,7 @@
 	memberUpdates     queue
 	documentUpdates   queue
 	quarantineUpdates queue
-	quarantined       map[model.Fingerprint]Quarantine
+	quarantines       quarantineList
 	events            []Event
 
 	version           uint64
@@ -132,12 +125,14 @@
 		lastCallAt:     now,
 		recordEpoch:    1,
 		version:        1,
-		quarantined:    make(map[model.Fingerprint]Quarantine),
+		quarantines:    quarantineList{entries: make(map[model.Fingerprint]Quarantine)},
 		roundTrips:     make(roundTrips),
 		probeBucket:    bucket{tokens: probeBurstBytes},
 		documentBucket: bucket{tokens: documentBurstBytes},
 		updateBucket:   bucket{tokens: updateBurstBytes},
 		joinBucket:     bucket{tokens: joinBurstBytes},
+
+		quarantineBucket: bucket{tokens: quarantineBurstBytes},
 	}
 	m.self.State = Alive
 	m.publishSelf()
@@ -246,12 +241,6 @@
 	}
 }
 
-// AnnounceQuarantine queues a quarantine entry for sending to other instances.
-// Entries received in datagrams are passed on without this call.
-func (m *Membership) AnnounceQuarantine(q Quarantine) {
-	m.addQuarantine(m.lastCallAt, q)
-}
-
 // Avoid excludes a member from Candidates until it acks a ping that is sent at
 // or after now. It must be called when a request to the member has failed.
 func (m *Membership) Avoid(now time.Time, id model.InstanceID) {
--- a/pkg/membership/node.go
+++ b/pkg/membership/node.go
@@ -49,6 +49,9 @@
 	bootSeenAt     time.Time
 	diedAt         time.Time
 	announcedLeave bool
+	// quarantinesDiffer is true if the member's last datagram had another
+	// quarantine digest than this instance.
+	quarantinesDiffer bool
 }
 
 // bootstrapSettled reports whether bootstrap need not wait for the member. If
--- a/pkg/membership/probe.go
+++ b/pkg/membership/probe.go
@@ -170,6 +170,7 @@
 func (m *Membership) runRound(now time.Time, out []Send) []Send {
 	m.BootstrapComplete(now)
 	m.refillBuckets()
+	m.expireQuarantines(now)
 	out = m.pingUrgent(now, out)
 	for range m.cfg.Fanout {
 		if n := m.pickLive(); n != nil {
@@ -274,7 +275,7 @@
 	}
 	n.pingInFlight = true
 	m.probes = append(m.probes, p)
-	msg := message{kind: kindPing, sequence: p.sequence, record: m.recordToRefute(n), shortSender: m.knownBy(n), withoutUpdates: n.State == Dead || n.urgent}
+	msg := message{kind: kindPing, sequence: p.sequence, record: m.recordToRefute(n), shortSender: m.knownBy(n), withoutUpdates: n.State == Dead || n.urgent, withKnownQuarantines: n.quarantinesDiffer}
 	if !msg.shortSender {
 		p.recordEpoch = m.recordEpoch
 	}
