Answer a delegated query that is in quarantine instead of declining it

An instance that did not know yet that a query crashes upstreams asked larger instances to run it. They declined, with the reason "the request is in quarantine", and after three of them the sender ran the query itself, on every shard.

The delegate now answers with the result code quarantined and not_run, which the sender passes to the caller. Other reasons for declining say nothing about the query and still lead to a run at the sender.

--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -201,7 +201,9 @@
 	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, CallerTimeout: q.Wait, Arrived: now}
 	fingerprint := r.fingerprint()
 	if g.quarantined(now, fingerprint) {
-		return declined("the request is in quarantine")
+		// The sender would run a declined query itself.
+		a := newRefusal(result.Quarantined)
+		return port.PeerAnswer{Code: a.Code, Ran: a.Ran, RetryAfter: a.RetryAfter, Active: active}
 	}
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
