Count each crash of an upstream once, whichever instances detected it

A request could crash more upstreams than the limit of two before it was refused: two instances that each detected a first crash recorded both as "the first", and merging their records lost one.

Cause: a crash record was numbered by how many crashes its author knew, so records of different crashes were equal. The number of the record was a counter that instances cannot share without losing increments.

A crash record now identifies the request and the process that crashed; the request is refused once two such records are known. Equal records are the same crash, so merging is a union of sets. A process that seems to crash again over a second later was restarted without the registry showing it yet, and gets another record.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -2,11 +2,11 @@
 
 import (
 	"context"
-	"encoding/binary"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 )
@@ -17,12 +17,6 @@
 	crashCheckDelay = 30 * time.Millisecond
 	// crashCheckTimeout bounds the attempt to open the new connection.
 	crashCheckTimeout = 500 * time.Millisecond
-	// maxCrashes is the number of upstreams that a request may crash; after that, all
-	// instances refuse the request.
-	maxCrashes = 2
-	// crashRecordPrefix distinguishes the service names in announced crash records from
-	// those in announced quarantine entries.
-	crashRecordPrefix = "strike:"
 )
 
 // checkCrash finds out whether an upstream crashed while it ran a request. A lost
@@ -42,28 +36,52 @@
 }
 
 // recordCrash records that an upstream crashed while it ran a request with the
-// fingerprint. The crashes that different instances detect are added up, because a
-// caller may send the request again through another instance. Each crash below
-// maxCrashes is therefore announced to the other instances as a quarantine entry with a
-// fingerprint of its own, and the last one as the quarantine entry of the request.
+// fingerprint, and announces it to the other instances. The crashes that different
+// instances detect are added up, because a caller may send the request again through
+// another instance.
 func (g *Gateway) recordCrash(now time.Time, f model.Fingerprint, u directory.Upstream) {
-	for n := 1; n < maxCrashes; n++ {
-		if record := crashRecordFingerprint(f, n); !g.quarantined(now, record) {
-			g.info(event.RequestSuspect, event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "strikes": n}, "an upstream crashed while it ran a request")
-			g.addQuarantine(now, record, crashRecordPrefix+u.Service)
-			return
-		}
+	g.quarantine.Lock()
+	record, added := g.quarantine.set.AddCrash(now, quarantine.Crash{Fingerprint: f, Service: u.Service, Upstream: u.ID, Started: u.Started})
+	crashes := g.quarantine.set.Crashes(now, f)
+	g.quarantine.Unlock()
+	if !added {
+		return
+	}
+	g.fleet.Lock()
+	g.fleet.membership.AnnounceQuarantine(membership.Quarantine(record))
+	g.fleet.Unlock()
+	fields := event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "strikes": crashes}
+	if crashes < quarantine.CrashLimit {
+		g.info(event.RequestSuspect, fields, "an upstream crashed while it ran a request")
+		return
 	}
 	g.ports.Metrics.RequestQuarantined()
-	g.warn(event.RequestQuarantined, event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "strikes": maxCrashes}, "a request crashed upstreams and is refused")
-	g.addQuarantine(now, f, u.Service)
+	g.warn(event.RequestQuarantined, fields, "a request crashed upstreams and is refused")
 }
 
-// crashRecordFingerprint returns the fingerprint under which the n-th crash caused by a
-// request is announced.
-func crashRecordFingerprint(f model.Fingerprint, n int) model.Fingerprint {
-	var b [16]byte
-	binary.LittleEndian.PutUint64(b[:8], uint64(f))
-	binary.LittleEndian.PutUint64(b[8:], uint64(n))
-	return quarantine.Fingerprint("strike", "", b[:])
+// quarantined reports whether requests with the fingerprint are refused.
+func (g *Gateway) quarantined(now time.Time, f model.Fingerprint) bool {
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
+	return g.quarantine.set.Blocked(now, f)
+}
+
+// mergeQuarantines stores the entries that another instance sent.
+func (g *Gateway) mergeQuarantines(now time.Time, received []membership.Quarantine) {
+	for _, q := range received {
+		e := quarantine.Entry(q)
+		g.quarantine.Lock()
+		added := g.quarantine.set.Add(now, e)
+		crashes := g.quarantine.set.Crashes(now, e.CrashOf)
+		g.quarantine.Unlock()
+		if !added {
+			continue
+		}
+		fields := event.Fields{"service": e.Service, "fingerprint": uint64(e.CrashOf), "strikes": crashes}
+		if crashes < quarantine.CrashLimit {
+			g.info(event.CrashRecordReceived, fields, "another instance recorded that a request crashed an upstream")
+			continue
+		}
+		g.info(event.RequestQuarantined, fields, "a request crashed upstreams, also of other instances, and is refused")
+	}
 }
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -312,7 +312,9 @@
 		small, large, calls := startSmallAndLarge(ff)
 		// The instances still delegate to each other, but the announcement is lost.
 		ff.withLock(func() { ff.maxDatagramBytes = 1 })
-		large.addQuarantine(time.Now(), request("/q/1").fingerprint(), "s0")
+		for _, id := range []string{"us0", "us1"} {
+			large.recordCrash(time.Now(), request("/q/1").fingerprint(), directory.Upstream{ID: id, Service: "s"})
+		}
 		a := small.Serve(t.Context(), request("/q/1"))
 		must.Eq(t, 1, ff.delegatedQueries())
 		must.Eq(t, 0, calls())
@@ -320,3 +322,22 @@
 		must.Eq(t, model.NotRun, a.Ran)
 	})
 }
+
+// TestCrashesDetectedApart guards against crashes that are lost because two instances
+// detected them without knowing of each other.
+func TestCrashesDetectedApart(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		s := newCrashScenario(t, ff, 1, 3, 8)
+		s.setCut(0, true)
+		s.sendFrom(0)
+		s.sendFrom(1)
+		time.Sleep(propagationTime)
+		s.setCut(0, false)
+		time.Sleep(stableWindow)
+		before := len(s.crashes)
+		for n := range s.instances {
+			s.sendFrom(n)
+		}
+		must.Eq(t, before, len(s.crashes))
+	})
+}
--- a/pkg/gateway/membership.go
+++ b/pkg/gateway/membership.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/delegation"
@@ -13,7 +12,6 @@
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/placement"
 	"github.com/sardineturn/sardineturn/pkg/port"
-	"github.com/sardineturn/sardineturn/pkg/quarantine"
 )
 
 // feedFanout is the largest number of instances that poll the same instance for the
@@ -211,46 +209,4 @@
 	g.fleet.membership.SetPlatformUnreachable(g.ports.Clock.Now(), unreachable)
 }
 
-// quarantined reports whether requests with the fingerprint are refused.
-func (g *Gateway) quarantined(now time.Time, f model.Fingerprint) bool {
-	g.quarantine.Lock()
-	defer g.quarantine.Unlock()
-	return g.quarantine.set.Blocked(now, f)
-}
-
-// addQuarantine stores a quarantine entry and announces it to the other instances.
-func (g *Gateway) addQuarantine(now time.Time, f model.Fingerprint, service string) {
-	until := now.Add(quarantine.Duration)
-	g.quarantine.Lock()
-	added := g.quarantine.set.Add(now, quarantine.Entry{Fingerprint: f, Service: service, Until: until})
-	g.quarantine.Unlock()
-	if !added {
-		return
-	}
-	g.fleet.Lock()
-	defer g.fleet.Unlock()
-	g.fleet.membership.AnnounceQuarantine(membership.Quarantine{Fingerprint: f, Service: service, Until: until})
-}
-
-func (g *Gateway) mergeQuarantines(now time.Time, received []membership.Quarantine) {
-	if len(received) == 0 {
-		return
-	}
-	entries := make([]quarantine.Entry, 0, len(received))
-	for _, q := range received {
-		entries = append(entries, quarantine.Entry{Fingerprint: q.Fingerprint, Service: q.Service, Until: q.Until})
-	}
-	g.quarantine.Lock()
-	added := g.quarantine.set.Merge(now, entries)
-	g.quarantine.Unlock()
-	for _, e := range added {
-		fields := event.Fields{"service": e.Service, "fingerprint": uint64(e.Fingerprint)}
-		if strings.HasPrefix(e.Service, crashRecordPrefix) {
-			g.info(event.CrashRecordReceived, fields, "another instance recorded that a request crashed an upstream")
-			continue
-		}
-		g.info(event.RequestQuarantined, fields, "another instance quarantined a request that crashed upstreams")
-	}
-}
-
 var _ port.ControlHandler = (*Gateway)(nil)
--- a/pkg/membership/quarantine.go
+++ b/pkg/membership/quarantine.go
@@ -22,11 +22,12 @@
 	quarantineExpiryTolerance = 5 * time.Second
 )
 
-// Quarantine is an entry of the quarantine list.
+// Quarantine is an entry of the quarantine list. See quarantine.Entry for the fields.
 type Quarantine struct {
 	Fingerprint model.Fingerprint
 	Service     string
 	Until       time.Time
+	CrashOf     model.Fingerprint
 }
 
 // quarantineList holds the quarantine entries that this instance knows. New entries
@@ -99,6 +100,7 @@
 		Fingerprint: uint64(q.Fingerprint),
 		Service:     q.Service,
 		TimeLeftMs:  q.Until.Sub(now).Milliseconds(),
+		CrashOf:     uint64(q.CrashOf),
 	}
 }
 
@@ -106,7 +108,7 @@
 // expired.
 func quarantineFromWire(now time.Time, w *wire.Quarantine) (Quarantine, bool) {
 	timeLeft := time.Duration(min(max(w.GetTimeLeftMs(), 0), maxQuarantineLifetime.Milliseconds())) * time.Millisecond
-	q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(timeLeft)}
+	q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(timeLeft), CrashOf: model.Fingerprint(w.GetCrashOf())}
 	return q, timeLeft > 0 && len(q.Service) <= maxNameBytes
 }
 
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -5,6 +5,7 @@
 
 import (
 	"encoding/binary"
+	"slices"
 	"sort"
 	"time"
 
@@ -14,26 +15,64 @@
 )
 
 const (
-	// Duration is how long requests with a fingerprint are refused after such a
-	// request has crashed an upstream on which it ran alone.
+	// Duration is how long an entry is kept: how long requests with a fingerprint are
+	// refused, and how long a crash counts.
 	Duration = 10 * time.Minute
 	// DefaultLimit is the default limit on the entries of a set. With 64 bytes
 	// per entry, a full set stays far below the memory budget for control data.
 	DefaultLimit = 4096
 )
 
-// Entry is one quarantined fingerprint of a service.
+// CrashLimit is the number of upstream processes that requests with a fingerprint may
+// crash; after that, such requests are refused.
+const CrashLimit = 2
+
+// Entry is a quarantined fingerprint of a service, or the record of one crash.
 type Entry struct {
 	Fingerprint model.Fingerprint
 	Service     string
 	Until       time.Time
+	// CrashOf is zero if requests with Fingerprint are refused. Otherwise the entry
+	// records that a request with the fingerprint CrashOf crashed an upstream process,
+	// and Fingerprint identifies the request and the process.
+	CrashOf model.Fingerprint
+}
+
+// Crash is a crash of an upstream while it ran a request.
+type Crash struct {
+	Fingerprint model.Fingerprint
+	Service     string
+	Upstream    string
+	// Started is the Unix time of the upstream's start in milliseconds.
+	Started int64
+}
+
+// sameCrashWindow is the time within which instances detect the same crash. If the same
+// process seems to crash again later, it was restarted meanwhile and the registry does
+// not show that yet.
+const sameCrashWindow = time.Second
+
+// record returns the n-th record of crashes of the same process, as far as the registry
+// shows. Records of the same crash by different instances are equal, and records of
+// different crashes differ, so that instances can merge them without losing a crash.
+func (c Crash) record(now time.Time, n int) Entry {
+	h := xxhash.New()
+	var b [24]byte
+	binary.LittleEndian.PutUint64(b[:8], uint64(c.Fingerprint))
+	binary.LittleEndian.PutUint64(b[8:16], uint64(c.Started))
+	binary.LittleEndian.PutUint64(b[16:], uint64(n))
+	_, _ = h.Write(b[:])
+	writeField(h, []byte(c.Upstream))
+	return Entry{Fingerprint: model.Fingerprint(h.Sum64()), Service: c.Service, Until: now.Add(Duration), CrashOf: c.Fingerprint}
 }
 
-// Set holds quarantined fingerprints with their expiry. When it is full, it
-// evicts the entry that expires first.
+// Set holds quarantined fingerprints and crash records with their expiry. When it is
+// full, it evicts the entry that expires first.
 type Set struct {
 	limit   int
 	entries map[model.Fingerprint]Entry
+	// crashes holds the fingerprints of the crash records of each request.
+	crashes map[model.Fingerprint][]model.Fingerprint
 }
 
 // New returns an empty set of at most limit entries; a limit below one means
@@ -42,7 +81,7 @@
 	if limit < 1 {
 		limit = DefaultLimit
 	}
-	return &Set{limit: limit, entries: make(map[model.Fingerprint]Entry)}
+	return &Set{limit: limit, entries: make(map[model.Fingerprint]Entry), crashes: make(map[model.Fingerprint][]model.Fingerprint)}
 }
 
 // Add stores the entry or extends its expiry, and reports whether the set
@@ -62,10 +101,30 @@
 	if !ok && len(s.entries) >= s.limit {
 		s.evict(now)
 	}
+	if ok {
+		e.CrashOf = old.CrashOf
+	} else if e.CrashOf != 0 {
+		s.crashes[e.CrashOf] = append(s.crashes[e.CrashOf], e.Fingerprint)
+	}
 	s.entries[e.Fingerprint] = e
 	return true
 }
 
+// AddCrash stores the record of a crash that this instance detected at now, and returns
+// it. It returns false if the crash is known already.
+func (s *Set) AddCrash(now time.Time, c Crash) (Entry, bool) {
+	for n := 0; ; n++ {
+		record := c.record(now, n)
+		known, ok := s.entries[record.Fingerprint]
+		switch {
+		case !ok || !known.Until.After(now):
+			return record, s.Add(now, record)
+		case record.Until.Sub(known.Until) < sameCrashWindow:
+			return known, false
+		}
+	}
+}
+
 // Merge adds entries received from another instance and returns those that
 // changed the set.
 func (s *Set) Merge(now time.Time, entries []Entry) []Entry {
@@ -81,7 +140,19 @@
 // Blocked reports whether requests with the fingerprint are refused.
 func (s *Set) Blocked(now time.Time, f model.Fingerprint) bool {
 	e, ok := s.entries[f]
-	return ok && e.Until.After(now)
+	return ok && e.CrashOf == 0 && e.Until.After(now) || s.Crashes(now, f) >= CrashLimit
+}
+
+// Crashes returns the number of recorded crashes that requests with the fingerprint
+// caused.
+func (s *Set) Crashes(now time.Time, f model.Fingerprint) int {
+	n := 0
+	for _, record := range s.crashes[f] {
+		if s.entries[record].Until.After(now) {
+			n++
+		}
+	}
+	return n
 }
 
 // Entries drops expired entries and returns the rest, the latest expiry first.
@@ -101,11 +172,25 @@
 func (s *Set) expire(now time.Time) {
 	for f, e := range s.entries {
 		if !e.Until.After(now) {
-			delete(s.entries, f)
+			s.remove(f)
 		}
 	}
 }
 
+func (s *Set) remove(f model.Fingerprint) {
+	request := s.entries[f].CrashOf
+	delete(s.entries, f)
+	if request == 0 {
+		return
+	}
+	records := slices.DeleteFunc(s.crashes[request], func(r model.Fingerprint) bool { return r == f })
+	if len(records) == 0 {
+		delete(s.crashes, request)
+		return
+	}
+	s.crashes[request] = records
+}
+
 // evict removes expired entries or, if the set is still full, the entry that
 // expires first.
 func (s *Set) evict(now time.Time) {
@@ -120,7 +205,7 @@
 			first, found = e, true
 		}
 	}
-	delete(s.entries, first.Fingerprint)
+	s.remove(first.Fingerprint)
 }
 
 // expiresBefore orders entries by expiry and then by fingerprint.
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -59,3 +59,50 @@
 		}
 	})
 }
+
+// TestCrashRecordsOfSeveralInstances guards against crashes that are lost when instances
+// that detected different crashes at the same time exchange their records, and against a
+// crash that is counted twice because two instances detected it.
+func TestCrashRecordsOfSeveralInstances(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const request = model.Fingerprint(7)
+		sets := []*Set{New(0), New(0), New(0)}
+		crashed := map[string]bool{}
+		for range rapid.IntRange(1, 5).Draw(t, "detections") {
+			upstream := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "upstream")
+			crashed[upstream] = true
+			detectedAt := epoch.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond)
+			rapid.SampledFrom(sets).Draw(t, "instance").AddCrash(detectedAt, Crash{Fingerprint: request, Service: "s", Upstream: upstream, Started: 1})
+		}
+		for range 2 {
+			for i, s := range sets {
+				s.Merge(epoch, sets[(i+1)%len(sets)].Entries(epoch))
+			}
+		}
+		for _, s := range sets {
+			if s.Crashes(epoch, request) != len(crashed) || s.Blocked(epoch, request) != (len(crashed) >= CrashLimit) {
+				t.Fatalf("%d crashes, want %d", s.Crashes(epoch, request), len(crashed))
+			}
+			if s.Blocked(epoch.Add(Duration+time.Second), request) {
+				t.Fatal("the request is refused after the crash records expired")
+			}
+		}
+	})
+}
+
+// TestCrashesOfRestartedUpstream guards against counting the crashes of processes that
+// used the same id one after the other as one crash, also while the registry does not
+// show the restart.
+func TestCrashesOfRestartedUpstream(t *testing.T) {
+	for _, second := range []Crash{
+		{Fingerprint: 7, Upstream: "u", Started: 2},
+		{Fingerprint: 7, Upstream: "u", Started: 1},
+	} {
+		s := New(0)
+		s.AddCrash(epoch, Crash{Fingerprint: 7, Upstream: "u", Started: 1})
+		must.False(t, s.Blocked(epoch, 7))
+		s.AddCrash(epoch.Add(2*time.Second), second)
+		must.True(t, s.Blocked(epoch.Add(2*time.Second), 7))
+		must.False(t, s.Blocked(epoch, 8))
+	}
+}
