Recognise crashes of upstreams that fall silent or are back at once

A request that crashes upstreams was sent to further upstreams again and again, and no instance logged that any had crashed.

An upstream that falls silent ends the attempt by its deadline, which was not checked at all; one that is back before the check, also because this process was paused meanwhile, accepts the connection. The one signal was taken as the only proof.

The registry of upstreams is now the second proof. If the upstream's entry is removed without notice, or another process appears under its id, the crash is recorded. Requests that another upstream answered, and the parts of queries over shards, are no suspects, because they time out often and many upstreams may go down together.

TestSilentUpstreamsAreNoProof and TestUpstreamsCrashTogether guard the other direction.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -19,30 +19,82 @@
 	crashCheckTimeout = 500 * time.Millisecond
 )
 
-// checkCrash finds out whether an upstream crashed while it ran a request. A lost
-// connection alone does not show that: an upstream that still runs accepts new
-// connections.
-func (g *Gateway) checkCrash(f model.Fingerprint, u directory.Upstream) {
+// checkUnanswered finds out whether an upstream crashed while it ran a request to which it
+// gave no answer. A lost connection alone does not show that: an upstream that still runs
+// accepts new connections. If there is no proof now, the registry may show it later.
+func (g *Gateway) checkUnanswered(crash quarantine.Crash, address string, reply *Reply, gather bool) {
+	suspect := quarantine.Suspect{Crash: crash, LostAt: g.ports.Clock.Now()}
+	if reply.ConnectionBroken {
+		probe := g.probeAfterLoss(address)
+		g.ports.Metrics.CrashChecked(probe.String())
+		if probe == ProbeRefused {
+			g.recordCrash(g.ports.Clock.Now(), crash)
+			return
+		}
+		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(crash.Fingerprint), "upstream": crash.Upstream, "service": crash.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
+		suspect.Accepting = probe == ProbeAccepted
+	}
+	// The parts of a query time out often, and when many upstreams go down together, all
+	// queries of that time would be suspects.
+	if !gather {
+		g.addSuspect(suspect)
+	}
+}
+
+func (g *Gateway) probeAfterLoss(address string) ProbeResult {
 	time.Sleep(crashCheckDelay)
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	probe := g.ports.Upstreams.Probe(ctx, u.Address)
-	g.ports.Metrics.CrashChecked(probe.String())
-	if probe != ProbeRefused {
-		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
+	return g.ports.Upstreams.Probe(ctx, address)
+}
+
+// addSuspect stores a suspect until the registry shows whether its upstream crashed. The
+// registry may show it already.
+func (g *Gateway) addSuspect(s quarantine.Suspect) {
+	p := &g.published
+	p.Lock()
+	listed, ok := p.directory.Lookup(s.Upstream)
+	p.Unlock()
+	now := g.ports.Clock.Now()
+	if ok && listed.Started != s.Started || !ok && !s.Accepting {
+		g.recordRegistryCrashes(now, []quarantine.Crash{s.Crash})
 		return
 	}
-	g.recordCrash(g.ports.Clock.Now(), f, u)
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
+	g.quarantine.suspects.Add(now, s)
+}
+
+// upstreamRestarted records the crashes that a new process under an upstream's id shows.
+func (g *Gateway) upstreamRestarted(now time.Time, u directory.Upstream) {
+	g.quarantine.Lock()
+	crashes := g.quarantine.suspects.UpstreamRestarted(now, u.ID, u.Started)
+	g.quarantine.Unlock()
+	g.recordRegistryCrashes(now, crashes)
+}
+
+// upstreamRemoved records the crashes that the removal of an upstream's entry shows.
+func (g *Gateway) upstreamRemoved(now time.Time, id string) {
+	g.quarantine.Lock()
+	crashes := g.quarantine.suspects.UpstreamRemoved(now, id)
+	g.quarantine.Unlock()
+	g.recordRegistryCrashes(now, crashes)
+}
+
+func (g *Gateway) recordRegistryCrashes(now time.Time, crashes []quarantine.Crash) {
+	for _, c := range crashes {
+		g.ports.Metrics.CrashChecked("registry")
+		g.recordCrash(now, c)
+	}
 }
 
-// recordCrash records that an upstream crashed while it ran a request with the
-// fingerprint, and announces it to the other instances. The crashes that different
-// instances detect are added up, because a caller may send the request again through
-// another instance.
-func (g *Gateway) recordCrash(now time.Time, f model.Fingerprint, u directory.Upstream) {
+// recordCrash records that an upstream crashed while it ran a request, and announces it
+// to the other instances. The crashes that different instances detect are added up,
+// because a caller may send the request again through another instance.
+func (g *Gateway) recordCrash(now time.Time, c quarantine.Crash) {
 	g.quarantine.Lock()
-	record, added := g.quarantine.set.AddCrash(now, quarantine.Crash{Fingerprint: f, Service: u.Service, Upstream: u.ID, Started: u.Started})
-	crashes := g.quarantine.set.Crashes(now, f)
+	record, added := g.quarantine.set.AddCrash(now, c)
+	crashes := g.quarantine.set.Crashes(now, c.Fingerprint)
 	g.quarantine.Unlock()
 	if !added {
 		return
@@ -50,7 +102,7 @@
 	g.fleet.Lock()
 	g.fleet.membership.AnnounceQuarantine(membership.Quarantine(record))
 	g.fleet.Unlock()
-	fields := event.Fields{"fingerprint": uint64(f), "upstream": u.ID, "service": u.Service, "strikes": crashes}
+	fields := event.Fields{"fingerprint": uint64(c.Fingerprint), "upstream": c.Upstream, "service": c.Service, "strikes": crashes}
 	if crashes < quarantine.CrashLimit {
 		g.info(event.RequestSuspect, fields, "an upstream crashed while it ran a request")
 		return
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -14,7 +14,9 @@
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
+	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
 const (
@@ -60,13 +62,20 @@
 	retries map[string]bool
 }
 
-// newCrashScenario starts the instances and their upstreams.
+// newCrashScenario starts the instances and the upstreams of a service for idempotent
+// requests.
 func newCrashScenario(t *testing.T, ff *fakeFleet, seed uint64, instances, upstreams int) *crashScenario {
+	return newCrashScenarioWith(t, ff, seed, instances, upstreams, route("/x/", "s", true))
+}
+
+// newCrashScenarioWith starts the instances and the upstreams of the service "s", and
+// publishes the given route.
+func newCrashScenarioWith(t *testing.T, ff *fakeFleet, seed uint64, instances, upstreams int, r routing.Route) *crashScenario {
 	s := &crashScenario{
 		fakeFleet: ff, t: t, random: rand.New(rand.NewPCG(seed, 0)), instances: instances, downtime: 2 * time.Second,
 		disturbedAt: make(map[int]time.Time), retries: make(map[string]bool),
 	}
-	ff.configure(1, route("/x/", "s", true))
+	ff.configure(1, r)
 	for i := range upstreams {
 		ff.addUpstream(directory.Upstream{ID: fmt.Sprint("u", i), Service: "s", Started: 1})
 	}
@@ -313,7 +322,7 @@
 		// The instances still delegate to each other, but the announcement is lost.
 		ff.withLock(func() { ff.maxDatagramBytes = 1 })
 		for _, id := range []string{"us0", "us1"} {
-			large.recordCrash(time.Now(), request("/q/1").fingerprint(), directory.Upstream{ID: id, Service: "s"})
+			large.recordCrash(time.Now(), quarantine.Crash{Fingerprint: request("/q/1").fingerprint(), Upstream: id})
 		}
 		a := small.Serve(t.Context(), request("/q/1"))
 		must.Eq(t, 1, ff.delegatedQueries())
@@ -341,3 +350,66 @@
 		must.Eq(t, before, len(s.crashes))
 	})
 }
+
+// TestCrashingRequestsOfOtherKinds guards against a request that must not run twice, or a
+// query over shards, that crashes one upstream after another because it is recognised in
+// another way than an idempotent request to one service.
+func TestCrashingRequestsOfOtherKinds(t *testing.T) {
+	query := gatherRoute(3, "s")
+	query.Prefix = "/x/"
+	for name, c := range map[string]struct {
+		route routing.Route
+		end   crashEnd
+	}{
+		"runs once, breaks": {route("/x/", "s", false), connectionsBreak},
+		"runs once, hangs":  {route("/x/", "s", false), connectionsHang},
+		"query, breaks":     {query, connectionsBreak},
+	} {
+		for seed := range uint64(4) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				simulate(t, func(t *testing.T, ff *fakeFleet) {
+					s := newCrashScenarioWith(t, ff, seed, 9, 6, c.route)
+					s.end, s.crashedSilently = c.end, c.end == connectionsHang
+					s.sendFor(40 * time.Second)
+					s.check()
+				})
+			})
+		}
+	}
+}
+
+// TestSilentUpstreamsAreNoProof guards against refusing a request because upstreams that
+// crashed for another reason did not answer it.
+func TestSilentUpstreamsAreNoProof(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.configure(1, route("/x/", "s", true))
+		for i := range 4 {
+			ff.addUpstream(directory.Upstream{ID: fmt.Sprint("u", i), Service: "s", Started: 1})
+		}
+		silent := map[string]bool{}
+		ff.answer = func(ctx context.Context, c Call) Reply {
+			var hangs bool
+			ff.withLock(func() { hangs = silent[c.Upstream.ID] })
+			if !hangs {
+				time.Sleep(5 * time.Millisecond)
+				return successReply(c, "")
+			}
+			<-ctx.Done()
+			return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.Cancelled}
+		}
+		g := ff.start(0, 1)
+		time.Sleep(propagationTime)
+		for round := range 4 {
+			u := directory.Upstream{ID: fmt.Sprint("u", round), Service: "s", Started: 2}
+			ff.withLock(func() { silent[u.ID] = true })
+			for range 100 {
+				must.NotEq(t, result.Quarantined, g.Serve(t.Context(), request("/x/1")).Code)
+				time.Sleep(20 * time.Millisecond)
+			}
+			ff.withLock(func() { silent[u.ID] = false })
+			ff.addUpstream(u)
+		}
+		time.Sleep(propagationTime)
+		must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
+	})
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -109,7 +109,8 @@
 
 	quarantine struct {
 		sync.Mutex
-		set *quarantine.Set
+		set      *quarantine.Set
+		suspects quarantine.Suspects
 	}
 
 	latencies sync.Map // route name to *routeLatency
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/feed"
 	"github.com/sardineturn/sardineturn/pkg/metrics"
@@ -57,6 +58,9 @@
 	switch {
 	case c.Deleted:
 		g.info(event.UpstreamGone, event.Fields{"upstream": u.ID, "revision": c.Revision, "lapsed": c.Lapsed, "source": source}, "an upstream's entry was removed")
+		if listed, _ := p.directory.Lookup(u.ID); !c.Lapsed && listed.State == directory.Ready {
+			g.upstreamRemoved(now, u.ID)
+		}
 		p.directory.Remove(now, u.ID, c.Lapsed)
 	case err != nil:
 		g.warn(event.EntryInvalid, event.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()}, "a registry entry is invalid; its upstream is removed")
@@ -66,6 +70,7 @@
 	default:
 		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "revision": c.Revision, "source": source}, "an upstream's entry changed")
 		p.directory.Set(u)
+		g.upstreamRestarted(now, u)
 	}
 }
 
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -8,6 +8,7 @@
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
@@ -50,11 +51,13 @@
 	// lastReply is the reply of the attempt that ended last.
 	lastReply  *Reply
 	callerLeft bool
-	// crashChecked is true once a lost connection was checked for a crash of its
-	// upstream. Only one connection is checked for each request: when many upstreams
+	// crashChecked is true once an attempt without an answer was checked for a crash of
+	// its upstream. Only one attempt is checked for each request: when many upstreams
 	// crash together, a query loses the connections of all its parts without being the
 	// cause.
 	crashChecked atomic.Bool
+	// succeeded is true once an attempt has succeeded.
+	succeeded atomic.Bool
 }
 
 // attempt holds the result of an attempt and what its log line needs.
@@ -240,9 +243,27 @@
 	service.mu.Unlock()
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
+		r.succeeded.Store(true)
 	}
-	if reply.ConnectionBroken && r.crashChecked.CompareAndSwap(false, true) {
-		go r.g.checkCrash(r.fingerprint, call.Upstream)
+	if r.mayHaveCrashed(&reply, now.Sub(start)) && r.crashChecked.CompareAndSwap(false, true) {
+		crash := quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started}
+		go r.g.checkUnanswered(crash, call.Upstream.Address, &reply, r.route.Gather != nil)
 	}
 	r.results <- attemptResult{attempt: number, reply: &reply}
 }
+
+// mayHaveCrashed reports whether an attempt that took the given time ended in a way in
+// which it ends when its upstream crashes. A request that an upstream has answered does
+// not crash upstreams.
+func (r *requestRun) mayHaveCrashed(reply *Reply, took time.Duration) bool {
+	switch {
+	case reply.Status != fanout.Unknown:
+		return false
+	case r.route.Gather != nil:
+		return reply.ConnectionBroken
+	case reply.UpstreamOutcome == balancer.Cancelled && took <= r.hedgeAfter:
+		return false
+	default:
+		return !r.succeeded.Load()
+	}
+}
