--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -48,7 +48,7 @@
 type services struct {
 	// run is part of the ids of the upstreams. Ports that crashed upstreams leave are
 	// used again by other runs, whose upstreams must decline the requests.
-	run int
+	run         int
 	ledger      *ledger
 	store       *store
 	fleet       *fleet
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -103,6 +103,17 @@
 	failures     int
 	timeouts     int
 	blockedUntil time.Time
+	// rateLimit is the rate limit that its last answer named, in requests a second;
+	// zero if that answer named none.
+	rateLimit float64
+}
+
+// ObserveRateLimit records the rate limit that an answer named, zero if it named none,
+// and reports whether it changed.
+func (u *Upstream) ObserveRateLimit(limit float64) bool {
+	changed := limit != u.rateLimit
+	u.rateLimit = limit
+	return changed
 }
 
 // InFlight returns the number of attempts of this instance that are in flight on
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -54,6 +54,7 @@
 	UpstreamsLoaded     ID = 409
 	CrashNotConfirmed   ID = 410
 	CrashRecordReceived ID = 411
+	RateLimitChanged    ID = 412
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -96,6 +96,9 @@
 	// ConnectionBroken is true if the connection ended while the request was in flight,
 	// which may mean that the upstream crashed.
 	ConnectionBroken bool
+	// RateLimit is how many requests a second the upstream takes from all instances
+	// together, as its answer said; zero if it named no limit.
+	RateLimit float64
 	// MismatchedAnswers counts the answers that were dropped because they belonged to
 	// other requests.
 	MismatchedAnswers int
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
@@ -240,7 +241,11 @@
 	now := r.now()
 	service.mu.Lock()
 	u.AttemptFinished(now, start, r.typicalLatency, reply.UpstreamOutcome)
+	limitChanged := reply.HTTPStatus != 0 && u.ObserveRateLimit(reply.RateLimit)
 	service.mu.Unlock()
+	if limitChanged {
+		r.g.info(event.RateLimitChanged, event.Fields{"upstream": call.Upstream.ID, "service": call.Upstream.Service, "limit": reply.RateLimit}, "an upstream changed its rate limit")
+	}
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
 		r.succeeded.Store(true)
