--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -58,8 +58,11 @@
 	// storeCalls counts the calls to the store by the calling instance. pollsReceived
 	// counts the calls for changes by the called instance.
 	storeCalls, pollsReceived map[string]int
-	// answer returns the reply of an upstream to a call.
-	answer func(ctx context.Context, c Call) Reply
+	// answer returns the reply of an upstream to a call. If answerTo is set, it is called
+	// instead, with the id of the calling instance. attempts counts the calls.
+	answer   func(ctx context.Context, c Call) Reply
+	answerTo func(ctx context.Context, instance string, c Call) Reply
+	attempts int
 	// crashed holds the addresses of the upstreams that refuse connections or, if
 	// crashedSilently is true, do not answer.
 	crashed         map[string]bool
@@ -319,13 +322,17 @@
 }
 
 // fakeUpstreams implements Upstreams.
-type fakeUpstreams struct{ *fakeFleet }
+type fakeUpstreams struct{ instancePorts }
 
 // Send implements Upstreams.
 func (u fakeUpstreams) Send(ctx context.Context, c Call) Reply {
 	u.mu.Lock()
-	answer := u.answer
+	answer, answerTo := u.answer, u.answerTo
+	u.attempts++
 	u.mu.Unlock()
+	if answerTo != nil {
+		return answerTo(ctx, u.id, c)
+	}
 	return answer(ctx, c)
 }
 
@@ -377,7 +384,7 @@
 	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Seeds = model.InstanceID(p.id), "c", "z", p.id, seeds
 	cfg.RetryBudget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
 	g := New(cfg, Ports{
-		Clock: port.SystemClock{}, Upstreams: fakeUpstreams{ff}, Decoder: ff, Store: p, FeedPeers: p, QueryPeers: p, Control: fakeControl{p}, Log: log,
+		Clock: port.SystemClock{}, Upstreams: fakeUpstreams{p}, Decoder: ff, Store: p, FeedPeers: p, QueryPeers: p, Control: fakeControl{p}, Log: log,
 	})
 	ff.mu.Lock()
 	ff.gateways[p.id] = g
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -58,6 +58,7 @@
 	Cancelled            Code = 3023
 	ConnectionLimit      Code = 3024
 	RetryBudgetExhausted Code = 3025
+	UpstreamRateLimited  Code = 3026
 
 	UpstreamFailed    Code = 4000
 	UpstreamLost      Code = 4001
@@ -116,6 +117,7 @@
 	Cancelled:            "cancelled",
 	ConnectionLimit:      "connection_limit",
 	RetryBudgetExhausted: "retry_budget_exhausted",
+	UpstreamRateLimited:  "upstream_rate_limited",
 	UpstreamFailed:       "upstream_failed",
 	UpstreamLost:         "upstream_lost",
 	OutcomeUnknown:       "outcome_unknown",
