Keep the rate limits that upstreams name, shared between the instances

Upstreams in need got up to two and a half times the requests that they had said they take.

Cause: nothing read or heeded what an answer says of the upstream itself.

pkg/backpressure divides the limit equally among at most L + 1 instances, chosen by rendezvous hashing, without messages; each has a token bucket, and half of its burst is reserved for first attempts. The others send rare probes. First attempts, hedges, retries and delegated queries ask it. A query of which too few shards have an upstream starts no attempt and is refused as not run, with upstream_rate_limited and a time to return, one caller after the other.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -8,6 +8,7 @@
 	"slices"
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
@@ -103,17 +104,8 @@
 	failures     int
 	timeouts     int
 	blockedUntil time.Time
-	// rateLimit is the rate limit that its last answer named, in requests a second;
-	// zero if that answer named none.
-	rateLimit float64
-}
-
-// ObserveRateLimit records the rate limit that an answer named, zero if it named none,
-// and reports whether it changed.
-func (u *Upstream) ObserveRateLimit(limit float64) bool {
-	changed := limit != u.rateLimit
-	u.rateLimit = limit
-	return changed
+	// RateLimit is this instance's share of the rate limit that its answers name.
+	RateLimit backpressure.RateLimit
 }
 
 // InFlight returns the number of attempts of this instance that are in flight on
@@ -190,9 +182,10 @@
 func (s *Service) Len() int { return len(s.upstreams) }
 
 // Pick returns the upstream with the lowest expected cost that is not among the
-// excluded ones, or nil. An avoided upstream is chosen only if there is no other
-// and allowAvoided is true. typical is the typical latency of such a request.
-func (s *Service) Pick(now time.Time, typical time.Duration, excluded []string, allowAvoided bool) *Upstream {
+// excluded ones, or nil. An upstream whose rate limit allows no further attempt is never
+// chosen, and an avoided upstream only for the first attempt of a part, if there is no
+// other. typical is the typical latency of such a request.
+func (s *Service) Pick(now time.Time, typical time.Duration, excluded []string, first bool) *Upstream {
 	var best *Upstream
 	var bestCost time.Duration
 	s.offset++
@@ -203,7 +196,7 @@
 		if slices.Contains(excluded, u.ID) {
 			continue
 		}
-		if u.avoided(now) && !allowAvoided {
+		if u.avoided(now) && !first || !u.RateLimit.Allows(now, first) {
 			continue
 		}
 		cost := s.cost(now, u, typical)
@@ -214,6 +207,25 @@
 	return best
 }
 
+// RetryAt returns when a caller whose request is refused now should send it again because
+// of the rate limits of the upstreams. It returns false if these are not the reason: there
+// are no upstreams, or one of them allows an attempt.
+func (s *Service) RetryAt(now time.Time) (time.Time, bool) {
+	var next *Upstream
+	for _, u := range s.upstreams {
+		if u.RateLimit.Allows(now, true) {
+			return time.Time{}, false
+		}
+		if next == nil || u.RateLimit.AllowedAt(now, true).Before(next.RateLimit.AllowedAt(now, true)) {
+			next = u
+		}
+	}
+	if next == nil {
+		return time.Time{}, false
+	}
+	return next.RateLimit.RetryAt(now), true
+}
+
 // cost returns the expected latency of one more attempt on the upstream, with
 // surcharges for failures, a stalled attempt, a new connection, another data
 // centre and an avoided upstream.
@@ -263,7 +275,10 @@
 }
 
 // AttemptStarted records the start of an attempt on the upstream.
-func (u *Upstream) AttemptStarted(now time.Time) { u.inFlight = append(u.inFlight, now) }
+func (u *Upstream) AttemptStarted(now time.Time) {
+	u.inFlight = append(u.inFlight, now)
+	u.RateLimit.Take(now)
+}
 
 // AttemptFinished records the end of an attempt that began at start. typical is
 // the typical latency of such a request.
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -210,14 +210,22 @@
 	return q
 }
 
-// Begin returns the first attempt of each part and the verdict so far.
+// Begin returns the first attempt of each part and the verdict so far. If too few parts
+// have an upstream, it starts no attempt at all, so that the request certainly did not
+// run.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.startedAt = now
 	out := make([]Start, 0, len(q.parts))
 	for i := range q.parts {
 		out = q.startFirstAttempt(now, i, out)
 	}
-	return out, q.updateVerdict(now)
+	if v := q.updateVerdict(now); v != TooFew {
+		return out, v
+	}
+	for i := range q.attempts {
+		q.attempts[i].running, q.attempts[i].status = false, NotSent
+	}
+	return nil, TooFew
 }
 
 func (q *Query) startFirstAttempt(now time.Time, i int, out []Start) []Start {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"time"
 
 	"github.com/sardineturn/sardineturn/internal/minheap"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
@@ -22,7 +23,7 @@
 	case verdict == fanout.Complete:
 		return Answer{Code: result.OK, Ran: model.Ran, Reply: r.replies[0]}
 	case r.query.NotRun():
-		return newRefusal(r.refusalCode())
+		return r.refusal()
 	case verdict == fanout.Expired:
 		return Answer{Code: result.NoAnswerInTime}
 	case r.route.Gather != nil:
@@ -50,6 +51,31 @@
 	return result.NoUpstream
 }
 
+// refusal returns the answer to a request that no upstream ran. If rate limits are the
+// reason, the caller is told to return when they allow the request.
+func (r *requestRun) refusal() Answer {
+	now := r.now()
+	var retryAt time.Time
+	for i, name := range r.services {
+		s := r.view.services[name]
+		if s == nil || r.query.MissingReason(i) != fanout.NoUpstream {
+			continue
+		}
+		s.mu.Lock()
+		at, limited := s.balancer.RetryAt(now)
+		s.mu.Unlock()
+		if limited && at.After(retryAt) {
+			retryAt = at
+		}
+	}
+	if retryAt.IsZero() {
+		return newRefusal(r.refusalCode())
+	}
+	a := newRefusal(result.UpstreamRateLimited)
+	a.RetryAfter = max(a.RetryAfter, retryAt.Sub(now))
+	return a
+}
+
 // mergedAnswer combines the upstreams' answers to the parts of a query over shards.
 func (r *requestRun) mergedAnswer(verdict fanout.Verdict) Answer {
 	m := &Merged{}
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -208,6 +208,10 @@
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
 	a := run.runHere()
+	if a.Code == result.UpstreamRateLimited {
+		// Other instances have shares of their own.
+		return declined("the rate limits of upstreams are used up")
+	}
 	out := port.PeerAnswer{Code: a.Code, Ran: a.Ran, RetryAfter: a.RetryAfter, Active: int(g.activeQueries.Load())}
 	if a.Merged != nil {
 		out.Body, out.Signatures, out.Missing = a.Merged.Body, a.Merged.Signatures, a.Merged.MissingParts
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -145,6 +145,12 @@
 	shard bool
 }
 
+func (s *service) isShard() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.shard
+}
+
 // routeLatency estimates the typical latency of an attempt for one route. mu guards it.
 type routeLatency struct {
 	mu sync.Mutex
--- a/pkg/gateway/rate_limit_test.go
+++ b/pkg/gateway/rate_limit_test.go
@@ -242,6 +242,7 @@
 			must.Eq(t, "not_run", a.Ran.String())
 			must.Eq(t, before, sent())
 			must.Eq(t, 0, time.Since(r.Arrived))
+			must.Between(t, 400*time.Millisecond, a.RetryAfter, 600*time.Millisecond)
 			time.Sleep(a.RetryAfter)
 			must.Eq(t, result.OK, g.Serve(t.Context(), request("/q/1")).Code)
 		}
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -239,12 +239,13 @@
 func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	now := r.now()
+	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
 	u.AttemptFinished(now, start, r.typicalLatency, reply.UpstreamOutcome)
-	limitChanged := reply.HTTPStatus != 0 && u.ObserveRateLimit(reply.RateLimit)
+	limitChanged := namesRateLimit(&reply) && u.RateLimit.Observe(now, start, reply.RateLimit, share)
 	service.mu.Unlock()
 	if limitChanged {
-		r.g.info(event.RateLimitChanged, event.Fields{"upstream": call.Upstream.ID, "service": call.Upstream.Service, "limit": reply.RateLimit}, "an upstream changed its rate limit")
+		r.g.info(event.RateLimitChanged, event.Fields{"upstream": call.Upstream.ID, "service": call.Upstream.Service, "limit": reply.RateLimit, "senders": share.Senders, "rank": share.Rank}, "an upstream changed its rate limit")
 	}
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
