Answer all requests before a stopping process ends

In a planned stop, requests that came late in the stop time were accepted and passed on; those whose upstream was slow were cut without an answer when the time was over, also requests that must not run twice. Another operator reported it, and TestStopAnswersLateRequests showed it here: with upstreams that take 1.9 s the stop ended with requests in progress.

Cause: a process accepts requests for 60% of its stop time, whatever their deadlines, and nothing ended a request when the process had to.

A stopping gateway refuses at once, as not run, a request that it cannot be sure to answer: one that must not run twice if its deadline is later than the end, any other if ten times the typical latency is. What is still in progress shortly before the end is answered without a result.

TestStopAnswersLateRequests failed before; TestRequestsOfStoppingInstance is new. TestStopLosesNoRequest, for quick upstreams, passes as before.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -42,6 +42,8 @@
 	// stopMargin is the time reserved between the end of the last request and the forced
 	// end of the process.
 	stopMargin = 700 * time.Millisecond
+	// answerWriteTime is the time for writing the last answers.
+	answerWriteTime = 200 * time.Millisecond
 	// acceptPercent is the percentage of the stop time during which a stopping process
 	// may accept new requests. The rest is for finishing the requests in progress.
 	acceptPercent = 60
@@ -305,10 +307,10 @@
 // has arrived for noRequestTime or acceptPercent of the stop time has passed. The rest
 // of the stop time is for the requests in progress.
 func (r *gatewayRegistration) stop(ctx context.Context) error {
-	r.Gateway.Leave()
-	r.Ingress.CloseConnections()
 	start := time.Now()
 	until := start.Add(r.Settings.StopTime() - stopMargin)
+	r.Gateway.Leave(until.Add(-answerWriteTime))
+	r.Ingress.CloseConnections()
 	sleep(ctx, balancerNoticeTime)
 	for time.Since(start) < r.Settings.StopTime()*acceptPercent/100 && r.Ingress.SinceLastRequest() < noRequestTime {
 		time.Sleep(stopPollInterval)
--- a/pkg/app/gateway_test.go
+++ b/pkg/app/gateway_test.go
@@ -234,3 +234,37 @@
 		must.True(t, answered[id], must.Sprint("request ", id, " ran and was not answered"))
 	}
 }
+
+// TestStopAnswersLateRequests guards against requests that a stopping process accepts late
+// and passes on, and whose connections it closes without an answer at the end of its stop
+// time, because their upstream is slow.
+func TestStopAnswersLateRequests(t *testing.T) {
+	u := &upstreamStub{delay: 1900 * time.Millisecond, ran: make(map[string]int)}
+	s, stop := startGateway(t, u)
+	quit := make(chan struct{})
+	var callers sync.WaitGroup
+	var mu sync.Mutex
+	answered := make(map[string]bool)
+	for i := range 60 {
+		callers.Go(func() {
+			got := sendOnKeepAliveConnections(fmt.Sprint(i), s.CallerAddress, time.Duration(100+10*i)*time.Millisecond, quit)
+			mu.Lock()
+			defer mu.Unlock()
+			for id := range got {
+				answered[id] = true
+			}
+		})
+	}
+	time.Sleep(3 * time.Second)
+	start := time.Now()
+	must.NoError(t, stop())
+	must.Less(t, s.StopTime(), time.Since(start))
+	close(quit)
+	callers.Wait()
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	must.Greater(t, 60, len(u.ran))
+	for id := range u.ran {
+		must.True(t, answered[id], must.Sprint("request ", id, " ran and got no answer"))
+	}
+}
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -127,6 +127,9 @@
 		r.callerLeft = true
 		r.recordDelegation(start, to, delegation.Cancelled, 0)
 		return r.logAndReturn(fanout.Expired, Answer{Code: result.CancelledWhileRun})
+	case <-r.g.answersDue:
+		r.recordDelegation(start, to, delegation.Cancelled, 0)
+		return r.logAndReturn(fanout.Expired, Answer{Code: result.NoAnswerInTime})
 	case <-timer.C:
 		r.recordDelegation(start, to, delegation.Failed, 0)
 		return r.logAndReturn(fanout.Expired, Answer{Code: result.NoAnswerInTime})
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -258,7 +258,7 @@
 			ff.addUpstream(directory.Upstream{ID: "u", Service: "s"})
 			gateways := startInstances(ff, instances)
 			g := gateways[restarted]
-			g.Leave()
+			g.Leave(time.Now().Add(time.Minute))
 			time.Sleep(2500 * time.Millisecond)
 			g.Stop()
 			ff.mu.Lock()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -119,7 +119,11 @@
 	workers   *workers.Pool
 	delegates delegates
 
-	stopping       atomic.Bool
+	stopping atomic.Bool
+	// answerBy is when a stopping gateway must have answered all requests, and answersDue
+	// is closed then.
+	answerBy       atomic.Pointer[time.Time]
+	answersDue     chan struct{}
 	activeRequests atomic.Int64
 	// activeQueries is the number of queries over shards that this instance is
 	// executing.
@@ -160,7 +164,7 @@
 // New returns a gateway that has no copy of the platform's keys yet.
 func New(cfg Config, ports Ports) *Gateway {
 	now := ports.Clock.Now()
-	g := &Gateway{cfg: cfg, ports: ports, started: now, viewAvailable: make(chan struct{}), workers: workers.New(), logLimit: newLogLineLimit()}
+	g := &Gateway{cfg: cfg, ports: ports, started: now, viewAvailable: make(chan struct{}), answersDue: make(chan struct{}), workers: workers.New(), logLimit: newLogLineLimit()}
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
@@ -239,9 +243,15 @@
 func (g *Gateway) ActiveRequests() int { return int(g.activeRequests.Load()) }
 
 // Leave makes the gateway not ready and announces to the other instances that it is
-// leaving.
-func (g *Gateway) Leave() {
+// leaving. It answers all requests by answerBy, those that are still in progress then
+// without a result.
+func (g *Gateway) Leave(answerBy time.Time) {
+	if g.stopping.Load() {
+		return
+	}
+	g.answerBy.Store(&answerBy)
 	g.stopping.Store(true)
+	time.AfterFunc(answerBy.Sub(g.ports.Clock.Now()), func() { close(g.answersDue) })
 	g.fleet.Lock()
 	sends := g.fleet.membership.Leave(g.ports.Clock.Now())
 	g.fleet.Unlock()
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -410,3 +410,50 @@
 		must.SliceContains(t, g.seeds(), Seed{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)})
 	})
 }
+
+// TestRequestsOfStoppingInstance guards against a stopping instance that runs a request
+// which it cannot answer before it ends, that refuses one which it can answer, or that
+// ends without an answer to one in progress.
+func TestRequestsOfStoppingInstance(t *testing.T) {
+	for _, idempotent := range []bool{true, false} {
+		simulate(t, func(t *testing.T, ff *fakeFleet) {
+			ff.configure(1, route("/x/", "s", idempotent))
+			ff.addUpstream(directory.Upstream{ID: "u", Service: "s"})
+			work := 20 * time.Millisecond
+			ff.answer = func(_ context.Context, c Call) Reply {
+				time.Sleep(work)
+				return successReply(c, "")
+			}
+			g := ff.start(0, 1)
+			time.Sleep(propagationTime)
+			for range 20 {
+				must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
+			}
+			stop := time.Now()
+			g.Leave(stop.Add(3 * time.Second))
+			must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
+			time.Sleep(2900*time.Millisecond - time.Since(stop))
+			before := ff.attempts
+			a := g.Serve(t.Context(), request("/x/1"))
+			must.Eq(t, result.Leaving, a.Code)
+			must.Eq(t, model.NotRun, a.Ran)
+			must.Eq(t, before, ff.attempts)
+		})
+		simulate(t, func(t *testing.T, ff *fakeFleet) {
+			ff.configure(1, route("/x/", "s", idempotent))
+			ff.addUpstream(directory.Upstream{ID: "u", Service: "s"})
+			ff.answer = func(_ context.Context, c Call) Reply {
+				time.Sleep(700 * time.Millisecond)
+				return successReply(c, "")
+			}
+			g := ff.start(0, 1)
+			time.Sleep(propagationTime)
+			time.AfterFunc(100*time.Millisecond, func() { g.Leave(time.Now().Add(200 * time.Millisecond)) })
+			r := request("/x/1")
+			a := g.Serve(t.Context(), r)
+			must.Eq(t, result.NoAnswerInTime, a.Code)
+			must.NotEq(t, model.NotRun, a.Ran)
+			must.Eq(t, 300*time.Millisecond, time.Since(r.Arrived))
+		})
+	}
+}
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -122,7 +122,7 @@
 }
 
 // waitForVerdict handles the results of attempts and the timer of the query until there
-// is a verdict or the caller disconnects.
+// is a verdict, the caller disconnects or the process must answer because it stops.
 func (r *requestRun) waitForVerdict(verdict fanout.Verdict) fanout.Verdict {
 	timer := time.NewTimer(time.Hour)
 	defer timer.Stop()
@@ -137,6 +137,8 @@
 		case <-r.callerGone:
 			r.callerLeft = true
 			return fanout.Expired
+		case <-r.g.answersDue:
+			return fanout.Expired
 		}
 		r.startAttempts(r.now(), starts)
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -59,12 +59,35 @@
 	transitTime += answerMargin(g.cfg.Capacity)
 	run := g.newRequestRun(v, r, route, services, fingerprint, callerElapsed, transitTime)
 	run.callerGone = ctx.Done()
+	if run.stopsBeforeAnswer(now) {
+		a := newRefusal(result.Leaving)
+		g.logRefusal(now, r, route, a)
+		return a
+	}
 	if route.Gather != nil {
 		return run.delegateOrRunHere()
 	}
 	return run.runHere()
 }
 
+// stopLatencyFactor is the multiple of the typical latency of an attempt within which a
+// stopping process expects to answer an idempotent request.
+const stopLatencyFactor = 10
+
+// stopsBeforeAnswer reports whether the process stops before the request is sure to be
+// answered. A request that must not run twice may then take until its deadline; the caller
+// of any other may send it again if it takes unusually long.
+func (r *requestRun) stopsBeforeAnswer(now time.Time) bool {
+	if !r.g.stopping.Load() {
+		return false
+	}
+	needed := r.deadline.Sub(now)
+	if r.route.Idempotent {
+		needed = min(needed, stopLatencyFactor*r.typicalLatency)
+	}
+	return now.Add(needed).After(*r.g.answerBy.Load())
+}
+
 // startWait bounds how long a request waits for the first configuration, which a
 // starting process gets within a fraction of a second. A caller that is refused would
 // not send its request again any sooner.
