Refuse queries without an attempt only because of rate limits

Cause: the attempts of such queries show that upstreams work again. Without them, recovery waited until all affected shards could be tried at the same moment.

A query now starts no attempt only if rate limits leave it too few shards.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -207,23 +207,27 @@
 	return best
 }
 
-// RetryAt returns when a caller whose request is refused now should send it again because
-// of the rate limits of the upstreams. It returns false if these are not the reason: there
-// are no upstreams, or one of them allows an attempt.
-func (s *Service) RetryAt(now time.Time) (time.Time, bool) {
-	var next *Upstream
+// RateLimited reports whether there are upstreams and the rate limits of all of them
+// forbid a first attempt now.
+func (s *Service) RateLimited(now time.Time) bool {
 	for _, u := range s.upstreams {
 		if u.RateLimit.Allows(now, true) {
-			return time.Time{}, false
+			return false
 		}
-		if next == nil || u.RateLimit.AllowedAt(now, true).Before(next.RateLimit.AllowedAt(now, true)) {
+	}
+	return len(s.upstreams) > 0
+}
+
+// RetryAt returns when a caller whose request is refused now should send it again. It must
+// be called only if RateLimited.
+func (s *Service) RetryAt(now time.Time) time.Time {
+	next := s.upstreams[0]
+	for _, u := range s.upstreams[1:] {
+		if u.RateLimit.AllowedAt(now, true).Before(next.RateLimit.AllowedAt(now, true)) {
 			next = u
 		}
 	}
-	if next == nil {
-		return time.Time{}, false
-	}
-	return next.RateLimit.RetryAt(now), true
+	return next.RateLimit.RetryAt(now)
 }
 
 // cost returns the expected latency of one more attempt on the upstream, with
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -38,6 +38,9 @@
 	// other is available; unresponsive is then true if the last attempts on that
 	// upstream ended without an answer.
 	Pick(service string, excluded []string, first bool) (upstream string, unresponsive, ok bool)
+	// RateLimited reports whether the rate limits of all upstreams of the service forbid
+	// a first attempt now.
+	RateLimited(service string) bool
 	// HedgeDelay is the time after which an attempt is unusually slow and is
 	// hedged.
 	HedgeDelay(service string) time.Duration
@@ -145,6 +148,8 @@
 	InProgress
 	// NoUpstream: the service had no listed or usable upstream left to try.
 	NoUpstream
+	// RateLimited: the rate limits of the service's upstreams allowed no first attempt.
+	RateLimited
 	// AttemptsUsed: MaxAttempts upstreams ran the part or may run it, or too many
 	// attempts were declined or not sent.
 	AttemptsUsed
@@ -210,16 +215,19 @@
 	return q
 }
 
-// Begin returns the first attempt of each part and the verdict so far. If too few parts
-// have an upstream, it starts no attempt at all, so that the request certainly did not
-// run.
+// Begin returns the first attempt of each part and the verdict so far. If rate limits
+// leave too few parts with an upstream, it starts no attempt at all, so that the request
+// certainly did not run. If failures do, it starts those that it can, because they may
+// show that an upstream works again.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.startedAt = now
 	out := make([]Start, 0, len(q.parts))
 	for i := range q.parts {
 		out = q.startFirstAttempt(now, i, out)
 	}
-	if v := q.updateVerdict(now); v != TooFew {
+	v := q.updateVerdict(now)
+	limited := slices.ContainsFunc(q.parts, func(p part) bool { return p.reason == RateLimited })
+	if v != TooFew || !limited {
 		return out, v
 	}
 	for i := range q.attempts {
@@ -232,7 +240,11 @@
 	p := &q.parts[i]
 	u, unresponsive, ok := q.upstreams.Pick(p.service, nil, true)
 	if !ok {
-		q.abandon(p, NoUpstream)
+		reason := NoUpstream
+		if q.upstreams.RateLimited(p.service) {
+			reason = RateLimited
+		}
+		q.abandon(p, reason)
 		return out
 	}
 	p.unresponsive = unresponsive
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -24,9 +24,20 @@
 	urgentOnly bool
 	// unresponsive is the service whose upstreams did not answer the last attempts.
 	unresponsive string
+	// unavailable is the service that has no usable upstream, because of its upstreams'
+	// rate limits if limited is true.
+	unavailable string
+	limited     bool
+}
+
+func (f *fakeUpstreams) RateLimited(service string) bool {
+	return f.limited && service == f.unavailable
 }
 
 func (f *fakeUpstreams) Pick(service string, excluded []string, _ bool) (string, bool, bool) {
+	if service == f.unavailable {
+		return "", false, false
+	}
 	for i := range f.perService {
 		if id := fmt.Sprint(service, "/", i); !slices.Contains(excluded, id) {
 			return id, service == f.unresponsive, true
@@ -140,6 +151,21 @@
 	must.Eq(t, Partial, v)
 }
 
+// TestTooFewPartsAtTheStart guards against a query that runs on some shards although the
+// rate limits of others forbid a useful answer, and against one that sends nothing because
+// upstreams of another shard failed. In the second case, queries of a day on which several
+// shards were down no longer found out that their upstreams had recovered: of 283 requests
+// in the worst two seconds 80 were served in time, and 244 otherwise.
+func TestTooFewPartsAtTheStart(t *testing.T) {
+	for _, limited := range []bool{true, false} {
+		q := New(queryConfig(3, 3), &fakeUpstreams{perService: 1, unavailable: "s1", limited: limited})
+		starts, v := q.Begin(start)
+		must.Eq(t, TooFew, v)
+		must.Eq(t, limited, len(starts) == 0)
+		must.Eq(t, limited, q.NotRun())
+	}
+}
+
 // TestHedge guards against a slow attempt that is never hedged, and against a
 // part that is sent to more upstreams than allowed.
 func TestHedge(t *testing.T) {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -58,15 +58,14 @@
 	var retryAt time.Time
 	for i, name := range r.services {
 		s := r.view.services[name]
-		if s == nil || r.query.MissingReason(i) != fanout.NoUpstream {
+		if s == nil || r.query.MissingReason(i) != fanout.RateLimited {
 			continue
 		}
 		s.mu.Lock()
-		at, limited := s.balancer.RetryAt(now)
-		s.mu.Unlock()
-		if limited && at.After(retryAt) {
-			retryAt = at
+		if s.balancer.RateLimited(now) {
+			retryAt = later(retryAt, s.balancer.RetryAt(now))
 		}
+		s.mu.Unlock()
 	}
 	if retryAt.IsZero() {
 		return newRefusal(r.refusalCode())
@@ -76,6 +75,13 @@
 	return a
 }
 
+func later(a, b time.Time) time.Time {
+	if b.After(a) {
+		return b
+	}
+	return a
+}
+
 // mergedAnswer combines the upstreams' answers to the parts of a query over shards.
 func (r *requestRun) mergedAnswer(verdict fanout.Verdict) Answer {
 	m := &Merged{}
--- a/pkg/gateway/upstream_choice.go
+++ b/pkg/gateway/upstream_choice.go
@@ -56,6 +56,17 @@
 	return u.ID, u.Unresponsive(), true
 }
 
+// RateLimited implements fanout.Upstreams.
+func (r *requestRun) RateLimited(serviceName string) bool {
+	s := r.view.services[serviceName]
+	if s == nil {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.RateLimited(r.now())
+}
+
 // HedgeDelay implements fanout.Upstreams.
 func (r *requestRun) HedgeDelay(string) time.Duration { return r.hedgeAfter }
 
