--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -1,6 +1,6 @@
-// Package quarantine stores the fingerprints of requests that crash upstreams,
-// so that such requests are refused. A Set does no I/O and reads no clock; its
-// owner serialises access to it.
+// Package quarantine stores the fingerprints of requests that crash upstreams, so that
+// such requests are refused, and the records of crashes from which this follows. A Set
+// does no I/O and reads no clock; its owner serialises access to it.
 package quarantine
 
 import (
