--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/membership"
@@ -19,16 +20,23 @@
 	crashCheckTimeout = 500 * time.Millisecond
 )
 
+// Proofs of a crash in log lines.
+const (
+	proofRefused   = "connection_refused"
+	proofRemoved   = "entry_removed"
+	proofRestarted = "entry_of_new_process"
+)
+
 // checkUnanswered finds out whether an upstream crashed while it ran a request to which it
 // gave no answer. A lost connection alone does not show that: an upstream that still runs
 // accepts new connections. If there is no proof now, the registry may show it later.
 func (g *Gateway) checkUnanswered(crash quarantine.Crash, address string, reply *Reply, gather bool) {
-	suspect := quarantine.Suspect{Crash: crash, LostAt: g.ports.Clock.Now()}
+	suspect := quarantine.Suspect{Crash: crash, Ending: endingOf(reply), LostAt: g.ports.Clock.Now()}
 	if reply.ConnectionBroken {
 		probe := g.probeAfterLoss(address)
 		g.ports.Metrics.CrashChecked(probe.String())
 		if probe == ProbeRefused {
-			g.recordCrash(g.ports.Clock.Now(), crash)
+			g.recordCrash(g.ports.Clock.Now(), suspect, proofRefused)
 			return
 		}
 		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(crash.Fingerprint), "upstream": crash.Upstream, "service": crash.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
@@ -56,8 +64,12 @@
 	listed, ok := p.directory.Lookup(s.Upstream)
 	p.Unlock()
 	now := g.ports.Clock.Now()
-	if ok && listed.Started != s.Started || !ok && !s.Accepting {
-		g.recordRegistryCrashes(now, []quarantine.Crash{s.Crash})
+	switch {
+	case ok && listed.Started != s.Started:
+		g.recordRegistryCrashes(now, []quarantine.Suspect{s}, proofRestarted)
+		return
+	case !ok && !s.Accepting:
+		g.recordRegistryCrashes(now, []quarantine.Suspect{s}, proofRemoved)
 		return
 	}
 	g.quarantine.Lock()
@@ -70,7 +82,7 @@
 	g.quarantine.Lock()
 	crashes := g.quarantine.suspects.UpstreamRestarted(now, u.ID, u.Started)
 	g.quarantine.Unlock()
-	g.recordRegistryCrashes(now, crashes)
+	g.recordRegistryCrashes(now, crashes, proofRestarted)
 }
 
 // upstreamRemoved records the crashes that the removal of an upstream's entry shows.
@@ -78,20 +90,35 @@
 	g.quarantine.Lock()
 	crashes := g.quarantine.suspects.UpstreamRemoved(now, id)
 	g.quarantine.Unlock()
-	g.recordRegistryCrashes(now, crashes)
+	g.recordRegistryCrashes(now, crashes, proofRemoved)
 }
 
-func (g *Gateway) recordRegistryCrashes(now time.Time, crashes []quarantine.Crash) {
-	for _, c := range crashes {
+func (g *Gateway) recordRegistryCrashes(now time.Time, crashes []quarantine.Suspect, proof string) {
+	for _, s := range crashes {
 		g.ports.Metrics.CrashChecked("registry")
-		g.recordCrash(now, c)
+		g.recordCrash(now, s, proof)
+	}
+}
+
+// endingOf says, for log lines, how an attempt without an answer ended.
+func endingOf(reply *Reply) string {
+	switch {
+	case reply.ConnectionBroken:
+		return "connection_broken"
+	case reply.UpstreamOutcome == balancer.Cancelled:
+		return "cancelled"
+	case reply.UpstreamOutcome == balancer.TimedOut:
+		return "timed_out"
+	default:
+		return "invalid_answer"
 	}
 }
 
 // recordCrash records that an upstream crashed while it ran a request, and announces it
 // to the other instances. The crashes that different instances detect are added up,
 // because a caller may send the request again through another instance.
-func (g *Gateway) recordCrash(now time.Time, c quarantine.Crash) {
+func (g *Gateway) recordCrash(now time.Time, s quarantine.Suspect, proof string) {
+	c := s.Crash
 	g.quarantine.Lock()
 	record, added := g.quarantine.set.AddCrash(now, c)
 	crashes := g.quarantine.set.Crashes(now, c.Fingerprint)
@@ -102,7 +129,7 @@
 	g.fleet.Lock()
 	g.fleet.membership.AnnounceQuarantine(membership.Quarantine(record))
 	g.fleet.Unlock()
-	fields := event.Fields{"fingerprint": uint64(c.Fingerprint), "upstream": c.Upstream, "service": c.Service, "strikes": crashes}
+	fields := event.Fields{"fingerprint": uint64(c.Fingerprint), "upstream": c.Upstream, "service": c.Service, "strikes": crashes, "proof": proof, "attempt_ended": s.Ending, "lost_ms_ago": now.Sub(s.LostAt).Milliseconds()}
 	if crashes < quarantine.CrashLimit {
 		g.info(event.RequestSuspect, fields, "an upstream crashed while it ran a request")
 		return
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -322,7 +322,7 @@
 		// The instances still delegate to each other, but the announcement is lost.
 		ff.withLock(func() { ff.maxDatagramBytes = 1 })
 		for _, id := range []string{"us0", "us1"} {
-			large.recordCrash(time.Now(), quarantine.Crash{Fingerprint: request("/q/1").fingerprint(), Upstream: id})
+			large.recordCrash(time.Now(), quarantine.Suspect{Crash: quarantine.Crash{Fingerprint: request("/q/1").fingerprint(), Upstream: id}}, proofRefused)
 		}
 		a := small.Serve(t.Context(), request("/q/1"))
 		must.Eq(t, 1, ff.delegatedQueries())
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -20,6 +20,8 @@
 // Suspect is a request to which an upstream gave no answer, maybe because it crashed.
 type Suspect struct {
 	Crash
+	// Ending says, for log lines, how the attempt ended.
+	Ending string
 	// LostAt is when the attempt ended without an answer.
 	LostAt time.Time
 	// Accepting is true if the upstream accepts new connections. It crashed only if
@@ -52,24 +54,24 @@
 
 // UpstreamRestarted removes and returns the requests that an earlier process with the
 // upstream's id did not answer.
-func (l *Suspects) UpstreamRestarted(now time.Time, upstream string, started int64) []Crash {
+func (l *Suspects) UpstreamRestarted(now time.Time, upstream string, started int64) []Suspect {
 	return l.take(now, func(s *Suspect) bool { return s.Upstream == upstream && s.Started != started })
 }
 
 // UpstreamRemoved removes and returns the requests that an upstream did not answer whose
 // entry was removed without notice.
-func (l *Suspects) UpstreamRemoved(now time.Time, upstream string) []Crash {
+func (l *Suspects) UpstreamRemoved(now time.Time, upstream string) []Suspect {
 	return l.take(now, func(s *Suspect) bool { return s.Upstream == upstream && !s.Accepting })
 }
 
-func (l *Suspects) take(now time.Time, crashed func(*Suspect) bool) []Crash {
+func (l *Suspects) take(now time.Time, crashed func(*Suspect) bool) []Suspect {
 	l.expire(now)
-	var out []Crash
+	var out []Suspect
 	l.list = slices.DeleteFunc(l.list, func(s Suspect) bool {
 		if !crashed(&s) {
 			return false
 		}
-		out = append(out, s.Crash)
+		out = append(out, s)
 		return true
 	})
 	return out
