Take the removal of an upstream's entry for a crash only if it does not answer

Cause: an attempt without an answer made its request a suspect, also when the instance itself had cancelled the attempt because the caller left, and the removal of the entry of a ready upstream within ten seconds was proof of a crash. Upstreams may also leave that way, and then serve on for seconds.

Change: an answer to a later request clears a suspect, and a removed upstream is asked for its health while requests wait for the proof. An upstream that reports that it leaves, or has left as planned, proves nothing when its connections are refused or a new process starts under its id.

The soak's stand-in answers health checks now.

--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -261,7 +261,7 @@
 	}
 	var serviceEntries []any
 	for name := range serviceNames {
-		serviceEntries = append(serviceEntries, map[string]any{"name": name, "health_path": "/health", "max_conns": maxConns})
+		serviceEntries = append(serviceEntries, map[string]any{"name": name, "health_path": healthPath, "max_conns": maxConns})
 	}
 	s.mu.Unlock()
 	v.sent = time.Now()
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -19,6 +19,7 @@
 	upstreamQueue = 8
 	maxConns      = 80
 	recordBytes   = 16
+	healthPath    = "/health"
 )
 
 // behaviour is how an upstream treats requests.
@@ -178,6 +179,10 @@
 		<-r.Context().Done()
 		return
 	}
+	if r.URL.Path == healthPath {
+		w.Header().Set("X-Instance-Id", u.id)
+		return
+	}
 	e := &execution{id: id, upstream: u.id, service: u.service, arrived: time.Now(), timeBudget: -1}
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
 		e.timeBudget = time.Duration(ms * float64(time.Millisecond))
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -112,6 +112,15 @@
 // the upstream.
 func (u *Upstream) InFlight() int { return len(u.inFlight) }
 
+// OldestInFlight returns how long ago the oldest attempt in flight on the upstream began,
+// or zero if there is none.
+func (u *Upstream) OldestInFlight(now time.Time) time.Duration {
+	if len(u.inFlight) == 0 {
+		return 0
+	}
+	return now.Sub(u.inFlight[0])
+}
+
 // Blocked reports whether the upstream is avoided because of earlier failures or
 // because it was full.
 func (u *Upstream) Blocked(now time.Time) bool { return now.Before(u.blockedUntil) }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -55,6 +55,7 @@
 	CrashNotConfirmed   ID = 410
 	CrashRecordReceived ID = 411
 	RateLimitChanged    ID = 412
+	RemovalChecked      ID = 413
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -18,6 +18,9 @@
 	crashCheckDelay = 30 * time.Millisecond
 	// crashCheckTimeout bounds the attempt to open the new connection.
 	crashCheckTimeout = 500 * time.Millisecond
+	// minSilence is how long an upstream has been silent at least when its entry is removed
+	// because it crashed: it has then missed two of its reports, one each 1.2 s.
+	minSilence = 2 * time.Second
 )
 
 // Proofs of a crash in log lines.
@@ -30,13 +33,14 @@
 // checkUnanswered finds out whether an upstream crashed while it ran a request to which it
 // gave no answer. A lost connection alone does not show that: an upstream that still runs
 // accepts new connections. If there is no proof now, the registry may show it later.
-func (g *Gateway) checkUnanswered(crash quarantine.Crash, address string, reply *Reply, gather bool) {
+func (g *Gateway) checkUnanswered(crash quarantine.Crash, u directory.Upstream, reply *Reply, gather bool) {
 	suspect := quarantine.Suspect{Crash: crash, Ending: endingOf(reply), LostAt: g.ports.Clock.Now()}
 	if reply.ConnectionBroken {
-		probe := g.probeAfterLoss(address)
+		probe := g.probeAfterLoss(u.Address)
 		g.ports.Metrics.CrashChecked(probe.String())
-		if probe == ProbeRefused {
-			g.recordCrash(g.ports.Clock.Now(), suspect, proofRefused)
+		now := g.ports.Clock.Now()
+		if probe == ProbeRefused && !g.mayEndAsPlanned(now, crash) {
+			g.recordCrash(now, suspect, proofRefused)
 			return
 		}
 		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(crash.Fingerprint), "upstream": crash.Upstream, "service": crash.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
@@ -45,7 +49,7 @@
 	// The parts of a query time out often, and when many upstreams go down together, all
 	// queries of that time would be suspects.
 	if !gather {
-		g.addSuspect(suspect)
+		g.addSuspect(suspect, u)
 	}
 }
 
@@ -56,41 +60,132 @@
 	return g.ports.Upstreams.Probe(ctx, address)
 }
 
+// mayEndAsPlanned reports whether an upstream may have ended because it left as planned.
+func (g *Gateway) mayEndAsPlanned(now time.Time, c quarantine.Crash) bool {
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
+	return g.quarantine.suspects.MayEndAsPlanned(now, c)
+}
+
 // addSuspect stores a suspect until the registry shows whether its upstream crashed. The
 // registry may show it already.
-func (g *Gateway) addSuspect(s quarantine.Suspect) {
+func (g *Gateway) addSuspect(s quarantine.Suspect, u directory.Upstream) {
+	now := g.ports.Clock.Now()
+	decision, proof := g.decideOnSuspect(now, s)
+	switch decision {
+	case quarantine.Crashed:
+		g.recordRegistryCrashes(now, []quarantine.Suspect{s}, proof)
+	case quarantine.CheckHealth:
+		g.checkRemoved(u, g.healthPath(u.Service))
+	}
+}
+
+func (g *Gateway) decideOnSuspect(now time.Time, s quarantine.Suspect) (d quarantine.Decision, proof string) {
+	// The entry must not be removed between the look-up and the storing of the suspect.
 	p := &g.published
 	p.Lock()
+	defer p.Unlock()
 	listed, ok := p.directory.Lookup(s.Upstream)
-	p.Unlock()
-	now := g.ports.Clock.Now()
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
 	switch {
 	case ok && listed.Started != s.Started:
-		g.recordRegistryCrashes(now, []quarantine.Suspect{s}, proofRestarted)
-		return
-	case !ok && !s.Accepting:
-		g.recordRegistryCrashes(now, []quarantine.Suspect{s}, proofRemoved)
+		return quarantine.Crashed, proofRestarted
+	case ok && listed.State == directory.Draining:
+		return quarantine.NoCrash, ""
+	case ok:
+		g.quarantine.suspects.Add(now, s)
+		g.quarantine.waiting.Store(true)
+		return quarantine.Wait, ""
+	default:
+		return g.quarantine.suspects.AddDeparted(now, s), proofRemoved
+	}
+}
+
+// upstreamAnswered records that an upstream answered an attempt that was sent at the given
+// time, whatever the answer said.
+func (g *Gateway) upstreamAnswered(u directory.Upstream, sentAt time.Time) {
+	if !g.quarantine.waiting.Load() {
 		return
 	}
 	g.quarantine.Lock()
 	defer g.quarantine.Unlock()
-	g.quarantine.suspects.Add(now, s)
+	g.quarantine.suspects.UpstreamAnswered(u.ID, u.Started, sentAt)
+	g.quarantine.waiting.Store(g.quarantine.suspects.Len() > 0)
 }
 
-// upstreamRestarted records the crashes that a new process under an upstream's id shows.
-func (g *Gateway) upstreamRestarted(now time.Time, u directory.Upstream) {
+// upstreamListed records what a new or changed entry shows about earlier requests: the
+// crash of an earlier process, or that the upstream leaves as planned.
+func (g *Gateway) upstreamListed(now time.Time, u directory.Upstream) {
 	g.quarantine.Lock()
 	crashes := g.quarantine.suspects.UpstreamRestarted(now, u.ID, u.Started)
+	switch u.State {
+	case directory.Ready:
+		g.quarantine.suspects.UpstreamReady(u.ID, u.Started)
+	case directory.Draining:
+		g.quarantine.suspects.UpstreamDraining(now, u.ID, u.Started)
+	}
 	g.quarantine.Unlock()
 	g.recordRegistryCrashes(now, crashes, proofRestarted)
 }
 
-// upstreamRemoved records the crashes that the removal of an upstream's entry shows.
-func (g *Gateway) upstreamRemoved(now time.Time, id string) {
+// upstreamRemoved finds out whether a ready upstream whose entry was removed crashed or
+// left as planned, if requests are waiting for it. published must be locked.
+func (g *Gateway) upstreamRemoved(now time.Time, u directory.Upstream) {
+	waiting := g.oldestAttempt(now, u) >= minSilence
 	g.quarantine.Lock()
-	crashes := g.quarantine.suspects.UpstreamRemoved(now, id)
+	check := g.quarantine.suspects.UpstreamRemoved(now, u.ID, u.Started, waiting)
 	g.quarantine.Unlock()
-	g.recordRegistryCrashes(now, crashes, proofRemoved)
+	if !check {
+		return
+	}
+	path := ""
+	if t := g.published.table; t != nil {
+		path = t.Services[u.Service].HealthPath
+	}
+	go g.checkRemoved(u, path)
+}
+
+// oldestAttempt returns how long the oldest attempt in flight on an upstream has taken so
+// far. It is zero for a shard of queries, whose attempts end within their latency target.
+func (g *Gateway) oldestAttempt(now time.Time, u directory.Upstream) time.Duration {
+	v := g.view.Load()
+	if v == nil || v.services[u.Service] == nil {
+		return 0
+	}
+	s := v.services[u.Service]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if b := s.balancer.Find(u.ID); b != nil && !s.shard {
+		return b.OldestInFlight(now)
+	}
+	return 0
+}
+
+// checkRemoved records the crashes of an upstream whose entry was removed and that does
+// not answer a health check. Without a path, an accepted connection counts as an answer.
+func (g *Gateway) checkRemoved(u directory.Upstream, path string) {
+	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
+	defer cancel()
+	var probe ProbeResult
+	if path == "" {
+		probe = g.ports.Upstreams.Probe(ctx, u.Address)
+	} else {
+		probe = g.ports.Upstreams.CheckHealth(ctx, u, path)
+	}
+	g.ports.Metrics.CrashChecked(probe.String())
+	g.quarantine.Lock()
+	crashes := g.quarantine.suspects.CheckFinished(u.ID, u.Started, probe == ProbeAccepted)
+	g.quarantine.Unlock()
+	g.info(event.RemovalChecked, event.Fields{"upstream": u.ID, "service": u.Service, "probe": probe.String(), "requests": len(crashes)}, "the health of an upstream whose entry was removed was checked")
+	g.recordRegistryCrashes(g.ports.Clock.Now(), crashes, proofRemoved)
+}
+
+func (g *Gateway) healthPath(service string) string {
+	if v := g.view.Load(); v != nil {
+		return v.table.Services[service].HealthPath
+	}
+	return ""
 }
 
 func (g *Gateway) recordRegistryCrashes(now time.Time, crashes []quarantine.Suspect, proof string) {
--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -29,6 +29,8 @@
 	// of the request to upstreams.
 	crashesBeforeCheck = 3
 	toleratedRetries   = 3
+	// lapseTime is how long the entry of a crashed upstream stays in the registry.
+	lapseTime = 3600 * time.Millisecond
 )
 
 // crashEnd is the way in which the connections of a crashed upstream end.
@@ -50,6 +52,11 @@
 	instances int
 	end       crashEnd
 	downtime  time.Duration
+	// newID makes a crashed upstream come back under another id, after its entry was
+	// removed.
+	newID bool
+	// patience is how long callers wait for an answer; zero means until their timeout.
+	patience time.Duration
 
 	// disturbedAt holds when the instance was last killed, started, cut or reconnected.
 	disturbedAt map[int]time.Time
@@ -98,6 +105,9 @@
 		s.recordArrival(c)
 		s.crashed[c.Upstream.Address] = true
 		time.AfterFunc(s.downtime, func() { s.restartUpstream(c.Upstream) })
+		if s.newID {
+			time.AfterFunc(lapseTime, func() { s.unlist(c.Upstream.ID) })
+		}
 	}
 	s.mu.Unlock()
 	switch {
@@ -127,12 +137,16 @@
 	}
 }
 
-// restartUpstream starts a crashed upstream again under its id.
+// restartUpstream starts a crashed upstream again, under its id or under a new one.
 func (s *crashScenario) restartUpstream(u directory.Upstream) {
 	s.withLock(func() {
-		delete(s.crashed, u.Address)
 		s.starts++
 		u.Started = 1 + s.starts
+		if s.newID {
+			u.ID = fmt.Sprint("new", s.starts)
+			return
+		}
+		delete(s.crashed, u.Address)
 	})
 	s.addUpstream(u)
 }
@@ -160,7 +174,12 @@
 	s.sent++
 	r := request(target)
 	r.ID = fmt.Sprintf("from %d: %d", n, s.sent)
-	g.Serve(s.t.Context(), r)
+	ctx, cancel := context.WithCancel(s.t.Context())
+	defer cancel()
+	if s.patience > 0 {
+		defer time.AfterFunc(s.patience, cancel).Stop()
+	}
+	g.Serve(ctx, r)
 }
 
 // kill stops an instance without notice.
@@ -280,18 +299,25 @@
 	for name, c := range map[string]struct {
 		end      crashEnd
 		downtime time.Duration
+		newID    bool
+		patience time.Duration
 	}{
-		"silent":                   {connectionsHang, 2 * time.Second},
-		"silent for long":          {connectionsHang, 6 * time.Second},
-		"restarted at once":        {connectionsBreak, 10 * time.Millisecond},
-		"restarted while silent":   {connectionsHang, 300 * time.Millisecond},
-		"refused for some seconds": {connectionsBreak, 3 * time.Second},
+		"silent":                   {end: connectionsHang, downtime: 2 * time.Second},
+		"silent for long":          {end: connectionsHang, downtime: 6 * time.Second},
+		"restarted at once":        {end: connectionsBreak, downtime: 10 * time.Millisecond},
+		"restarted while silent":   {end: connectionsHang, downtime: 300 * time.Millisecond},
+		"refused for some seconds": {end: connectionsBreak, downtime: 3 * time.Second},
+		"silent, then replaced":    {end: connectionsHang, downtime: 4500 * time.Millisecond, newID: true},
+		"refused, then replaced":   {end: connectionsBreak, downtime: 4500 * time.Millisecond, newID: true},
+		"silent, callers leave":    {end: connectionsHang, downtime: 2 * time.Second, patience: 300 * time.Millisecond},
+		"callers leave, replaced":  {end: connectionsHang, downtime: 4500 * time.Millisecond, newID: true, patience: 300 * time.Millisecond},
 	} {
 		for seed := range uint64(4) {
 			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
 				simulate(t, func(t *testing.T, ff *fakeFleet) {
 					s := newCrashScenario(t, ff, seed, 9, 6)
 					s.end, s.crashedSilently, s.downtime = c.end, c.end == connectionsHang, c.downtime
+					s.newID, s.patience = c.newID, c.patience
 					s.sendFor(40 * time.Second)
 					s.check()
 				})
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -352,6 +352,11 @@
 	}
 }
 
+// CheckHealth implements Upstreams.
+func (u fakeUpstreams) CheckHealth(ctx context.Context, listed directory.Upstream, _ string) ProbeResult {
+	return u.Probe(ctx, listed.Address)
+}
+
 // Retain implements Upstreams.
 func (fakeUpstreams) Retain(map[string]bool) {}
 
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -111,6 +111,9 @@
 		sync.Mutex
 		set      *quarantine.Set
 		suspects quarantine.Suspects
+		// waiting is false if there are certainly no suspects. It is read without the
+		// lock.
+		waiting atomic.Bool
 	}
 
 	latencies sync.Map // route name to *routeLatency
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -115,11 +115,13 @@
 	ProbeRefused
 	// ProbeUnanswered: the address did not answer in time, or cannot be reached.
 	ProbeUnanswered
+	// ProbeReplaced: another process than the upstream answered.
+	ProbeReplaced
 )
 
 // String returns the result's name in logs and metrics.
 func (r ProbeResult) String() string {
-	return [...]string{"accepted", "refused", "unanswered"}[r]
+	return [...]string{"accepted", "refused", "unanswered", "replaced"}[r]
 }
 
 // Upstreams sends requests to upstreams.
@@ -128,6 +130,9 @@
 	Send(ctx context.Context, c Call) Reply
 	// Probe opens a connection to the address and closes it.
 	Probe(ctx context.Context, address string) ProbeResult
+	// CheckHealth requests the path from the upstream over a connection of its own. Any
+	// answer of the upstream counts as accepted.
+	CheckHealth(ctx context.Context, u directory.Upstream, path string) ProbeResult
 	// Retain closes the connections to all addresses but the given ones.
 	Retain(addresses map[string]bool)
 	// CloseIdle closes the connections that have had no request for the given time.
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -58,8 +58,8 @@
 	switch {
 	case c.Deleted:
 		g.info(event.UpstreamGone, event.Fields{"upstream": u.ID, "revision": c.Revision, "lapsed": c.Lapsed, "source": source}, "an upstream's entry was removed")
-		if listed, _ := p.directory.Lookup(u.ID); !c.Lapsed && listed.State == directory.Ready {
-			g.upstreamRemoved(now, u.ID)
+		if listed, ok := p.directory.Lookup(u.ID); ok && !c.Lapsed && listed.State == directory.Ready {
+			g.upstreamRemoved(now, listed)
 		}
 		p.directory.Remove(now, u.ID, c.Lapsed)
 	case err != nil:
@@ -70,7 +70,7 @@
 	default:
 		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "revision": c.Revision, "source": source}, "an upstream's entry changed")
 		p.directory.Set(u)
-		g.upstreamRestarted(now, u)
+		g.upstreamListed(now, u)
 	}
 }
 
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -249,13 +249,17 @@
 	if limitChanged {
 		r.g.info(event.RateLimitChanged, event.Fields{"upstream": call.Upstream.ID, "service": call.Upstream.Service, "limit": reply.RateLimit, "senders": share.Senders, "rank": share.Rank}, "an upstream changed its rate limit")
 	}
+	switch reply.UpstreamOutcome {
+	case balancer.Succeeded, balancer.Failed, balancer.Shed:
+		r.g.upstreamAnswered(call.Upstream, start)
+	}
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
 		r.succeeded.Store(true)
 	}
 	if r.mayHaveCrashed(&reply, now.Sub(start)) && r.crashChecked.CompareAndSwap(false, true) {
 		crash := quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started}
-		go r.g.checkUnanswered(crash, call.Upstream.Address, &reply, r.route.Gather != nil)
+		go r.g.checkUnanswered(crash, call.Upstream, &reply, r.route.Gather != nil)
 	}
 	r.results <- attemptResult{attempt: number, reply: &reply}
 }
