Weigh answers against the records of crashes under a request

Cause: every request in progress on a crashed upstream gets a crash record, and two records in ten minutes refuse it. Nothing weighed the answers to the same request against them.

Change: an answer by an upstream of the same service marks the records as disproved, here and, through the control datagrams, at all instances. A crash that is proved after such an answer is not recorded (event 415). If the request was answered in the last ten minutes, records within 2 s of each other count once, since nothing can be answered while all upstreams of a service are down. New field "disproved" of the datagram's quarantine entries; an older build ignores it.

Set.Blocked has a parameter more, which the older tests pass as nil: no answers.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -56,6 +56,8 @@
 	CrashRecordReceived ID = 411
 	RateLimitChanged    ID = 412
 	RemovalChecked      ID = 413
+	RequestCleared      ID = 414
+	CrashExcused        ID = 415
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -114,6 +114,15 @@
 		// waiting is false if there are certainly no suspects. It is read without the
 		// lock.
 		waiting atomic.Bool
+		// countsCrashes is false if certainly no crash record counts. It is read without
+		// the lock.
+		countsCrashes atomic.Bool
+	}
+
+	// answers holds which requests upstreams have answered.
+	answers struct {
+		sync.Mutex
+		memory *quarantine.Answers
 	}
 
 	latencies sync.Map // route name to *routeLatency
@@ -173,6 +182,7 @@
 	g.published.changed = make(chan struct{})
 	g.settings.seeds, g.settings.budget = cfg.Seeds, cfg.RetryBudget
 	g.quarantine.set = quarantine.New(0)
+	g.answers.memory = quarantine.NewAnswers(now)
 	g.delegates.table = delegation.NewTable(cfg.Capacity)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.fleet.membership = membership.New(membership.Config{
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -85,6 +85,9 @@
 
 func (r *requestRun) logAndReturn(verdict fanout.Verdict, a Answer) Answer {
 	r.logAnswer(verdict, a)
+	if a.Merged != nil && a.Merged.MissingParts == 0 {
+		r.g.rememberAnswer(r.now(), r.fingerprint, "")
+	}
 	return a
 }
 
@@ -256,14 +259,24 @@
 	if reply.Status == fanout.Succeeded {
 		r.latency.add(now.Sub(start))
 		r.succeeded.Store(true)
+		r.recordAnswer(now, call.Upstream.Service)
 	}
 	if r.mayHaveCrashed(&reply, now.Sub(start)) && r.crashChecked.CompareAndSwap(false, true) {
 		crash := quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started}
-		go r.g.checkUnanswered(crash, call.Upstream, &reply, r.route.Gather != nil)
+		go r.g.checkUnanswered(crash, start, call.Upstream, &reply, r.route.Gather != nil)
 	}
 	r.results <- attemptResult{attempt: number, reply: &reply}
 }
 
+// recordAnswer records that an upstream of the service has answered the request: the
+// request does not crash the upstreams of this service.
+func (r *requestRun) recordAnswer(now time.Time, service string) {
+	if r.route.Gather == nil {
+		r.g.rememberAnswer(now, r.fingerprint, service)
+	}
+	r.g.disproveCrashes(now, r.fingerprint, service)
+}
+
 // mayHaveCrashed reports whether an attempt that took the given time ended in a way in
 // which it ends when its upstream crashes. A request that an upstream has answered does
 // not crash upstreams.
--- a/pkg/instance/instance.go
+++ b/pkg/instance/instance.go
@@ -226,7 +226,7 @@
 func (q *quarantineState) Blocked(now time.Time, f model.Fingerprint) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.set.Blocked(now, f)
+	return q.set.Blocked(now, f, nil)
 }
 
 func (i *Instance) logInfo(id event.ID, f event.Fields, msg string) {
--- a/pkg/membership/quarantine.go
+++ b/pkg/membership/quarantine.go
@@ -20,6 +20,9 @@
 	// adds its transit time. Known entries that expire sooner than this are not
 	// sent to other members, which may have dropped them already.
 	quarantineExpiryTolerance = 5 * time.Second
+	// disprovedFactor makes the hash of a disproved entry differ from its former one. It
+	// is odd, so that different fingerprints have different hashes.
+	disprovedFactor = 0x9E3779B1
 )
 
 // Quarantine is an entry of the quarantine list. See quarantine.Entry for the fields.
@@ -28,6 +31,7 @@
 	Service     string
 	Until       time.Time
 	CrashOf     model.Fingerprint
+	Disproved   bool
 }
 
 // quarantineList holds the quarantine entries that this instance knows. New entries
@@ -36,7 +40,7 @@
 // members that see it then send it what they know.
 type quarantineList struct {
 	entries map[model.Fingerprint]Quarantine
-	// digest combines the lower halves of all fingerprints by exclusive or.
+	// digest combines the hashes of all entries by exclusive or.
 	digest uint32
 	// lastSent is the fingerprint at which appendKnown stopped.
 	lastSent model.Fingerprint
@@ -46,7 +50,7 @@
 // reached, and reports whether it has recorded the entry.
 func (l *quarantineList) add(now time.Time, q Quarantine) bool {
 	old, known := l.entries[q.Fingerprint]
-	if known && q.Until.Sub(old.Until) < quarantineExpiryTolerance {
+	if known && (old.Disproved || !q.Disproved) && q.Until.Sub(old.Until) < quarantineExpiryTolerance {
 		return false
 	}
 	if !known && len(l.entries) >= maxQuarantines {
@@ -55,19 +59,33 @@
 			return false
 		}
 	}
-	if !known {
-		l.digest ^= uint32(q.Fingerprint)
+	if known {
+		l.digest ^= old.hash()
+		q.Disproved = q.Disproved || old.Disproved
+		if old.Until.After(q.Until) {
+			q.Until = old.Until
+		}
 	}
+	l.digest ^= q.hash()
 	l.entries[q.Fingerprint] = q
 	return true
 }
 
+// hash returns what the entry contributes to the digest.
+func (q *Quarantine) hash() uint32 {
+	h := uint32(q.Fingerprint)
+	if q.Disproved {
+		return h * disprovedFactor
+	}
+	return h
+}
+
 // expire removes the entries that have expired and reports whether there were any.
 func (l *quarantineList) expire(now time.Time) bool {
 	before := len(l.entries)
 	for f, q := range l.entries {
 		if !q.Until.After(now) {
-			l.digest ^= uint32(f)
+			l.digest ^= q.hash()
 			delete(l.entries, f)
 		}
 	}
@@ -101,6 +119,7 @@
 		Service:     q.Service,
 		TimeLeftMs:  q.Until.Sub(now).Milliseconds(),
 		CrashOf:     uint64(q.CrashOf),
+		Disproved:   q.Disproved,
 	}
 }
 
@@ -108,7 +127,7 @@
 // expired.
 func quarantineFromWire(now time.Time, w *wire.Quarantine) (Quarantine, bool) {
 	timeLeft := time.Duration(min(max(w.GetTimeLeftMs(), 0), maxQuarantineLifetime.Milliseconds())) * time.Millisecond
-	q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(timeLeft), CrashOf: model.Fingerprint(w.GetCrashOf())}
+	q := Quarantine{Fingerprint: model.Fingerprint(w.GetFingerprint()), Service: w.GetService(), Until: now.Add(timeLeft), CrashOf: model.Fingerprint(w.GetCrashOf()), Disproved: w.GetDisproved()}
 	return q, timeLeft > 0 && len(q.Service) <= maxNameBytes
 }
 
@@ -119,7 +138,7 @@
 }
 
 // addQuarantine records an entry and, if announce is true, queues it for sending. It
-// reports whether the entry is new or expires later than the known one.
+// reports whether the entry is new, expires later than the known one or was disproved.
 func (m *Membership) addQuarantine(now time.Time, q Quarantine, announce bool) bool {
 	before := m.quarantines.digest
 	added := m.quarantines.add(now, q)
@@ -139,8 +158,8 @@
 	}
 }
 
-// receiveQuarantines records the entries of a datagram, and returns those that are new
-// or expire later than the known ones.
+// receiveQuarantines records the entries of a datagram, and returns those that are new,
+// expire later than the known ones or were disproved.
 func (m *Membership) receiveQuarantines(now time.Time, c *wire.Control) []Quarantine {
 	var added []Quarantine
 	receive := func(list []*wire.Quarantine, announce bool) {
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -27,6 +27,11 @@
 // crash; after that, such requests are refused.
 const CrashLimit = 2
 
+// simultaneousCrashTime is the time within which several upstreams may crash for one
+// reason, such as the loss of a rack. If a request has been answered before, upstreams
+// that crash together while they run it show no more than one crash does.
+const simultaneousCrashTime = 2 * time.Second
+
 // Entry is a quarantined fingerprint of a service, or the record of one crash.
 type Entry struct {
 	Fingerprint model.Fingerprint
@@ -36,6 +41,9 @@
 	// records that a request with the fingerprint CrashOf crashed an upstream process,
 	// and Fingerprint identifies the request and the process.
 	CrashOf model.Fingerprint
+	// Disproved is true if an upstream has answered the request since the crash, so that
+	// the crash had another cause and does not count.
+	Disproved bool
 }
 
 // Crash is a crash of an upstream while it ran a request.
@@ -73,6 +81,8 @@
 	entries map[model.Fingerprint]Entry
 	// crashes holds the fingerprints of the crash records of each request.
 	crashes map[model.Fingerprint][]model.Fingerprint
+	// counting is the number of crash records that are not disproved.
+	counting int
 }
 
 // New returns an empty set of at most limit entries; a limit below one means
@@ -84,8 +94,8 @@
 	return &Set{limit: limit, entries: make(map[model.Fingerprint]Entry), crashes: make(map[model.Fingerprint][]model.Fingerprint)}
 }
 
-// Add stores the entry or extends its expiry, and reports whether the set
-// changed. It ignores an expired entry. It limits the expiry to Duration from
+// Add stores the entry, extends its expiry or marks it as disproved, and reports whether
+// the set changed. It ignores an expired entry. It limits the expiry to Duration from
 // now, so that a peer with a wrong clock cannot set a later one.
 func (s *Set) Add(now time.Time, e Entry) bool {
 	if latest := now.Add(Duration); e.Until.After(latest) {
@@ -95,7 +105,7 @@
 		return false
 	}
 	old, ok := s.entries[e.Fingerprint]
-	if ok && !e.Until.After(old.Until) {
+	if ok && !e.Until.After(old.Until) && (old.Disproved || !e.Disproved) {
 		return false
 	}
 	if !ok && len(s.entries) >= s.limit {
@@ -103,13 +113,26 @@
 	}
 	if ok {
 		e.CrashOf = old.CrashOf
+		e.Disproved = e.Disproved || old.Disproved
+		if old.Until.After(e.Until) {
+			e.Until = old.Until
+		}
 	} else if e.CrashOf != 0 {
 		s.crashes[e.CrashOf] = append(s.crashes[e.CrashOf], e.Fingerprint)
 	}
+	s.counting += e.weight() - old.weight()
 	s.entries[e.Fingerprint] = e
 	return true
 }
 
+// weight returns the number of crashes for which the entry counts.
+func (e *Entry) weight() int {
+	if e.CrashOf == 0 || e.Disproved {
+		return 0
+	}
+	return 1
+}
+
 // AddCrash stores the record of a crash that this instance detected at now, and returns
 // it. It returns false if the crash is known already.
 func (s *Set) AddCrash(now time.Time, c Crash) (Entry, bool) {
@@ -137,18 +160,61 @@
 	return changed
 }
 
-// Blocked reports whether requests with the fingerprint are refused.
-func (s *Set) Blocked(now time.Time, f model.Fingerprint) bool {
-	e, ok := s.entries[f]
-	return ok && e.CrashOf == 0 && e.Until.After(now) || s.Crashes(now, f) >= CrashLimit
+// Answered marks the crash records of a request on the upstreams of a service as
+// disproved, because one of them has answered the request. It returns the records that
+// counted before.
+func (s *Set) Answered(now time.Time, f model.Fingerprint, service string) []Entry {
+	var changed []Entry
+	for _, record := range s.crashes[f] {
+		e := s.entries[record]
+		if e.Service != service || e.Disproved || !e.Until.After(now) {
+			continue
+		}
+		e.Disproved = true
+		s.counting--
+		s.entries[record] = e
+		changed = append(changed, e)
+	}
+	return changed
+}
+
+// CountsCrashes reports whether any crash record counts. Expired records may be included.
+func (s *Set) CountsCrashes() bool { return s.counting > 0 }
+
+// Blocked reports whether requests with the fingerprint are refused. answered reports
+// whether upstreams of a service have answered such a request before; nil means that none
+// has.
+func (s *Set) Blocked(now time.Time, f model.Fingerprint, answered func(service string) bool) bool {
+	if e, ok := s.entries[f]; ok && e.CrashOf == 0 && e.Until.After(now) {
+		return true
+	}
+	total, unanswered := 0, 0
+	var first, last time.Time
+	for _, record := range s.crashes[f] {
+		e := s.entries[record]
+		if e.Disproved || !e.Until.After(now) {
+			continue
+		}
+		if total == 0 || e.Until.Before(first) {
+			first = e.Until
+		}
+		if e.Until.After(last) {
+			last = e.Until
+		}
+		total++
+		if answered == nil || !answered(e.Service) {
+			unanswered++
+		}
+	}
+	return unanswered >= CrashLimit || total >= CrashLimit && last.Sub(first) > simultaneousCrashTime
 }
 
 // Crashes returns the number of recorded crashes that requests with the fingerprint
-// caused.
+// caused, without those that are disproved.
 func (s *Set) Crashes(now time.Time, f model.Fingerprint) int {
 	n := 0
 	for _, record := range s.crashes[f] {
-		if s.entries[record].Until.After(now) {
+		if e := s.entries[record]; !e.Disproved && e.Until.After(now) {
 			n++
 		}
 	}
@@ -178,7 +244,9 @@
 }
 
 func (s *Set) remove(f model.Fingerprint) {
-	request := s.entries[f].CrashOf
+	removed := s.entries[f]
+	request := removed.CrashOf
+	s.counting -= removed.weight()
 	delete(s.entries, f)
 	if request == 0 {
 		return
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -31,8 +31,8 @@
 	Crash
 	// Ending says, for log lines, how the attempt ended.
 	Ending string
-	// LostAt is when the attempt ended without an answer.
-	LostAt time.Time
+	// SentAt is when the attempt began, and LostAt when it ended without an answer.
+	SentAt, LostAt time.Time
 	// Accepting is true if the upstream accepts new connections, or has answered a
 	// request that was sent after LostAt. It crashed only if another process has
 	// started under its id.
