Count a crash once although its proofs come seconds apart

What callers saw, on a virtual clock: a request was refused by all instances after one crash, if the connection of one instance broke and another instance's attempt timed out.

Cause: a second detection of the crash of a process, more than 1 s after the first, counted as the crash of its successor under the same id. The registry proves a crash some seconds later than a refused connection does.

Change: it is another crash only if the attempt was sent after the first was detected.

Test: TestOneCrashIsCountedOnce fails before the change with "quarantined" in place of "ok"; TestCrashDetectedLate. The older tests pass no time of sending, which keeps the old rule.

--- a/pkg/gateway/alike_requests_test.go
+++ b/pkg/gateway/alike_requests_test.go
@@ -304,3 +304,39 @@
 		must.Eq(t, result.Quarantined, serve())
 	})
 }
+
+// TestOneCrashIsCountedOnce guards against refusing a request after a single crash, because
+// one instance saw its connection break and another one only that its attempt timed out,
+// which the registry explains seconds later.
+func TestOneCrashIsCountedOnce(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.configure(1, route("/x/", "s", true))
+		ff.addUpstream(directory.Upstream{ID: "u", Service: "s", Started: 1})
+		gateways := startInstances(ff, 2)
+		ff.withLock(func() {
+			ff.answerTo = func(ctx context.Context, instance string, c Call) Reply {
+				if instance == instanceAddress(0) {
+					return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.ConnectionLost, ConnectionBroken: true}
+				}
+				return waitForEnd(ctx, c)
+			}
+			ff.crashed["u:1"] = true
+		})
+		var callers sync.WaitGroup
+		for _, g := range gateways {
+			callers.Go(func() { g.Serve(t.Context(), request("/x/1")) })
+		}
+		callers.Wait()
+		time.Sleep(lapseTime)
+		ff.unlist("u")
+		time.Sleep(stableWindow)
+		ff.withLock(func() {
+			ff.answerTo = func(_ context.Context, _ string, c Call) Reply { return successReply(c, "") }
+		})
+		ff.addUpstream(directory.Upstream{ID: "v", Service: "s", Started: 2})
+		time.Sleep(propagationTime)
+		for _, g := range gateways {
+			must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
+		}
+	})
+}
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -222,7 +222,7 @@
 		return
 	}
 	g.quarantine.Lock()
-	record, added := g.quarantine.set.AddCrash(now, c)
+	record, added := g.quarantine.set.AddCrash(now, s.SentAt, c)
 	g.quarantine.countsCrashes.Store(g.quarantine.set.CountsCrashes())
 	crashes, blocked := g.quarantine.set.Crashes(now, c.Fingerprint), g.blocked(now, c.Fingerprint)
 	g.quarantine.Unlock()
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -134,15 +134,17 @@
 }
 
 // AddCrash stores the record of a crash that this instance detected at now, and returns
-// it. It returns false if the crash is known already.
-func (s *Set) AddCrash(now time.Time, c Crash) (Entry, bool) {
+// it. It returns false if the crash is known already. sentAt is when the attempt on the
+// upstream began; zero if unknown. If an earlier crash of the process was detected later
+// than that, it is the same one.
+func (s *Set) AddCrash(now, sentAt time.Time, c Crash) (Entry, bool) {
 	for n := 0; ; n++ {
 		record := c.record(now, n)
 		known, ok := s.entries[record.Fingerprint]
 		switch {
 		case !ok || !known.Until.After(now):
 			return record, s.Add(now, record)
-		case record.Until.Sub(known.Until) < sameCrashWindow:
+		case record.Until.Sub(known.Until) < sameCrashWindow, !sentAt.IsZero() && !sentAt.After(known.Until.Add(-Duration)):
 			return known, false
 		}
 	}
--- a/pkg/quarantine/quarantine_test.go
+++ b/pkg/quarantine/quarantine_test.go
@@ -72,7 +72,7 @@
 			upstream := rapid.SampledFrom([]string{"u1", "u2", "u3"}).Draw(t, "upstream")
 			crashed[upstream] = true
 			detectedAt := epoch.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "delay")) * time.Millisecond)
-			rapid.SampledFrom(sets).Draw(t, "instance").AddCrash(detectedAt, Crash{Fingerprint: request, Service: "s", Upstream: upstream, Started: 1})
+			rapid.SampledFrom(sets).Draw(t, "instance").AddCrash(detectedAt, time.Time{}, Crash{Fingerprint: request, Service: "s", Upstream: upstream, Started: 1})
 		}
 		for range 2 {
 			for i, s := range sets {
@@ -99,14 +99,29 @@
 		{Fingerprint: 7, Upstream: "u", Started: 1},
 	} {
 		s := New(0)
-		s.AddCrash(epoch, Crash{Fingerprint: 7, Upstream: "u", Started: 1})
+		s.AddCrash(epoch, time.Time{}, Crash{Fingerprint: 7, Upstream: "u", Started: 1})
 		must.False(t, s.Blocked(epoch, 7, nil))
-		s.AddCrash(epoch.Add(2*time.Second), second)
+		s.AddCrash(epoch.Add(2*time.Second), time.Time{}, second)
 		must.True(t, s.Blocked(epoch.Add(2*time.Second), 7, nil))
 		must.False(t, s.Blocked(epoch, 8, nil))
 	}
 }
 
+// TestCrashDetectedLate guards against counting a crash again when its proof for another
+// attempt comes late, and against missing the crash of a process that was restarted
+// meanwhile under the same id.
+func TestCrashDetectedLate(t *testing.T) {
+	c := Crash{Fingerprint: 7, Upstream: "u", Started: 1}
+	late := epoch.Add(4 * time.Second)
+	s := New(0)
+	s.AddCrash(epoch, epoch.Add(-time.Second), c)
+	_, added := s.AddCrash(late, epoch.Add(-time.Millisecond), c)
+	must.False(t, added)
+	_, added = s.AddCrash(late, epoch.Add(time.Millisecond), c)
+	must.True(t, added)
+	must.True(t, s.Blocked(late, 7, nil))
+}
+
 // TestDisprovedCrashes guards against instances that, after they have exchanged what they
 // know in any order, count a crash that an answer has disproved, or leave out one that
 // none has.
@@ -125,7 +140,7 @@
 				if _, known := counts[upstream]; !known {
 					counts[upstream] = true
 				}
-				s.AddCrash(epoch, Crash{Fingerprint: request, Service: services[upstream], Upstream: upstream, Started: 1})
+				s.AddCrash(epoch, time.Time{}, Crash{Fingerprint: request, Service: services[upstream], Upstream: upstream, Started: 1})
 			case 1:
 				service := rapid.SampledFrom([]string{"s", "r"}).Draw(t, "service")
 				for _, e := range s.Answered(epoch, request, service) {
@@ -173,17 +188,17 @@
 	}
 	s := New(0)
 	for _, id := range []string{"u1", "u2", "u3"} {
-		s.AddCrash(epoch, crash("s", id))
+		s.AddCrash(epoch, time.Time{}, crash("s", id))
 	}
 	must.True(t, s.Blocked(epoch, 7, nil))
 	must.False(t, s.Blocked(epoch, 7, answered))
 	later := epoch.Add(simultaneousCrashTime + time.Millisecond)
-	s.AddCrash(later, crash("s", "u4"))
+	s.AddCrash(later, time.Time{}, crash("s", "u4"))
 	must.True(t, s.Blocked(later, 7, answered))
 
 	s = New(0)
-	s.AddCrash(epoch, crash("r", "u1"))
-	s.AddCrash(epoch, crash("r", "u2"))
+	s.AddCrash(epoch, time.Time{}, crash("r", "u1"))
+	s.AddCrash(epoch, time.Time{}, crash("r", "u2"))
 	must.True(t, s.Blocked(epoch, 7, answered), must.Sprint("no answer of that service"))
 }
 
