Take an old copy for an outage only if the instances that tried all failed

Cause: a copy older than 2.4 s, or any failed call of the instance since it last read the platform, counted as an outage in which entries of running upstreams lapse. Each removal of the next 2.5 s was then kept in use for 2 to 2.5 s more, at all instances.

Change: feed.OutageDetector requires a failed call since the copy was last confirmed, by this instance or, above 3 s, by others; the sources are asked first. An instance whose last call failed polls its sources during the next call.

The stand-in for the store now also turns waiting watches away.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -41,6 +41,7 @@
 	EntryInvalid     ID = 309
 	HistoryGone      ID = 310
 	FirstReadSlow    ID = 311
+	OutageEnded      ID = 312
 
 	UpstreamEjected     ID = 400
 	UpstreamRestored    ID = 401
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"math/rand/v2"
+	"sync"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -48,11 +49,9 @@
 	// maxTakeoverAge bounds that age: an instance with an older copy reads the platform
 	// itself, whatever its place in the order.
 	maxTakeoverAge = 4 * time.Second
-	// outageAge is the age of the copy above which registry entries may have lapsed
-	// because the platform was unavailable. An entry expires after three report
-	// intervals of 1.2 s, so it lapses only if its upstream has missed at least two
-	// reports.
-	outageAge = 2400 * time.Millisecond
+	// sourceUpdateTimeout bounds the calls that ask all sources whether they have read the
+	// platform. They delay the changes that were just read.
+	sourceUpdateTimeout = 150 * time.Millisecond
 	// sourceRetryPause is the wait after a source has failed, or if there is no source.
 	sourceRetryPause = 10 * time.Millisecond
 	// batchPause is the wait after a watch has returned changes. Changes that follow each
@@ -72,6 +71,9 @@
 // date. It either reads the platform or gets the changes from another instance.
 type feedLoop struct {
 	g *Gateway
+	// readStore uses the fields up to storeFailingSince, and pollPeer sourceIndex and
+	// firstSourceRetryAt, so that the two may run at the same time.
+
 	// failures counts consecutive failed calls of the platform.
 	failures   int
 	nextReadAt time.Time
@@ -110,7 +112,11 @@
 		}
 		switch {
 		case (readDue || hasCopy && len(sources) == 0) && !now.Before(l.nextReadAt):
-			l.readStore(ctx)
+			if hasCopy && l.storeFailing && len(sources) > 0 {
+				l.readStoreWhilePolling(ctx, rank, sources)
+			} else {
+				l.readStore(ctx)
+			}
 		case !hasCopy:
 			l.fetchFirstCopy(ctx, sources)
 		case len(sources) > 0:
@@ -149,7 +155,8 @@
 // readStore makes one call to the platform and applies the changes that it returns.
 func (l *feedLoop) readStore(ctx context.Context) {
 	g := l.g
-	hasCopy, age := g.copyAge(g.ports.Clock.Now())
+	start := g.ports.Clock.Now()
+	hasCopy, age := g.copyAge(start)
 	wait := storeWatchWait
 	if age > storeWatchWait/2 {
 		wait = takeoverWatchWait
@@ -171,15 +178,13 @@
 	}
 	g.ports.Metrics.PlatformRead(err == nil)
 	if err != nil {
-		l.recordReadFailure(now, err)
+		l.recordReadFailure(start, now, err)
 		return
 	}
-	if hasCopy && age > outageAge {
-		// The age of the copy shows that no instance could read the platform for a while,
-		// even if no call of this instance failed.
-		g.endOutage(now)
+	if hasCopy && g.mayEndOutage(now) {
+		l.updateFromSources(ctx)
 	}
-	l.recordReadSuccess(now)
+	l.recordReadSuccess(now, hasCopy)
 	if !hasCopy {
 		l.firstCopyFromPeer = false
 	}
@@ -189,6 +194,23 @@
 	}
 }
 
+// readStoreWhilePolling makes one call to the platform and meanwhile polls the sources. The
+// last call has failed, so this one may hang until its timeout, while others can read the
+// platform.
+func (l *feedLoop) readStoreWhilePolling(ctx context.Context, rank int, sources []model.InstanceID) {
+	pollCtx, cancel := context.WithCancel(ctx)
+	read := make(chan struct{})
+	go func() {
+		defer close(read)
+		defer cancel()
+		l.readStore(ctx)
+	}()
+	for pollCtx.Err() == nil {
+		l.pollPeer(pollCtx, rank, sources)
+	}
+	<-read
+}
+
 // listOrWatch waits for changes after a revision. It reads all keys instead if the
 // revision is zero or the platform no longer has the changes after it.
 func (l *feedLoop) listOrWatch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
@@ -207,7 +229,9 @@
 	return g.ports.Store.List(listCtx)
 }
 
-func (l *feedLoop) recordReadFailure(now time.Time, err error) {
+// recordReadFailure records that a call of the platform, which began at start, failed.
+func (l *feedLoop) recordReadFailure(start, now time.Time, err error) {
+	l.g.callFailed(start)
 	l.failures++
 	backoff := min(minStoreBackoff<<min(l.failures-1, 8), maxStoreBackoff)
 	l.nextReadAt = now.Add(backoff/2 + rand.N(backoff))
@@ -218,23 +242,59 @@
 	l.g.setPlatformUnreachable(true)
 }
 
-func (l *feedLoop) recordReadSuccess(now time.Time) {
+// recordReadSuccess records that a call of the platform succeeded. hasCopy is false if the
+// call brought the first copy.
+func (l *feedLoop) recordReadSuccess(now time.Time, hasCopy bool) {
+	l.g.callSucceeded(now, hasCopy)
 	if !l.storeFailing {
 		return
 	}
 	l.g.info(event.PlatformRestored, event.Fields{"outage_ms": now.Sub(l.storeFailingSince).Milliseconds(), "failures": l.failures}, "the platform can be read again")
 	l.failures, l.storeFailing, l.nextReadAt = 0, false, time.Time{}
 	l.g.setPlatformUnreachable(false)
-	l.g.endOutage(now)
 }
 
-// endOutage records that the platform answers again. Entries whose removal is read
-// during the lapseWindow that follows may have lapsed because of the outage.
-func (g *Gateway) endOutage(now time.Time) {
+// mayEndOutage reports whether a call of the platform that succeeds now ends an outage, as
+// far as this instance knows.
+func (g *Gateway) mayEndOutage(now time.Time) bool {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	return p.outages.EndsOutage(now, p.confirmedAt)
+}
+
+// updateFromSources gets the changes from all sources at once. If the platform turned this
+// instance and its last sources away, others may have read it meanwhile.
+func (l *feedLoop) updateFromSources(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, sourceUpdateTimeout)
+	defer cancel()
+	_, sources := l.g.feedSources()
+	var calls sync.WaitGroup
+	for _, id := range sources {
+		calls.Go(func() { _, _ = l.fetchFrom(ctx, id, 0) })
+	}
+	calls.Wait()
+}
+
+func (g *Gateway) callFailed(start time.Time) {
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	p.outages.CallFailed(start)
+}
+
+// callSucceeded finds out whether a call of the platform that has succeeded ends an
+// outage. Entries whose removal is read during the lapseWindow that follows may then have
+// lapsed because of it.
+func (g *Gateway) callSucceeded(now time.Time, hasCopy bool) {
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
+	if !p.outages.CallSucceeded(now, p.confirmedAt) || !hasCopy {
+		return
+	}
 	p.outageEnd = now
+	g.info(event.OutageEnded, event.Fields{"age_ms": now.Sub(p.confirmedAt).Milliseconds()}, "no instance could read the platform for a while; entries that were removed meanwhile are kept for a moment")
 }
 
 // markLapsed marks the removals in d as lapsed if an outage of the platform may have
@@ -261,6 +321,9 @@
 		l.sourceIndex = 0
 	}
 	age, err := l.fetchFrom(ctx, sources[l.sourceIndex%len(sources)], peerPollWait)
+	if ctx.Err() != nil {
+		return
+	}
 	if err != nil {
 		sleep(ctx, sourceRetryPause)
 	}
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -50,8 +50,10 @@
 	peerCallsHang bool
 	// cut holds the ids of the instances that are cut off from all other instances.
 	cut map[string]bool
-	// storeRefuses holds the ids of the instances whose calls the store refuses.
+	// storeRefuses holds the ids of the instances whose calls the store refuses or, if
+	// storeHangs is true, does not answer.
 	storeRefuses map[string]bool
+	storeHangs   bool
 	// listTime, if set, is how long the store takes to list all keys for the instance with
 	// the id.
 	listTime func(id string) time.Duration
@@ -178,16 +180,28 @@
 
 // countStoreCall counts a call of the instance to the store, and returns errStoreDown if
 // the store refuses the instance's calls.
-func (p instancePorts) countStoreCall() error {
+func (p instancePorts) countStoreCall(ctx context.Context) error {
 	p.mu.Lock()
-	defer p.mu.Unlock()
 	p.storeCalls[p.id]++
-	if p.storeRefuses[p.id] {
+	refuses, hangs := p.storeRefuses[p.id], p.storeHangs
+	p.mu.Unlock()
+	if refuses && hangs {
+		<-ctx.Done()
+	}
+	if refuses {
 		return errStoreDown
 	}
 	return nil
 }
 
+// turnsAway reports whether the store refuses the instance's calls, and whether it leaves
+// them without an answer.
+func (p instancePorts) turnsAway() (refuses, hangs bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.storeRefuses[p.id], p.storeHangs
+}
+
 // reachable returns the running instance with the id, or nil if there is none or either of
 // the two instances is cut off. The lock of the fleet must be held.
 func (p instancePorts) reachable(to model.InstanceID) *Gateway {
@@ -199,7 +213,7 @@
 
 // List implements port.Store.
 func (p instancePorts) List(ctx context.Context) (feed.Delta, error) {
-	if err := p.countStoreCall(); err != nil {
+	if err := p.countStoreCall(ctx); err != nil {
 		return feed.Delta{}, err
 	}
 	if p.listTime != nil {
@@ -226,7 +240,7 @@
 
 // Watch implements port.Store.
 func (p instancePorts) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
-	if err := p.countStoreCall(); err != nil {
+	if err := p.countStoreCall(ctx); err != nil {
 		return feed.Delta{}, err
 	}
 	timer := time.NewTimer(wait)
@@ -241,12 +255,19 @@
 		}
 		changed := p.changed
 		p.mu.Unlock()
-		if len(d.Changes) > 0 {
+		refuses, hangs := p.turnsAway()
+		if len(d.Changes) > 0 && !refuses {
 			return d, nil
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
+			if refuses && hangs {
+				<-ctx.Done()
+			}
+			if refuses {
+				return feed.Delta{}, errStoreDown
+			}
 			return d, nil
 		case <-ctx.Done():
 			return feed.Delta{}, ctx.Err()
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -82,7 +82,9 @@
 		confirmedAt time.Time
 		// changed is closed when the replica changes, and replaced by a new channel.
 		changed chan struct{}
-		// outageEnd is when the platform first answered again after its last outage.
+		// outages tells outages of the platform from instances that it turns away. outageEnd
+		// is when the platform first answered again after its last outage.
+		outages   feed.OutageDetector
 		outageEnd time.Time
 	}
 
--- a/pkg/gateway/membership.go
+++ b/pkg/gateway/membership.go
@@ -103,6 +103,7 @@
 	g.fleet.Unlock()
 	if changed {
 		g.updateDelegates(members)
+		g.updateFailingReaders(members)
 	}
 	for _, e := range events {
 		g.logMemberEvent(e)
@@ -112,6 +113,20 @@
 	}
 }
 
+// updateFailingReaders records which other instances fail to read the platform.
+func (g *Gateway) updateFailingReaders(members []membership.Member) {
+	var failing []model.InstanceID
+	for i := range members {
+		if m := &members[i]; m.PlatformUnreachable && m.State == membership.Alive && m.ID != g.cfg.ID {
+			failing = append(failing, m.ID)
+		}
+	}
+	p := &g.published
+	p.Lock()
+	defer p.Unlock()
+	p.outages.SetFailing(g.ports.Clock.Now(), failing)
+}
+
 // queryRunners returns the number of live members that run their own queries over
 // shards, because no other one is enough larger, and whether this instance is one.
 func queryRunners(members []membership.Member, self model.InstanceID) (n int, isRunner bool) {
