Count the memory of answers until they are delivered

What callers saw, in a test: a gateway with 284 MB took 514 MB (1,244 MB with 300 callers) when upstreams sent complete answers of 4 MB to 120 callers that did not read them. On the users' machines the process would end, and with it the requests of all its callers.

Cause: the memory for an answer was reserved only while it was read.

Change: the reservation lasts until the answer has been written to the caller or is not needed. The first 64 KB of each answer count towards a limit of their own, buffers by their size.

TestAnswerMemoryIsShared checks the same bound through the new functions. TestEndlessAnswers no longer shares a variable between goroutines, which the race detector reported.

--- a/pkg/adapter/upstreamhttp/answer_memory.go
+++ b/pkg/adapter/upstreamhttp/answer_memory.go
@@ -5,75 +5,90 @@
 	"sync/atomic"
 )
 
-// answerMemory limits the memory of the answers that are being read at the same time.
-// An upstream in trouble may send bytes without end. The size limit of one answer does
-// not suffice: a query over many shards reads from as many upstreams at once.
+// answerMemory limits the memory of the answers that are being read, or that were read and
+// are not delivered yet. An upstream in trouble may send bytes without end, or long answers
+// to many callers. The size limit of one answer does not suffice: a query over many shards
+// reads from as many upstreams at once, and slow callers take their answers late.
 type answerMemory struct {
+	// limit bounds each of the two sums.
 	limit int64
-	used  atomic.Int64
+	// usual is the memory of the first usualAnswerBytes of each answer, and long the rest.
+	// They are limited apart, so that long answers leave room for usual ones.
+	usual, long atomic.Int64
 }
 
 const (
-	// freeAnswerBytes is the size up to which an answer is not counted. Usual answers
-	// are smaller.
-	freeAnswerBytes = 64 << 10
-	// reservedAnswerBytes is the step in which memory is reserved for an answer of
-	// unknown length.
-	reservedAnswerBytes = 64 << 10
+	// usualAnswerBytes is the size that usual answers do not exceed.
+	usualAnswerBytes = 64 << 10
+	// firstBufferBytes is the size of the first buffer for an answer of unknown length.
+	firstBufferBytes = 2 << 10
 	// defaultAnswerMemory is the limit of a client whose owner sets none.
 	defaultAnswerMemory = 64 << 20
 )
 
-// reserve reserves n bytes and reports whether the limit allows that.
-func (m *answerMemory) reserve(n int64) bool {
-	if m.used.Add(n) > m.limit {
-		m.used.Add(-n)
+// reserve adds n bytes to the sum and reports whether the limit allows that.
+func (m *answerMemory) reserve(sum *atomic.Int64, n int64) bool {
+	if sum.Add(n) > m.limit {
+		sum.Add(-n)
 		return false
 	}
 	return true
 }
 
-func (m *answerMemory) release(n int64) { m.used.Add(-n) }
-
-// meteredReader reserves memory for what it reads beyond freeAnswerBytes. It fails with
-// errAnswerTooLarge if there is none.
-type meteredReader struct {
-	reader io.Reader
+// reservation is the memory that is reserved for one answer.
+type reservation struct {
 	memory *answerMemory
-	// covered is the number of bytes that may still be read before more memory must be
-	// reserved, and reserved the number of reserved bytes.
-	covered, reserved int64
-}
-
-func newMeteredReader(r io.Reader, m *answerMemory) *meteredReader {
-	return &meteredReader{reader: r, memory: m, covered: freeAnswerBytes}
+	bytes  int64
 }
 
-// Read implements io.Reader.
-func (r *meteredReader) Read(p []byte) (int, error) {
-	if r.covered == 0 && !r.cover(reservedAnswerBytes) {
-		return 0, errAnswerTooLarge
-	}
-	if int64(len(p)) > r.covered {
-		p = p[:r.covered]
+// grow reserves memory for n bytes in all, and reports whether the limits allow that.
+func (r *reservation) grow(n int64) bool {
+	usual := min(n, usualAnswerBytes) - min(r.bytes, usualAnswerBytes)
+	long := max(n-usualAnswerBytes, 0) - max(r.bytes-usualAnswerBytes, 0)
+	if !r.memory.reserve(&r.memory.usual, usual) {
+		return false
 	}
-	n, err := r.reader.Read(p)
-	r.covered -= int64(n)
-	return n, err
-}
-
-// cover reserves memory for n more bytes.
-func (r *meteredReader) cover(n int64) bool {
-	if !r.memory.reserve(n) {
+	if !r.memory.reserve(&r.memory.long, long) {
+		r.memory.usual.Add(-usual)
 		return false
 	}
-	r.reserved += n
-	r.covered += n
+	r.bytes = n
 	return true
 }
 
-// release releases the reserved memory.
-func (r *meteredReader) release() {
-	r.memory.release(r.reserved)
-	r.reserved = 0
+// release releases the memory.
+func (r *reservation) release() {
+	r.memory.usual.Add(-min(r.bytes, usualAnswerBytes))
+	r.memory.long.Add(-max(r.bytes-usualAnswerBytes, 0))
+	r.bytes = 0
+}
+
+// readAll reads a body of unknown length. It fails with errAnswerTooLarge if the body is
+// longer than the limit, or if there is no memory for it.
+func (r *reservation) readAll(body io.Reader, limit int64) ([]byte, error) {
+	buffer := []byte{}
+	for {
+		if len(buffer) == cap(buffer) {
+			// The old buffer is in use until it has been copied.
+			size := int64(max(firstBufferBytes, 2*cap(buffer)))
+			if int64(len(buffer)) > limit || !r.grow(int64(cap(buffer))+size) {
+				return nil, errAnswerTooLarge
+			}
+			larger := make([]byte, len(buffer), size)
+			copy(larger, buffer)
+			buffer = larger
+			r.grow(size)
+		}
+		n, err := body.Read(buffer[len(buffer):cap(buffer)])
+		buffer = buffer[:len(buffer)+n]
+		if err != nil && int64(len(buffer)) > limit {
+			return nil, errAnswerTooLarge
+		}
+		if err == io.EOF {
+			return buffer, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+	}
 }
--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -57,7 +57,8 @@
 }
 
 // LimitAnswerMemory sets the limit, in bytes, of the memory of all answers that are being
-// read. It must be called before the first request.
+// read or not delivered yet. The first 64 KB of each answer and the rest are limited apart,
+// to this size each. It must be called before the first request.
 func (c *Client) LimitAnswerMemory(bytes int64) { c.memory.limit = bytes }
 
 // NewWithoutTCPKeepAlive returns a client whose connections send no TCP keep-alive
@@ -180,6 +181,7 @@
 		return port.UpstreamReply{Code: result.BadRequest, Ran: model.NotRun}
 	}
 	a := p.roundTrip(ctx, ctx, call.Deadline, message{text: request, maxBodyBytes: MaxAnswerBytes})
+	defer a.release()
 	if a.err != nil {
 		return classifyFailure(c.stopReason(ctx, call.Deadline), a)
 	}
@@ -215,6 +217,7 @@
 		return nil, result.Wrap(result.Internal, err)
 	}
 	a := p.roundTrip(ctx, ctx, deadline, message{text: request, maxBodyBytes: maxStatusBytes})
+	defer a.release()
 	if a.err != nil {
 		return nil, result.Wrap(result.ConnectFailed, a.err)
 	}
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -112,9 +112,11 @@
 
 // answer is the outcome of a round trip.
 type answer struct {
-	status   int
-	header   http.Header
-	body     []byte
+	status int
+	header http.Header
+	body   []byte
+	// memory is reserved for the body until release is called; nil without a body.
+	memory   *reservation
 	sent     bool
 	reusable bool
 	// mismatched is the number of dropped answers, which belonged to other requests.
@@ -122,6 +124,13 @@
 	err        error
 }
 
+// release releases the memory of the body.
+func (a *answer) release() {
+	if a.memory != nil {
+		a.memory.release()
+	}
+}
+
 // pastDeadline is a deadline that makes reads and writes return at once.
 var pastDeadline = time.Unix(1, 0)
 
@@ -150,8 +159,9 @@
 		// The factor of 2 leaves room for the chunk headers of a body that is sent in
 		// small chunks.
 		c.limited.remaining = 2*m.maxBodyBytes + maxHeaderBytes
-		body, err := c.readBody(resp, m.maxBodyBytes)
+		body, memory, err := c.readBody(resp, m.maxBodyBytes)
 		if m.matchesRequest != nil && !m.matchesRequest(resp.Header) {
+			memory.release()
 			a.mismatched++
 			if err != nil || resp.Close {
 				a.err = errMismatchedAnswer
@@ -160,7 +170,7 @@
 			continue
 		}
 		c.keepAliveTimeout = parseKeepAliveTimeout(resp.Header)
-		a.status, a.header, a.body, a.err = resp.StatusCode, resp.Header, body, err
+		a.status, a.header, a.body, a.memory, a.err = resp.StatusCode, resp.Header, body, memory, err
 		// If the upstream answered before it read the whole request, or sent more
 		// bytes after the answer, the state of the connection is unknown.
 		a.reusable = err == nil && !resp.Close && c.reader.Buffered() == 0
@@ -203,25 +213,28 @@
 	return 0
 }
 
-// readBody returns the body of a response. It fails with errAnswerTooLarge if the body
-// is longer than the limit, or too long for the memory that is left for answers.
-func (c *conn) readBody(resp *http.Response, limit int64) ([]byte, error) {
-	r := newMeteredReader(resp.Body, c.memory)
-	defer r.release()
-	if n := resp.ContentLength; n > limit {
-		return nil, errAnswerTooLarge
-	} else if n >= 0 {
-		if n > r.covered && !r.cover(n-r.covered) {
-			return nil, errAnswerTooLarge
-		}
-		body := make([]byte, n)
-		_, err := io.ReadFull(r, body)
-		return body, err
+// readBody returns the body of a response and the memory that is reserved for it, which
+// the caller must release. It fails with errAnswerTooLarge if the body is longer than the
+// limit, or too long for the memory that is left for answers.
+func (c *conn) readBody(resp *http.Response, limit int64) ([]byte, *reservation, error) {
+	r := &reservation{memory: c.memory}
+	body, err := r.read(resp, limit)
+	if err != nil {
+		r.release()
 	}
-	body, err := io.ReadAll(io.LimitReader(r, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		err = errAnswerTooLarge
+	return body, r, err
+}
+
+func (r *reservation) read(resp *http.Response, limit int64) ([]byte, error) {
+	n := resp.ContentLength
+	if n < 0 {
+		return r.readAll(resp.Body, limit)
+	}
+	if n > limit || !r.grow(n) {
+		return nil, errAnswerTooLarge
 	}
+	body := make([]byte, n)
+	_, err := io.ReadFull(resp.Body, body)
 	return body, err
 }
 
--- a/pkg/adapter/upstreamhttp/endless_test.go
+++ b/pkg/adapter/upstreamhttp/endless_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"net"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -29,6 +30,7 @@
 		defer func() { _ = c.Close(); closed <- struct{}{} }()
 		r := bufio.NewReader(c)
 		for line := ""; line != "\r\n"; {
+			var err error
 			if line, err = r.ReadString('\n'); err != nil {
 				return
 			}
@@ -108,36 +110,113 @@
 					t.Fatal("the connection of a broken answer stays open")
 				}
 			}
-			must.Zero(t, client.memory.used.Load())
+			must.Zero(t, client.memory.usual.Load())
+			must.Zero(t, client.memory.long.Load())
 		})
 	}
 }
 
+// endless is a body without end.
+type endless struct{}
+
+func (endless) Read(p []byte) (int, error) { return len(p), nil }
+
 // TestAnswerMemoryIsShared guards against many upstreams that send long answers at the
 // same time and together exceed the memory of the process: a query over 135 shards read
 // up to 4 MB from each. Usual answers must still be read.
 func TestAnswerMemoryIsShared(t *testing.T) {
+	const answers = 10
 	client := New(port.SystemClock{})
-	client.LimitAnswerMemory(256 << 10)
-	var held []*meteredReader
-	endless := strings.NewReader(strings.Repeat("x", 4<<20))
-	total := 0
-	for range 10 {
-		r := newMeteredReader(endless, &client.memory)
-		buffer := make([]byte, 1<<20)
-		for {
-			n, err := r.Read(buffer)
-			total += n
-			if err != nil {
-				must.ErrorIs(t, err, errAnswerTooLarge)
-				break
-			}
-		}
+	client.LimitAnswerMemory(answers * usualAnswerBytes)
+	var held []*reservation
+	total := int64(0)
+	for range answers - 1 {
+		r := &reservation{memory: &client.memory}
+		_, err := r.readAll(endless{}, 4<<20)
+		must.ErrorIs(t, err, errAnswerTooLarge)
+		total += r.bytes
 		held = append(held, r)
 	}
-	must.LessEq(t, 256<<10+10*freeAnswerBytes, total)
-	for _, r := range held {
+	must.LessEq(t, client.memory.limit+answers*usualAnswerBytes, total)
+	usual := &reservation{memory: &client.memory}
+	body, err := usual.readAll(strings.NewReader(strings.Repeat("x", 20<<10)), 4<<20)
+	must.NoError(t, err)
+	must.SliceLen(t, 20<<10, body)
+	for _, r := range append(held, usual) {
 		r.release()
 	}
-	must.Zero(t, client.memory.used.Load())
+	must.Zero(t, client.memory.usual.Load())
+	must.Zero(t, client.memory.long.Load())
+}
+
+// TestUsualAnswersAreLimited guards against answers of usual size to so many callers at
+// once that together they exceed the memory of the process.
+func TestUsualAnswersAreLimited(t *testing.T) {
+	memory := answerMemory{limit: 2 * usualAnswerBytes}
+	var held [3]reservation
+	for i := range held {
+		held[i].memory = &memory
+		must.Eq(t, i < 2, held[i].grow(usualAnswerBytes))
+	}
+	held[0].release()
+	must.True(t, held[2].grow(usualAnswerBytes))
+}
+
+// TestReadAllLimits guards against a body that is cut, or that exceeds its limit or the
+// reserved memory, at any size.
+func TestReadAllLimits(t *testing.T) {
+	for _, n := range []int{0, 1, firstBufferBytes - 1, firstBufferBytes, firstBufferBytes + 1, 100_000, 1 << 20} {
+		want := strings.Repeat("x", n)
+		memory := answerMemory{limit: 8 << 20}
+		r := reservation{memory: &memory}
+		body, err := r.readAll(strings.NewReader(want), int64(n))
+		must.NoError(t, err)
+		must.Eq(t, want, string(body))
+		must.LessEq(t, r.bytes, int64(cap(body)))
+		r.release()
+		if n > 0 {
+			_, err = r.readAll(strings.NewReader(want), int64(n-1))
+			must.ErrorIs(t, err, errAnswerTooLarge)
+			r.release()
+		}
+		must.Zero(t, memory.usual.Load()+memory.long.Load())
+	}
+}
+
+// TestAnswerMemoryUntilReleased guards against answers that wait for slow callers and take
+// memory that no limit counts: an instance with 284 MB held 1,244 MB.
+func TestAnswerMemoryUntilReleased(t *testing.T) {
+	body := strings.Repeat("x", 200<<10)
+	for name, head := range map[string]string{
+		"with length": "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
+		"chunked":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n32000\r\n" + body + "\r\n0\r\n\r\n",
+	} {
+		address, _ := startEndlessServer(t, head, "", 0)
+		client := newClient(t)
+		client.LimitAnswerMemory(600 << 10)
+		exchange := func() Response {
+			return client.Exchange(t.Context(), Exchange{
+				Address: address, MaxConnections: 8, Deadline: time.Now().Add(5 * time.Second),
+				Message: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Method: "GET", MaxAnswerBytes: 4 << 20,
+			})
+		}
+		var held []Response
+		for range 20 {
+			r := exchange()
+			if r.Err != nil {
+				must.ErrorIs(t, r.Err, errAnswerTooLarge)
+				break
+			}
+			must.Eq(t, body, string(r.Body))
+			held = append(held, r)
+		}
+		must.Between(t, 1, len(held), 4, must.Sprint(name))
+		for _, r := range held {
+			r.Release()
+		}
+		must.Zero(t, client.memory.usual.Load()+client.memory.long.Load())
+		r := exchange()
+		must.NoError(t, r.Err)
+		r.Release()
+	}
 }
--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -39,10 +39,17 @@
 	// requests.
 	MismatchedAnswers int
 	Err               error
+	// answer holds the memory that is reserved for Body.
+	answer answer
 }
 
+// Release ends the reservation of memory for the body. It must be called once, when the
+// body is no longer needed.
+func (r *Response) Release() { r.answer.release() }
+
 // Exchange sends the request at most once and reads the answer. Cancelling ctx
-// closes the connection, which cancels the request at the upstream.
+// closes the connection, which cancels the request at the upstream. The caller must
+// release the response.
 func (c *Client) Exchange(ctx context.Context, e Exchange) Response {
 	p := c.resizedPool(e.Address, e.MaxConnections)
 	waitCtx := ctx
@@ -54,5 +61,5 @@
 	}
 	defer p.requestSemaphore.Release()
 	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest})
-	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, Err: a.err}
+	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, Err: a.err, answer: a}
 }
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -56,6 +56,15 @@
 	Reply *Reply
 	// Merged is the answer to a query over shards.
 	Merged *Merged
+	// release ends the reservation of memory for Reply; nil if there is none.
+	release func()
+}
+
+// Release must be called when the answer has been delivered to the caller.
+func (a Answer) Release() {
+	if a.release != nil {
+		a.release()
+	}
 }
 
 // Merged is the combination of the upstreams' answers to the parts of a query over
@@ -102,6 +111,9 @@
 	// MismatchedAnswers counts the answers that were dropped because they belonged to
 	// other requests.
 	MismatchedAnswers int
+	// Release, if set, must be called once, when Body is no longer needed. Until then its
+	// memory counts towards the limit for answers.
+	Release func()
 }
 
 // ProbeResult is the outcome of opening a connection to an upstream.
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -49,6 +49,8 @@
 	attempts   []attempt
 	// replies holds the accepted answer of each part.
 	replies []*Reply
+	// held holds all replies until the answer is delivered.
+	held heldReplies
 	// lastReply is the reply of the attempt that ended last.
 	lastReply  *Reply
 	callerLeft bool
@@ -113,7 +115,13 @@
 	r.startAttempts(now, starts)
 	verdict = r.waitForVerdict(verdict)
 	r.endAttempts()
-	return verdict, r.answer(verdict)
+	a := r.answer(verdict)
+	if a.Reply != nil {
+		a.release = r.held.release
+	} else {
+		r.held.release()
+	}
+	return verdict, a
 }
 
 func (r *requestRun) countRequest(now time.Time, name string) {
@@ -243,6 +251,7 @@
 // route with its result.
 func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
+	r.held.add(&reply)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
