--- a/pkg/adapter/upstreamhttp/answer_memory.go
+++ b/pkg/adapter/upstreamhttp/answer_memory.go
@@ -63,7 +63,7 @@
 	r.bytes = 0
 }
 
-// readAll reads a body of unknown length. It fails with errAnswerTooLarge if the body is
+// readAll reads a body of unknown length. It fails with ErrAnswerTooLarge if the body is
 // longer than the limit, or if there is no memory for it.
 func (r *reservation) readAll(body io.Reader, limit int64) ([]byte, error) {
 	buffer := []byte{}
@@ -72,7 +72,7 @@
 			// The old buffer is in use until it has been copied.
 			size := int64(max(firstBufferBytes, 2*cap(buffer)))
 			if int64(len(buffer)) > limit || !r.grow(int64(cap(buffer))+size) {
-				return nil, errAnswerTooLarge
+				return nil, ErrAnswerTooLarge
 			}
 			larger := make([]byte, len(buffer), size)
 			copy(larger, buffer)
@@ -82,7 +82,7 @@
 		n, err := body.Read(buffer[len(buffer):cap(buffer)])
 		buffer = buffer[:len(buffer)+n]
 		if err != nil && int64(len(buffer)) > limit {
-			return nil, errAnswerTooLarge
+			return nil, ErrAnswerTooLarge
 		}
 		if err == io.EOF {
 			return buffer, nil
--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -247,7 +247,7 @@
 	switch {
 	case !a.sent:
 		return notSentReply(reason)
-	case errors.Is(a.err, errAnswerTooLarge):
+	case errors.Is(a.err, ErrAnswerTooLarge):
 		return port.UpstreamReply{Code: result.UpstreamFailed}
 	case errors.Is(reason, context.Canceled):
 		return port.UpstreamReply{Code: result.CancelledWhileRun}
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -14,9 +14,12 @@
 	"time"
 )
 
+// ErrAnswerTooLarge means that an answer exceeded its size limit, or the memory that is
+// left for answers.
+var ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
+
 var (
 	errStaleConnection  = errors.New("upstream closed the idle connection or sent data on it")
-	errAnswerTooLarge   = errors.New("answer exceeds the size limit")
 	errProtocolSwitch   = errors.New("upstream switched the protocol")
 	errMismatchedAnswer = errors.New("upstream answered another request")
 )
@@ -56,7 +59,7 @@
 	return c
 }
 
-// limitedReader fails with errAnswerTooLarge after the remaining number of bytes.
+// limitedReader fails with ErrAnswerTooLarge after the remaining number of bytes.
 type limitedReader struct {
 	reader    io.Reader
 	remaining int64
@@ -65,7 +68,7 @@
 // Read implements io.Reader.
 func (l *limitedReader) Read(p []byte) (int, error) {
 	if l.remaining <= 0 {
-		return 0, errAnswerTooLarge
+		return 0, ErrAnswerTooLarge
 	}
 	if int64(len(p)) > l.remaining {
 		p = p[:l.remaining]
@@ -214,7 +217,7 @@
 }
 
 // readBody returns the body of a response and the memory that is reserved for it, which
-// the caller must release. It fails with errAnswerTooLarge if the body is longer than the
+// the caller must release. It fails with ErrAnswerTooLarge if the body is longer than the
 // limit, or too long for the memory that is left for answers.
 func (c *conn) readBody(resp *http.Response, limit int64) ([]byte, *reservation, error) {
 	r := &reservation{memory: c.memory}
@@ -231,7 +234,7 @@
 		return r.readAll(resp.Body, limit)
 	}
 	if n > limit || !r.grow(n) {
-		return nil, errAnswerTooLarge
+		return nil, ErrAnswerTooLarge
 	}
 	body := make([]byte, n)
 	_, err := io.ReadFull(resp.Body, body)
--- a/pkg/adapter/upstreamhttp/endless_test.go
+++ b/pkg/adapter/upstreamhttp/endless_test.go
@@ -133,7 +133,7 @@
 	for range answers - 1 {
 		r := &reservation{memory: &client.memory}
 		_, err := r.readAll(endless{}, 4<<20)
-		must.ErrorIs(t, err, errAnswerTooLarge)
+		must.ErrorIs(t, err, ErrAnswerTooLarge)
 		total += r.bytes
 		held = append(held, r)
 	}
@@ -176,7 +176,7 @@
 		r.release()
 		if n > 0 {
 			_, err = r.readAll(strings.NewReader(want), int64(n-1))
-			must.ErrorIs(t, err, errAnswerTooLarge)
+			must.ErrorIs(t, err, ErrAnswerTooLarge)
 			r.release()
 		}
 		must.Zero(t, memory.usual.Load()+memory.long.Load())
@@ -204,7 +204,7 @@
 		for range 20 {
 			r := exchange()
 			if r.Err != nil {
-				must.ErrorIs(t, r.Err, errAnswerTooLarge)
+				must.ErrorIs(t, r.Err, ErrAnswerTooLarge)
 				break
 			}
 			must.Eq(t, body, string(r.Body))
