--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,9 +113,9 @@
 		sync.Mutex
 		set      *quarantine.Set
 		suspects quarantine.Suspects
-		// waiting is false if there are certainly no suspects. It is read without the
+		// hasSuspects is false if there are certainly no suspects. It is read without the
 		// lock.
-		waiting atomic.Bool
+		hasSuspects atomic.Bool
 		// countsCrashes is false if certainly no crash record counts. It is read without
 		// the lock.
 		countsCrashes atomic.Bool
--- a/pkg/gateway/planned_removal_test.go
+++ b/pkg/gateway/planned_removal_test.go
@@ -118,6 +118,7 @@
 		"timed out after the removal":    {patience: time.Hour, timeout: 800 * time.Millisecond, leaveAfter: 500 * time.Millisecond},
 		"timed out after the end":        {patience: time.Hour, timeout: 8 * time.Second, leaveAfter: 3 * time.Second},
 		"restarts under its id":          {patience: 300 * time.Millisecond, timeout: 800 * time.Millisecond, leaveAfter: 2 * time.Second, restarts: true},
+		"timed out after its restart":    {patience: time.Hour, timeout: 8 * time.Second, leaveAfter: 500 * time.Millisecond, restarts: true},
 		"drains, restarts":               {patience: 300 * time.Millisecond, timeout: 800 * time.Millisecond, leaveAfter: time.Second, drains: true, restarts: true},
 		"broken by its end":              {patience: time.Hour, timeout: 8 * time.Second, leaveAfter: 200 * time.Millisecond, breaks: true},
 		"drains, broken by its end":      {patience: time.Hour, timeout: 8 * time.Second, leaveAfter: 200 * time.Millisecond, drains: true, breaks: true},
