Soak: requests that all callers send alike, and crashes beside them

Change: each fifth request of a caller that may be repeated is the same as the others'. New check "ordinary": a request that crashes no upstream is never refused as one that does.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -13,6 +13,13 @@
 	"time"
 )
 
+// Every alikeEvery-th request of each caller is the same as those of the other callers: its
+// path is alikePath below the prefix of the route.
+const (
+	alikeEvery = 5
+	alikePath  = "alike"
+)
+
 // caller is a stand-in for a customer's program. It sends one request after another
 // and reuses its connection until a request fails or either side closes it.
 type caller struct {
@@ -76,6 +83,9 @@
 	// The caller also requests routes that are not configured at the moment.
 	r.route.Prefix = prefix
 	r.target = prefix + strconv.Itoa(c.random.IntN(1000)) + "?n=" + strconv.Itoa(c.sent)
+	if r.method == http.MethodGet && c.sent%alikeEvery == 0 {
+		r.target = prefix + alikePath
+	}
 	r.timeBudget = time.Duration(300+c.random.IntN(700)) * time.Millisecond
 	return r
 }
--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
 const (
@@ -52,6 +54,12 @@
 	case success:
 		l.addViolation("mixed", "request %s got a success without an upstream's signature", r.id)
 	}
+	if !strings.HasPrefix(r.id, crashMark) {
+		l.countCheck("ordinary request")
+		if strings.Contains(body, strconv.Quote(result.Quarantined.String())) {
+			l.addViolation("ordinary", "request %s for %s was refused as one that crashes upstreams", r.id, r.target)
+		}
+	}
 }
 
 // checkMergedAnswer checks the answer to a query over shards. Each part must be the
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -410,6 +410,21 @@
 	})
 }
 
+// crashBesideAlike makes an upstream crash while it runs a request that many callers send
+// alike, which is not the cause.
+var crashBesideAlike = fault{name: "crash beside alike requests", upstreamsOnly: true, start: func(h *harness, _ *rand.Rand) (string, func()) {
+	h.services.crashWithAlike.Store(true)
+	return "any", noUndo
+}}
+
+// crashUpstreamsBesideAlike crashes one upstream after another until the run ends.
+func (h *harness) crashUpstreamsBesideAlike(seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 2))
+	for h.waitUnlessStopped(2*time.Second + time.Duration(r.Int64N(int64(3*time.Second)))) {
+		h.startFault(crashBesideAlike, r, time.Second)
+	}
+}
+
 // sendCrashingRequests sends the same request, which crashes each upstream that runs
 // it, until the run ends, like a caller that retries. If silent is true, the connections
 // of the crashed upstreams fall silent instead of breaking.
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -60,6 +61,8 @@
 	configNumber  uint64
 	routes        map[string]routeSpec
 	entrySequence int
+	// crashWithAlike is shared with all upstreams; see upstream.
+	crashWithAlike atomic.Bool
 }
 
 func shardNames(prefix string, n int) []string {
@@ -136,7 +139,7 @@
 			return nil, err
 		}
 	}
-	u.onCrash = func() { s.crash(u, time.Second) }
+	u.onCrash, u.crashWithAlike = func() { s.crash(u, time.Second) }, &s.crashWithAlike
 	u.onSilentCrash = func() { s.crashSilently(u) }
 	s.mu.Lock()
 	s.upstreams = append(s.upstreams, u)
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -118,6 +118,9 @@
 		// The plan alone has a crashing request in few runs.
 		h.running.Go(func() { h.sendCrashingRequests(seed, seed%4 == 0) })
 	}
+	if seed%4 == 1 {
+		h.running.Go(func() { h.crashUpstreamsBesideAlike(seed) })
+	}
 	h.runPlan(p, r)
 	close(h.stop)
 	callers.Wait()
@@ -230,7 +233,9 @@
 //	     meanwhile stayed in use for longer, as in an outage of the platform.
 //	220007, 220010: Upstreams that fell silent under a request were not taken for
 //	     crashed, and the request was sent to further ones.
-var shortSeeds = []uint64{1, 2, 3, 104, 220007, 220010}
+//	290001: Upstreams crashed while they ran a request that all callers send alike,
+//	     which was then refused as the cause.
+var shortSeeds = []uint64{1, 2, 3, 104, 220007, 220010, 290001}
 
 // TestShortSoak guards against changes that break a guarantee to callers or
 // upstreams under faults of all kinds. It runs real processes.
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -44,9 +45,12 @@
 	meanWork           time.Duration
 	slots              chan struct{}
 	onCrash            func()
-	onSilentCrash      func()
-	mu                 sync.Mutex
-	behaviour          behaviour
+	// crashWithAlike, if true, makes the next upstream crash that runs an alike request.
+	// All upstreams of a run share it.
+	crashWithAlike *atomic.Bool
+	onSilentCrash  func()
+	mu             sync.Mutex
+	behaviour      behaviour
 	// admitted is the number of requests that hold a slot or wait for one.
 	admitted int
 	server   *http.Server
@@ -208,6 +212,11 @@
 		<-r.Context().Done()
 		return
 	}
+	if strings.HasSuffix(r.RequestURI, alikePath) && u.crashWithAlike != nil && u.crashWithAlike.CompareAndSwap(true, false) {
+		u.ledger.recordProgress(e, func() { e.answerBroken = true })
+		u.onCrash()
+		return
+	}
 	if strings.Contains(r.RequestURI, crashMark) {
 		u.ledger.recordProgress(e, func() { e.answerBroken = true })
 		u.onCrash()
