--- a/pkg/gateway/alike_requests_test.go
+++ b/pkg/gateway/alike_requests_test.go
@@ -264,8 +264,10 @@
 					s.send(popularTarget, 10*time.Millisecond)
 					s.send(crashingTarget, 400*time.Millisecond)
 					time.Sleep(c.answeredFor + 40*time.Second)
-					t.Logf("%d crashes, %d late retries", len(s.crashes), s.lateRetries)
-					must.LessEq(t, toleratedRetries, s.lateRetries)
+					s.withLock(func() {
+						t.Logf("%d crashes, %d late retries", len(s.crashes), s.lateRetries)
+						must.LessEq(t, toleratedRetries, s.lateRetries)
+					})
 					s.checkServed(popularTarget)
 				})
 			})
