TestAnswerMemoryUntilReleased: say that the stand-in closes its connections

Cause: the stand-in answers one request on a connection and closes it, but did not say so, so that the client sent the next request on a connection that was being closed. Now the answer has "Connection: close"; the checks are the same.

--- a/pkg/adapter/upstreamhttp/endless_test.go
+++ b/pkg/adapter/upstreamhttp/endless_test.go
@@ -188,8 +188,8 @@
 func TestAnswerMemoryUntilReleased(t *testing.T) {
 	body := strings.Repeat("x", 200<<10)
 	for name, head := range map[string]string{
-		"with length": "HTTP/1.1 200 OK\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
-		"chunked":     "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n32000\r\n" + body + "\r\n0\r\n\r\n",
+		"with length": "HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: " + strconv.Itoa(len(body)) + "\r\n\r\n" + body,
+		"chunked":     "HTTP/1.1 200 OK\r\nConnection: close\r\nTransfer-Encoding: chunked\r\n\r\n32000\r\n" + body + "\r\n0\r\n\r\n",
 	} {
 		address, _ := startEndlessServer(t, head, "", 0)
 		client := newClient(t)
