Log which request crashed upstreams and how many attempts it lost

Cause: the logs of an incident could not tell whether a run had crashed one upstream or thirty: event 404 names neither the request nor how many of its attempts ended without an answer, and a refusal does not name the fingerprint that is refused.

Change: events 404 and 410 have the request's id and the number of its attempts without an answer; refusals of quarantined requests have the fingerprint.

--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -31,22 +31,23 @@
 // checkUnanswered finds out whether an upstream crashed while it ran a request to which it
 // gave no answer. A lost connection alone does not show that: an upstream that still runs
 // accepts new connections. If there is no proof now, the registry may show it later.
-func (g *Gateway) checkUnanswered(crash quarantine.Crash, sentAt time.Time, u directory.Upstream, reply *Reply, gather bool) {
-	suspect := quarantine.Suspect{Crash: crash, Ending: endingOf(reply), SentAt: sentAt, LostAt: g.ports.Clock.Now()}
-	if reply.ConnectionBroken {
+func (r *requestRun) checkUnanswered(suspect quarantine.Suspect, u directory.Upstream, connectionBroken bool) {
+	g, crash := r.g, suspect.Crash
+	if connectionBroken {
 		probe := g.probeAfterLoss(u.Address)
 		g.ports.Metrics.CrashChecked(probe.String())
+		suspect.Unanswered = int(r.unanswered.Load())
 		now := g.ports.Clock.Now()
 		if probe == ProbeRefused && !g.mayEndAsPlanned(now, crash) {
 			g.recordCrash(now, suspect, proofRefused)
 			return
 		}
-		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(crash.Fingerprint), "upstream": crash.Upstream, "service": crash.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
+		g.info(event.CrashNotConfirmed, event.Fields{"fingerprint": uint64(crash.Fingerprint), "request": suspect.RequestID, "unanswered": suspect.Unanswered, "upstream": crash.Upstream, "service": crash.Service, "probe": probe.String()}, "the connection to an upstream ended during a request, but the upstream is not known to have crashed")
 		suspect.Accepting = probe == ProbeAccepted
 	}
 	// The parts of a query time out often, and when many upstreams go down together, all
 	// queries of that time would be suspects.
-	if !gather {
+	if r.route.Gather == nil {
 		g.addSuspect(suspect, u)
 	}
 }
--- a/pkg/gateway/crash_records.go
+++ b/pkg/gateway/crash_records.go
@@ -15,7 +15,7 @@
 // another upstream of the service answered meanwhile did not cause the crash.
 func (g *Gateway) recordCrash(now time.Time, s quarantine.Suspect, proof string) {
 	c := s.Crash
-	fields := event.Fields{"fingerprint": uint64(c.Fingerprint), "upstream": c.Upstream, "service": c.Service, "proof": proof, "attempt_ended": s.Ending, "lost_ms_ago": now.Sub(s.LostAt).Milliseconds()}
+	fields := event.Fields{"fingerprint": uint64(c.Fingerprint), "request": s.RequestID, "unanswered": s.Unanswered, "upstream": c.Upstream, "service": c.Service, "proof": proof, "attempt_ended": s.Ending, "lost_ms_ago": now.Sub(s.LostAt).Milliseconds()}
 	if g.answeredSince(now, c.Fingerprint, c.Service, s.SentAt) {
 		g.ports.Metrics.CrashChecked("answered_elsewhere")
 		g.info(event.CrashExcused, fields, "an upstream crashed while it ran a request that other upstreams answer")
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -168,7 +168,11 @@
 		g.ports.Metrics.LogLineSuppressed()
 		return
 	}
-	event.Info(g.ports.Log, event.RequestFinished, g.requestFields(r, route, a, took), "a request was refused")
+	fields := g.requestFields(r, route, a, took)
+	if a.Code == result.Quarantined {
+		fields["fingerprint"] = uint64(r.fingerprint())
+	}
+	event.Info(g.ports.Log, event.RequestFinished, fields, "a request was refused")
 }
 
 func priorityName(route *routing.Route) string {
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -59,6 +59,8 @@
 	// crash together, a query loses the connections of all its parts without being the
 	// cause.
 	crashChecked atomic.Bool
+	// unanswered counts the attempts whose upstream may have crashed.
+	unanswered atomic.Int64
 	// succeeded is true once an attempt has succeeded.
 	succeeded atomic.Bool
 }
@@ -270,9 +272,15 @@
 		r.succeeded.Store(true)
 		r.recordAnswer(now, call.Upstream.Service)
 	}
-	if r.mayHaveCrashed(&reply, now.Sub(start)) && r.crashChecked.CompareAndSwap(false, true) {
-		crash := quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started}
-		go r.g.checkUnanswered(crash, start, call.Upstream, &reply, r.route.Gather != nil)
+	if r.mayHaveCrashed(&reply, now.Sub(start)) {
+		r.unanswered.Add(1)
+		if r.crashChecked.CompareAndSwap(false, true) {
+			suspect := quarantine.Suspect{
+				Crash:     quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started},
+				RequestID: r.request.ID, Unanswered: 1, Ending: endingOf(&reply), SentAt: start, LostAt: now,
+			}
+			go r.checkUnanswered(suspect, call.Upstream, reply.ConnectionBroken)
+		}
 	}
 	r.results <- attemptResult{attempt: number, reply: &reply}
 }
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -29,8 +29,12 @@
 // Suspect is a request to which an upstream gave no answer, maybe because it crashed.
 type Suspect struct {
 	Crash
-	// Ending says, for log lines, how the attempt ended.
-	Ending string
+	// RequestID, Unanswered and Ending are for log lines: the id of the request, the number
+	// of its attempts that had ended without an answer when the upstream was checked, and
+	// how this one ended.
+	RequestID  string
+	Unanswered int
+	Ending     string
 	// SentAt is when the attempt began, and LostAt when it ended without an answer.
 	SentAt, LostAt time.Time
 	// Accepting is true if the upstream accepts new connections, or has answered a
