--- a/pkg/gateway/alike_requests_test.go
+++ b/pkg/gateway/alike_requests_test.go
@@ -20,8 +20,9 @@
 )
 
 const (
-	// downtime is how long a crashed upstream is away before another one takes its place.
-	downtime = 4500 * time.Millisecond
+	// crashDowntime is how long a crashed upstream is away before another one takes its
+	// place.
+	crashDowntime = 4500 * time.Millisecond
 	// popularTarget is the target of the requests that many callers send alike.
 	popularTarget = "/x/popular"
 )
@@ -38,6 +39,15 @@
 	silent bool
 	// crashesFrom, if set, is when requests for crashingTarget begin to crash upstreams.
 	crashesFrom time.Time
+	// downtime returns how long a crashed upstream is away before another one takes its
+	// place.
+	downtime func() time.Duration
+	// maxQueueTime is how long a request for crashingTarget waits at most before an
+	// upstream begins to run it.
+	maxQueueTime time.Duration
+	// resetShare is the fraction of the requests whose connection an upstream resets
+	// although it runs on.
+	resetShare float64
 
 	// running holds a channel for each upstream that runs, which is closed when it crashes.
 	running map[string]chan struct{}
@@ -45,13 +55,18 @@
 	callers sync.WaitGroup
 	stop    chan struct{}
 	// crashes holds the time of each crash that a request caused, and lateRetries counts
-	// the requests that reached an upstream later than stableWindow after the third one.
-	crashes     []time.Time
-	lateRetries int
+	// the attempts that reached an upstream later than stableWindow after the third one.
+	// lateRequests holds the ids of the requests that were sent later than
+	// platformStableWindow after it and reached an upstream, and sentAt when each was sent.
+	crashes      []time.Time
+	lateRetries  int
+	lateRequests map[string]bool
+	sentAt       map[string]time.Time
 }
 
 func newAlikeScenario(t *testing.T, ff *fakeFleet, seed uint64, instances, upstreams int, r routing.Route) *alikeScenario {
-	s := &alikeScenario{fakeFleet: ff, t: t, random: rand.New(rand.NewPCG(seed, 0)), instances: instances, running: make(map[string]chan struct{}), stop: make(chan struct{})}
+	s := &alikeScenario{fakeFleet: ff, t: t, random: rand.New(rand.NewPCG(seed, 0)), instances: instances, running: make(map[string]chan struct{}), stop: make(chan struct{}), lateRequests: make(map[string]bool), sentAt: make(map[string]time.Time)}
+	s.downtime = func() time.Duration { return crashDowntime }
 	ff.configure(1, r)
 	ff.answer = s.answerOrEnd
 	services := []string{"s"}
@@ -83,10 +98,15 @@
 // answerOrEnd is the upstreams' answer function.
 func (s *alikeScenario) answerOrEnd(ctx context.Context, c Call) Reply {
 	var ended chan struct{}
-	var work time.Duration
+	var work, queued time.Duration
+	var reset bool
 	s.withLock(func() {
 		ended = s.running[c.Upstream.ID]
 		work = time.Duration((0.5 + s.random.ExpFloat64()) * float64(50*time.Millisecond))
+		if s.maxQueueTime > 0 {
+			queued = time.Duration(s.random.Int64N(int64(s.maxQueueTime)))
+		}
+		reset = s.resetShare > 0 && s.random.Float64() < s.resetShare
 	})
 	if ended == nil && s.silent {
 		return waitForEnd(ctx, c)
@@ -94,7 +114,16 @@
 	if ended == nil {
 		return Reply{Status: fanout.NotSent, UpstreamOutcome: balancer.Unreachable}
 	}
-	if s.crashesUpstream(c) {
+	if reset {
+		return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.ConnectionLost, ConnectionBroken: true}
+	}
+	if s.maxQueueTime > 0 && isCrashing(c) {
+		select {
+		case <-time.After(queued):
+		case <-ended:
+		}
+	}
+	if s.isRunning(c.Upstream.ID) && s.crashesUpstream(c) {
 		s.crash(c.Upstream.ID)
 	}
 	select {
@@ -110,11 +139,19 @@
 	}
 }
 
+func isCrashing(c Call) bool { return strings.HasPrefix(c.Request.Target, crashingTarget) }
+
+func (s *alikeScenario) isRunning(id string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.running[id] != nil
+}
+
 // crashesUpstream reports whether a request crashes the upstream that begins to run it, and
 // counts it then.
 func (s *alikeScenario) crashesUpstream(c Call) bool {
 	now := time.Now()
-	if !strings.HasPrefix(c.Request.Target, crashingTarget) || s.crashesFrom.IsZero() || now.Before(s.crashesFrom) {
+	if !isCrashing(c) || s.crashesFrom.IsZero() || now.Before(s.crashesFrom) {
 		return false
 	}
 	s.withLock(func() {
@@ -122,11 +159,14 @@
 		if len(s.crashes) > crashesBeforeCheck && now.Sub(s.crashes[crashesBeforeCheck-1]) > stableWindow {
 			s.lateRetries++
 		}
+		if sent, ok := s.sentAt[c.Request.ID]; ok && len(s.crashes) > crashesBeforeCheck && sent.Sub(s.crashes[crashesBeforeCheck-1]) > platformStableWindow {
+			s.lateRequests[c.Request.ID] = true
+		}
 	})
 	return true
 }
 
-// crash ends an upstream. Another one takes its place after downtime.
+// crash ends an upstream. Another one takes its place after s.downtime.
 func (s *alikeScenario) crash(id string) {
 	s.withLock(func() {
 		if s.running[id] == nil {
@@ -136,7 +176,7 @@
 		delete(s.running, id)
 		s.crashed[id+":1"], s.crashedSilently = true, s.silent
 		time.AfterFunc(lapseTime, func() { s.unlist(id) })
-		time.AfterFunc(downtime, func() { s.startUpstream(strings.TrimRight(id, "0123456789")) })
+		time.AfterFunc(s.downtime(), func() { s.startUpstream(strings.TrimRight(id, "0123456789")) })
 	})
 }
 
@@ -232,7 +272,7 @@
 						}
 					}
 					s.withLock(func() { clear(s.cut) })
-					time.Sleep(2 * downtime)
+					time.Sleep(2 * crashDowntime)
 					s.checkServed(popularTarget)
 				})
 			})
--- /dev/null
+++ b/pkg/gateway/query_crash_test.go
@@ -0,0 +1,209 @@
+package gateway
+
+import (
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/result"
+)
+
+const (
+	// platformStableWindow is stable_window_ms of the platform.
+	platformStableWindow = 4 * time.Second
+	// queryShards and upstreamsPerShard are the size of the index that the queries of a
+	// queryCrashScenario search.
+	queryShards       = 10
+	upstreamsPerShard = 3
+	// burstSize requests are sent alike within burstTime.
+	burstSize = 6
+	burstTime = 260 * time.Millisecond
+)
+
+// queryCrashScenario sends a query over many shards that crashes the upstreams of all of
+// them, in bursts to random instances, and ordinary queries beside it.
+type queryCrashScenario struct {
+	*alikeScenario
+	sent int
+	// failed holds the targets of the ordinary queries that were not answered. refused
+	// counts the answers to ordinary queries by the code of the refusal.
+	failed  []string
+	refused map[result.Code]int
+}
+
+func newQueryCrashScenario(t *testing.T, ff *fakeFleet, seed uint64, instances int) *queryCrashScenario {
+	var services []string
+	for i := range queryShards {
+		// Upstreams are named by their service and a number.
+		services = append(services, "s"+string(rune('a'+i)))
+	}
+	r := gatherRoute(3, services...)
+	r.Prefix = "/x/"
+	s := &queryCrashScenario{alikeScenario: newAlikeScenario(t, ff, seed, instances, upstreamsPerShard, r), refused: make(map[result.Code]int)}
+	s.maxQueueTime = 60 * time.Millisecond
+	s.downtime = func() time.Duration {
+		return 3*time.Second + time.Duration(s.random.Int64N(int64(1500*time.Millisecond)))
+	}
+	return s
+}
+
+// serve sends a query to a random instance and returns the code of the answer.
+func (s *queryCrashScenario) serve(target string) result.Code {
+	r := request(target)
+	var g *Gateway
+	s.withLock(func() {
+		s.sent++
+		r.ID = fmt.Sprint("request ", s.sent)
+		s.sentAt[r.ID] = r.Arrived
+		g = s.gateways[instanceAddress(s.random.IntN(s.instances))]
+	})
+	return g.Serve(s.t.Context(), r).Code
+}
+
+// sendBursts sends the query for crashingTarget until the given time has passed.
+func (s *queryCrashScenario) sendBursts(d time.Duration) {
+	var callers sync.WaitGroup
+	defer callers.Wait()
+	for end := time.Now().Add(d); time.Now().Before(end); {
+		for range burstSize {
+			var wait time.Duration
+			s.withLock(func() { wait = time.Duration(s.random.Int64N(int64(burstTime))) })
+			callers.Go(func() {
+				time.Sleep(wait)
+				s.serve(crashingTarget)
+			})
+		}
+		var pause time.Duration
+		s.withLock(func() { pause = 400*time.Millisecond + time.Duration(s.random.Int64N(int64(1200*time.Millisecond))) })
+		time.Sleep(burstTime + pause)
+	}
+}
+
+// sendOrdinary sends an ordinary query at each interval until s.stop is closed: by turns
+// one of its own and the same one for all. A query that is not answered is sent again
+// once.
+func (s *queryCrashScenario) sendOrdinary(interval time.Duration) {
+	for n := 0; ; n++ {
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(interval):
+		}
+		target := popularTarget
+		if n%2 == 0 {
+			target = fmt.Sprint("/x/", n)
+		}
+		s.callers.Go(func() {
+			if s.serveOrdinary(target) {
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+			if !s.serveOrdinary(target) {
+				s.withLock(func() { s.failed = append(s.failed, target) })
+			}
+		})
+	}
+}
+
+func (s *queryCrashScenario) serveOrdinary(target string) bool {
+	code := s.serve(target)
+	s.withLock(func() {
+		if code == result.Quarantined || code == result.IsolationPending {
+			s.refused[code]++
+		}
+	})
+	return code == result.OK || code == result.PartialAnswer
+}
+
+// crashingQueryCase says how a crashing query is sent, and how its upstreams end.
+type crashingQueryCase struct {
+	instances int
+	silent    bool
+	// alone is how long before the bursts the query is sent once.
+	alone time.Duration
+	// answeredFor is how long the query is answered before it begins to crash upstreams.
+	answeredFor time.Duration
+	resetShare  float64
+}
+
+// checkCrashingQuery sends a crashing query for 40 seconds, and fails the test if too many
+// requests reach upstreams later than platformStableWindow after the third crash.
+func checkCrashingQuery(t *testing.T, seed uint64, c crashingQueryCase) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		s := newQueryCrashScenario(t, ff, seed, c.instances)
+		s.silent, s.resetShare = c.silent, c.resetShare
+		s.callers.Go(func() { s.sendOrdinary(20 * time.Millisecond) })
+		time.Sleep(3 * time.Second)
+		s.sendBursts(c.answeredFor)
+		s.withLock(func() { s.crashesFrom = time.Now() })
+		if c.alone > 0 {
+			s.serve(crashingTarget)
+			time.Sleep(c.alone)
+		}
+		s.sendBursts(40 * time.Second)
+		close(s.stop)
+		s.callers.Wait()
+		t.Logf("%d upstreams crashed, %d late requests reached upstreams", len(s.crashes), len(s.lateRequests))
+		must.LessEq(t, toleratedRetries, len(s.lateRequests))
+	})
+}
+
+// TestQueryThatCrashesAllShards guards against a query that goes on to crash the upstreams
+// of all shards: a run left one record however many upstreams it had crashed, so that
+// too little was known against the query when they were back.
+func TestQueryThatCrashesAllShards(t *testing.T) {
+	for name, c := range map[string]crashingQueryCase{
+		"three instances":        {instances: 3},
+		"nine instances":         {instances: 9},
+		"connections reset, too": {instances: 9, resetShare: 0.1},
+		"once, then bursts":      {instances: 9, alone: 5 * time.Second},
+		"once, long before":      {instances: 30, alone: time.Minute},
+		"after it was answered":  {instances: 9, answeredFor: 5 * time.Second},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) { checkCrashingQuery(t, seed, c) })
+		}
+	}
+}
+
+// TestQueryThatSilencesAllShards guards against a query that goes on to crash the upstreams
+// of all shards because their connections fall silent and do not break.
+func TestQueryThatSilencesAllShards(t *testing.T) {
+	for name, c := range map[string]crashingQueryCase{
+		"bursts":            {instances: 9, silent: true},
+		"once, then bursts": {instances: 9, silent: true, alone: 10 * time.Second},
+	} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) { checkCrashingQuery(t, seed, c) })
+		}
+	}
+}
+
+// TestOrdinaryQueriesBesideCrashingQuery guards against refusing ordinary queries because
+// they were in progress when another query crashed the upstreams of all shards.
+func TestOrdinaryQueriesBesideCrashingQuery(t *testing.T) {
+	for name, silent := range map[string]bool{"breaks": false, "silent": true} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				simulate(t, func(t *testing.T, ff *fakeFleet) {
+					s := newQueryCrashScenario(t, ff, seed, 9)
+					s.silent = silent
+					s.crashesFrom = time.Now()
+					s.callers.Go(func() { s.sendOrdinary(10 * time.Millisecond) })
+					s.sendBursts(20 * time.Second)
+					time.Sleep(2 * crashDowntime)
+					close(s.stop)
+					s.callers.Wait()
+					t.Logf("%d ordinary queries failed, refused: %v", len(s.failed), s.refused)
+					must.Eq(t, 0, s.refused[result.Quarantined])
+					for _, target := range append(s.failed, popularTarget) {
+						must.Eq(t, result.OK, s.serve(target), must.Sprint(target))
+					}
+				})
+			})
+		}
+	}
+}
