Try a query that may have crashed upstreams on one of them first

What callers saw: a query over ten shards crashed their thirty upstreams again and again, and with them the other queries of that time.

Cause: the threshold counted runs, the damage is counted in upstreams. A run left one crash record, however many upstreams it had crashed, and a query was refused after two. After the first run nothing more was known until the upstreams were back; then the query came in a burst, and all of it reached upstreams before the second record had spread.

Change: a query over shards with a crash record that no upstream has answered since is a suspect. One instance, chosen by rendezvous hashing of the fingerprint over the members, tries it for all: one attempt of one part, without hedges or retries. If an upstream answers, the rest of the query runs at once; if none does, the query ends, and the next trial is a second later at the earliest. The other instances pass the query on to that one, or refuse it with code 3018 if it cannot take it. Event 416 logs each trial.

Why it holds: a record reaches all instances in 2 s, within which retries are not counted; after that, each second record needs one trial, which reaches one upstream.

--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -59,6 +59,7 @@
 	RemovalChecked      ID = 413
 	RequestCleared      ID = 414
 	CrashExcused        ID = 415
+	SuspectTried        ID = 416
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -70,6 +70,9 @@
 	HedgeBy time.Time
 	// Deadline is the time at which the request ends without an answer.
 	Deadline time.Time
+	// OnePartFirst is true if the request may crash the upstreams that run it. One attempt
+	// of one part then runs alone, and the others start once an upstream has answered it.
+	OnePartFirst bool
 }
 
 // maxDeclined is the number of declined attempts after which a part gets no
@@ -158,6 +161,9 @@
 	// NotRepeatable: an upstream may have run the request, which is not
 	// idempotent and therefore must not be sent again.
 	NotRepeatable
+	// FirstPartUnanswered: the part that ran alone ended without an answer, so that the
+	// others did not start.
+	FirstPartUnanswered
 )
 
 type attempt struct {
@@ -199,6 +205,9 @@
 	unresponsive int
 	verdict      Verdict
 	startedAt    time.Time
+	// alone is true until an upstream has answered, if the configuration says
+	// OnePartFirst.
+	alone bool
 }
 
 // New returns a request that has not sent its first attempts yet.
@@ -221,9 +230,12 @@
 // show that an upstream works again.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.startedAt = now
-	out := make([]Start, 0, len(q.parts))
-	for i := range q.parts {
-		out = q.startFirstAttempt(now, i, out)
+	q.alone = q.cfg.OnePartFirst
+	var out []Start
+	if q.alone {
+		out = q.startOnePart(now, nil)
+	} else {
+		out = q.startAllParts(now, make([]Start, 0, len(q.parts)))
 	}
 	v := q.updateVerdict(now)
 	limited := slices.ContainsFunc(q.parts, func(p part) bool { return p.reason == RateLimited })
@@ -236,6 +248,31 @@
 	return nil, TooFew
 }
 
+// startAllParts sends the first attempt of each part that has none yet.
+func (q *Query) startAllParts(now time.Time, out []Start) []Start {
+	for i := range q.parts {
+		if p := &q.parts[i]; len(p.tried) == 0 && !p.abandoned {
+			out = q.startFirstAttempt(now, i, out)
+		}
+	}
+	return out
+}
+
+// startOnePart sends the first attempt of the first part that has a usable upstream. It
+// abandons the parts before it.
+func (q *Query) startOnePart(now time.Time, out []Start) []Start {
+	for i := range q.parts {
+		p := &q.parts[i]
+		if len(p.tried) > 0 || p.abandoned {
+			continue
+		}
+		if out = q.startFirstAttempt(now, i, out); !p.abandoned {
+			return out
+		}
+	}
+	return out
+}
+
 func (q *Query) startFirstAttempt(now time.Time, i int, out []Start) []Start {
 	p := &q.parts[i]
 	u, unresponsive, ok := q.upstreams.Pick(p.service, nil, true)
@@ -304,6 +341,9 @@
 	case NotSent:
 		p.notSent++
 	}
+	if q.alone {
+		return q.firstPartFinished(now, a.part, s)
+	}
 	if q.verdict != Pending || p.answered {
 		return nil, q.updateVerdict(now)
 	}
@@ -311,6 +351,39 @@
 	return out, q.updateVerdict(now)
 }
 
+// firstPartFinished handles the end of an attempt that ran alone. An upstream that
+// answered, even with a failure, has not crashed: the other parts start. If it is not
+// known what became of the attempt, the request ends.
+func (q *Query) firstPartFinished(now time.Time, i int, s Status) ([]Start, Verdict) {
+	if q.verdict != Pending {
+		return nil, q.verdict
+	}
+	p := &q.parts[i]
+	var out []Start
+	switch s {
+	case Succeeded, Failed:
+		q.alone, q.startedAt = false, now
+		if s == Failed {
+			out = q.retry(now, i, s, out)
+		}
+		out = q.startAllParts(now, out)
+	case Unknown:
+		for j := range q.parts {
+			if !q.parts[j].abandoned {
+				q.abandon(&q.parts[j], FirstPartUnanswered)
+			}
+		}
+	default:
+		if out = q.retry(now, i, s, out); p.abandoned && q.updateVerdict(now) == Pending {
+			out = q.startOnePart(now, out)
+		}
+	}
+	return out, q.updateVerdict(now)
+}
+
+// Alone reports whether only one part may run until an upstream has answered.
+func (q *Query) Alone() bool { return q.alone }
+
 // advanceHedges makes the hedges of the missing parts due earlier once half of
 // the parts are answered. It derives the time at which the other parts count as
 // slow from the time that this half took.
@@ -381,7 +454,7 @@
 }
 
 func (q *Query) mayHedge(p *part) bool {
-	return q.cfg.Idempotent && !p.answered && p.running == 1 && q.attemptRefusal(p) == NotMissing
+	return q.cfg.Idempotent && !q.alone && !p.answered && p.running == 1 && q.attemptRefusal(p) == NotMissing
 }
 
 func (q *Query) hedgeIfDue(now time.Time, i int, out []Start) []Start {
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -257,13 +257,15 @@
 // invariants for some order of events: a request that is not idempotent runs at
 // most once; at most MaxAttempts upstreams run a part; NotRun is true only if no
 // attempt ran or may run; a verdict never changes; no attempt starts after the
-// verdict; and each request ends by its deadline.
+// verdict; each request ends by its deadline; and with OnePartFirst, one attempt runs at a
+// time until an upstream has answered, and none after one that ended without an answer.
 func TestInvariantsUnderRandomEvents(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		cfg := queryConfig(rapid.IntRange(1, 6).Draw(t, "parts"), 1)
 		cfg.MinParts = rapid.IntRange(1, len(cfg.Services)).Draw(t, "least")
 		cfg.Idempotent = rapid.Bool().Draw(t, "idempotent")
 		cfg.MaxAttempts = rapid.IntRange(1, 3).Draw(t, "attempts")
+		cfg.OnePartFirst = rapid.Bool().Draw(t, "one part first")
 		m := &queryModel{t: t, cfg: cfg, query: New(cfg, &fakeUpstreams{perService: rapid.IntRange(0, 4).Draw(t, "upstreams"), extraBudget: rapid.IntRange(0, 6).Draw(t, "extra")}), now: start}
 		m.check(m.query.Begin(m.now))
 		for m.now.Before(cfg.Deadline) {
@@ -307,7 +309,13 @@
 		m.ran[a.Part]++
 	}
 	m.succeeded[a.Part] = m.succeeded[a.Part] || s == Succeeded
-	m.check(m.query.AttemptFinished(m.now, a.Attempt, s))
+	wasAlone := m.query.Alone()
+	starts, v := m.query.AttemptFinished(m.now, a.Attempt, s)
+	if wasAlone && s == Unknown {
+		must.SliceEmpty(m.t, starts)
+		must.NotEq(m.t, Pending, v)
+	}
+	m.check(starts, v)
 }
 
 func (m *queryModel) check(starts []Start, v Verdict) {
@@ -318,6 +326,9 @@
 	m.verdict = v
 	m.running = append(m.running, starts...)
 	m.started = append(m.started, starts...)
+	if m.query.Alone() {
+		must.LessEq(m.t, 1, len(m.running))
+	}
 	runningPerPart := make(map[int]int)
 	for _, s := range m.running {
 		runningPerPart[s.Part]++
@@ -351,3 +362,51 @@
 		must.GreaterEq(m.t, m.cfg.MinParts, succeededParts)
 	}
 }
+
+// TestOnePartRunsAlone guards against a query that crashes the upstreams of all shards
+// although it was to be tried on one upstream first.
+func TestOnePartRunsAlone(t *testing.T) {
+	newQuery := func(u *fakeUpstreams) *Query {
+		c := queryConfig(3, 2)
+		c.OnePartFirst = true
+		return New(c, u)
+	}
+	others := []string{"s1/0", "s2/0"}
+
+	q := newQuery(&fakeUpstreams{perService: 2, extraBudget: 9})
+	starts, v := q.Begin(start)
+	must.Eq(t, []string{"s0/0"}, upstreamsOf(starts))
+	must.Eq(t, Pending, v)
+	starts, _ = q.Tick(atMillis(40))
+	must.SliceEmpty(t, starts, must.Sprint("hedges"))
+	must.True(t, q.Alone())
+	starts, v = q.AttemptFinished(atMillis(41), 0, Succeeded)
+	must.Eq(t, others, upstreamsOf(starts))
+	must.Eq(t, Pending, v)
+	must.False(t, q.Alone())
+
+	for name, c := range map[string]struct {
+		status  Status
+		starts  []string
+		verdict Verdict
+	}{
+		"unknown":  {Unknown, nil, TooFew},
+		"failed":   {Failed, append([]string{"s0/1"}, others...), Pending},
+		"declined": {Declined, []string{"s0/1"}, Pending},
+		"not sent": {NotSent, []string{"s0/1"}, Pending},
+	} {
+		q := newQuery(&fakeUpstreams{perService: 2, extraBudget: 9})
+		q.Begin(start)
+		starts, v := q.AttemptFinished(atMillis(5), 0, c.status)
+		must.Eq(t, c.starts, upstreamsOf(starts), must.Sprint(name))
+		must.Eq(t, c.verdict, v, must.Sprint(name))
+		must.Eq(t, c.status != Failed, q.Alone(), must.Sprint(name))
+	}
+
+	q = newQuery(&fakeUpstreams{perService: 1, unavailable: "s0"})
+	starts, _ = q.Begin(start)
+	must.Eq(t, []string{"s1/0"}, upstreamsOf(starts))
+	starts, _ = q.AttemptFinished(atMillis(5), 0, NotSent)
+	must.SliceEmpty(t, starts, must.Sprint("two of three parts are needed"))
+	must.True(t, q.NotRun())
+}
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -10,6 +10,7 @@
 	"github.com/sardineturn/sardineturn/pkg/membership"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
@@ -105,7 +106,7 @@
 
 // runDelegated asks another instance to run the query. If that instance declines or
 // cannot be reached, the next one is asked, up to maxDelegations, and then this one runs
-// the query. If the call fails later or takes too long, the other instance may already
+// the query. A suspect does not run here. If the call fails later or takes too long, the other instance may already
 // have made as many attempts as the route allows. The query is then not run here: the
 // caller gets an answer without a result, early enough to send the query again.
 func (r *requestRun) runDelegated(to model.InstanceID) Answer {
@@ -142,20 +143,31 @@
 	switch {
 	case o.err == nil && !o.answer.Declined:
 		r.recordDelegation(start, to, delegation.Answered, o.answer.Active)
+		if a := o.answer.Code; r.suspect && (a == result.OK || a == result.PartialAnswer) {
+			r.g.rememberAnswer(r.now(), r.fingerprint, quarantine.AnyShard)
+		}
 		return r.logAndReturn(o.verdict(), answerFromPeer(o.answer))
 	case o.err == nil:
 		r.recordDelegation(start, to, delegation.Declined, o.answer.Active)
 		r.delegate.declineReason = o.answer.Reason
-		return r.delegateOrRunHere()
+		return r.runAfterDecline()
 	case result.CodeOf(o.err) == result.PeerUnreachable:
 		r.recordDelegation(start, to, delegation.Failed, 0)
-		return r.delegateOrRunHere()
+		return r.runAfterDecline()
 	default:
 		r.recordDelegation(start, to, delegation.Failed, 0)
 		return r.logAndReturn(fanout.Expired, Answer{Code: result.OutcomeUnknown})
 	}
 }
 
+// runAfterDecline continues with a query of which the delegate has not run anything.
+func (r *requestRun) runAfterDecline() Answer {
+	if r.suspect {
+		return r.refuseSuspect()
+	}
+	return r.delegateOrRunHere()
+}
+
 func (r *requestRun) recordDelegation(start time.Time, to model.InstanceID, o delegation.Outcome, active int) {
 	now := r.now()
 	r.delegate = &delegationRecord{to: to, outcome: o, duration: now.Sub(start)}
@@ -197,20 +209,35 @@
 	declined := func(reason string) port.PeerAnswer {
 		return port.PeerAnswer{Declined: true, Reason: reason, Active: active}
 	}
-	route, reason := g.acceptQuery(now, v, q, active)
+	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, CallerTimeout: q.Wait, Arrived: now}
+	fingerprint := r.fingerprint()
+	suspected := g.suspected(now, fingerprint)
+	route, reason := g.acceptQuery(now, v, q, active, suspected)
 	if reason != "" {
 		return declined(reason)
 	}
-	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, CallerTimeout: q.Wait, Arrived: now}
-	fingerprint := r.fingerprint()
-	if g.quarantined(now, fingerprint) {
-		// The sender would run a declined query itself.
-		a := newRefusal(result.Quarantined)
+	// The sender would run a declined query itself, so that these are refused.
+	refused := func(code result.Code) port.PeerAnswer {
+		a := newRefusal(code)
 		return port.PeerAnswer{Code: a.Code, Ran: a.Ran, RetryAfter: a.RetryAfter, Active: active}
 	}
+	if g.quarantined(now, fingerprint) {
+		return refused(result.Quarantined)
+	}
+	if suspected && g.trialHome(fingerprint) != g.cfg.ID {
+		return refused(result.IsolationPending)
+	}
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
-	a := run.runHere()
+	var a Answer
+	if suspected {
+		var began bool
+		if a, began = run.runTrial(); !began {
+			return refused(result.IsolationPending)
+		}
+	} else {
+		a = run.runHere()
+	}
 	if a.Code == result.UpstreamRateLimited {
 		// Other instances have shares of their own.
 		return declined("the rate limits of upstreams are used up")
@@ -223,8 +250,9 @@
 }
 
 // acceptQuery returns the route of another instance's query, or the reason for
-// declining it.
-func (g *Gateway) acceptQuery(now time.Time, v *view, q port.PeerQuery, active int) (*routing.Route, string) {
+// declining it. A suspect is not declined for lack of processor time, because no other
+// instance runs it.
+func (g *Gateway) acceptQuery(now time.Time, v *view, q port.PeerQuery, active int, suspected bool) (*routing.Route, string) {
 	switch {
 	case v == nil || g.stopping.Load():
 		return nil, "not ready"
@@ -237,7 +265,7 @@
 	switch {
 	case route == nil || route.Gather == nil:
 		return nil, "no query over shards"
-	case !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget):
+	case !suspected && !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget):
 		return nil, "too many queries are in progress"
 	}
 	return route, ""
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,6 +113,7 @@
 		sync.Mutex
 		set      *quarantine.Set
 		suspects quarantine.Suspects
+		trials   quarantine.Trials
 		// hasSuspects is false if there are certainly no suspects. It is read without the
 		// lock.
 		hasSuspects atomic.Bool
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -32,6 +32,9 @@
 	delegate                   *delegationRecord
 	// askedDelegates lists the other instances that were asked to run the query.
 	askedDelegates []model.InstanceID
+	// suspect is true if the query must not run here, because another instance tries it
+	// first; see Gateway.suspected.
+	suspect        bool
 	callerGone     <-chan struct{}
 	fingerprint    model.Fingerprint
 	query          *fanout.Query
@@ -167,7 +170,12 @@
 		r.replies[a.Part] = result.reply
 	}
 	r.lastReply = result.reply
-	return r.query.AttemptFinished(now, result.attempt, result.reply.Status)
+	wasAlone := r.query.Alone()
+	starts, verdict := r.query.AttemptFinished(now, result.attempt, result.reply.Status)
+	if wasAlone && !r.query.Alone() {
+		r.endTrial(trialAnswered)
+	}
+	return starts, verdict
 }
 
 // endAttempts drops the attempts that are not sent yet, and lets the attempts in flight
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -64,10 +64,14 @@
 		g.logRefusal(now, r, route, a)
 		return a
 	}
-	if route.Gather != nil {
+	switch {
+	case route.Gather == nil:
+		return run.runHere()
+	case g.suspected(now, fingerprint):
+		return run.runSuspect()
+	default:
 		return run.delegateOrRunHere()
 	}
-	return run.runHere()
 }
 
 // stopLatencyFactor is the multiple of the typical latency of an attempt within which a
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,6 +5,7 @@
 
 import (
 	"slices"
+	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -16,6 +17,7 @@
 const (
 	homeSalt   = "home\x00"
 	readerSalt = "reader\x00"
+	trialSalt  = "trial\x00"
 )
 
 // rankedInstance is an instance with the values that determine its place in an
@@ -211,3 +213,26 @@
 	t.items = slices.DeleteFunc(t.items, func(o rankedInstance) bool { return o.id == r.id })
 	t.add(r)
 }
+
+// TrialHome returns the alive member that runs a request with the fingerprint alone on one
+// upstream, because it may have crashed others. Members with a working platform connection
+// come first. It returns false if no member is alive.
+func TrialHome(f model.Fingerprint, members []membership.Member) (model.InstanceID, bool) {
+	s := newScorer(trialSalt, strconv.FormatUint(uint64(f), 16))
+	t := topInstances{limit: 1}
+	for i := range members {
+		m := &members[i]
+		if m.State != membership.Alive {
+			continue
+		}
+		r := rankedInstance{id: m.ID, score: s.score(m.ID)}
+		if m.PlatformUnreachable {
+			r.tier = 1
+		}
+		t.add(r)
+	}
+	if len(t.items) == 0 {
+		return "", false
+	}
+	return t.items[0].id, true
+}
--- a/pkg/quarantine/answers.go
+++ b/pkg/quarantine/answers.go
@@ -11,6 +11,10 @@
 // answerSlots is the number of requests that Answers can remember.
 const answerSlots = 8192
 
+// AnyShard is the service under which Answers remembers that at least one shard has
+// answered a query that is a suspect.
+const AnyShard = "\x00"
+
 // Answers remembers when requests were last answered by upstreams. It has a fixed size
 // and forgets requests when others take their places: a request that is sent often is
 // nearly always remembered. It does no I/O and reads no clock; its owner serialises access
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -223,6 +223,18 @@
 	return n
 }
 
+// LastCrash returns when the last crash was recorded that a request with the fingerprint
+// caused, without those that are disproved. It returns false if there is none.
+func (s *Set) LastCrash(now time.Time, f model.Fingerprint) (time.Time, bool) {
+	var last time.Time
+	for _, record := range s.crashes[f] {
+		if e := s.entries[record]; !e.Disproved && e.Until.After(now) && e.Until.After(last) {
+			last = e.Until
+		}
+	}
+	return last.Add(-Duration), !last.IsZero()
+}
+
 // Entries drops expired entries and returns the rest, the latest expiry first.
 func (s *Set) Entries(now time.Time) []Entry {
 	s.expire(now)
--- /dev/null
+++ b/pkg/quarantine/trials_test.go
@@ -0,0 +1,55 @@
+package quarantine
+
+import (
+	"testing"
+	"time"
+
+	"github.com/shoenig/test/must"
+	"pgregory.net/rapid"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
+)
+
+// TestTrialsRunOneAtATime guards against a suspect that reaches several upstreams because
+// two trials of it run at the same time, or because a trial follows one that is not decided
+// yet.
+func TestTrialsRunOneAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var trials Trials
+		now := time.Unix(1000, 0)
+		running := make(map[model.Fingerprint]bool)
+		undecidedUntil := make(map[model.Fingerprint]time.Time)
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "ms")) * time.Millisecond)
+			f := model.Fingerprint(rapid.IntRange(1, 3).Draw(t, "request"))
+			if running[f] {
+				unanswered := rapid.Bool().Draw(t, "unanswered")
+				trials.End(now, f, unanswered)
+				running[f] = false
+				if unanswered {
+					undecidedUntil[f] = now.Add(trialInterval)
+				}
+				continue
+			}
+			began := trials.Begin(now, f)
+			must.Eq(t, !now.Before(undecidedUntil[f]), began)
+			running[f] = began
+			if began {
+				must.False(t, trials.Begin(now, f))
+			}
+		}
+	})
+}
+
+// TestTrialsAreBounded guards against memory that grows with the number of suspects.
+func TestTrialsAreBounded(t *testing.T) {
+	var trials Trials
+	now := time.Unix(1000, 0)
+	for f := range model.Fingerprint(3 * maxTrials) {
+		if trials.Begin(now, f) {
+			trials.End(now, f, true)
+		}
+	}
+	must.MapLen(t, maxTrials, trials.byRequest)
+	must.True(t, trials.Begin(now.Add(trialInterval), 5*maxTrials))
+}
