Refuse a query over shards only after it crashed an upstream that it was tried on

What callers saw: an ordinary query that many callers sent alike was refused by all instances for ten minutes, because it was in progress when another query crashed the upstreams of all shards.

Cause: two crash records were taken for proof. A query over shards is in progress on an upstream of each shard, so each crash near it leaves a record.

Change: records make a query over shards a suspect and do not refuse it. One instance makes the trials of all suspects, one at a time: when few upstreams are back, suspects tried at the same time would meet on them. The trial begins with the shard of the last record, so that a query which crashes the upstreams of one shard is found as well. An instance that has cleared a query declines it with that reason, and the sender runs it like any other. Requests to one service are judged as before.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -73,6 +73,8 @@
 	// OnePartFirst is true if the request may crash the upstreams that run it. One attempt
 	// of one part then runs alone, and the others start once an upstream has answered it.
 	OnePartFirst bool
+	// FirstService is the service of the part that runs alone, if it has a usable upstream.
+	FirstService string
 }
 
 // maxDeclined is the number of declined attempts after which a part gets no
@@ -258,16 +260,18 @@
 	return out
 }
 
-// startOnePart sends the first attempt of the first part that has a usable upstream. It
-// abandons the parts before it.
+// startOnePart sends the first attempt of one part that has a usable upstream: that of
+// FirstService, or else the first one. It abandons the parts that it finds without one.
 func (q *Query) startOnePart(now time.Time, out []Start) []Start {
-	for i := range q.parts {
-		p := &q.parts[i]
-		if len(p.tried) > 0 || p.abandoned {
-			continue
-		}
-		if out = q.startFirstAttempt(now, i, out); !p.abandoned {
-			return out
+	for _, preferred := range []bool{true, false} {
+		for i := range q.parts {
+			p := &q.parts[i]
+			if len(p.tried) > 0 || p.abandoned || preferred && p.service != q.cfg.FirstService {
+				continue
+			}
+			if out = q.startFirstAttempt(now, i, out); !p.abandoned {
+				return out
+			}
 		}
 	}
 	return out
--- a/pkg/gateway/crash_records.go
+++ b/pkg/gateway/crash_records.go
@@ -21,10 +21,13 @@
 		g.info(event.CrashExcused, fields, "an upstream crashed while it ran a request that other upstreams answer")
 		return
 	}
+	if s.Trial {
+		g.confirmSuspect(now, c)
+	}
 	g.quarantine.Lock()
 	record, added := g.quarantine.set.AddCrash(now, s.SentAt, c)
 	g.quarantine.countsCrashes.Store(g.quarantine.set.CountsCrashes())
-	crashes, blocked := g.quarantine.set.Crashes(now, c.Fingerprint), g.blocked(now, c.Fingerprint)
+	crashes, blocked := g.quarantine.set.Crashes(now, c.Fingerprint), g.blocked(now, c.Fingerprint, s.Query)
 	g.quarantine.Unlock()
 	if !added {
 		return
@@ -45,19 +48,33 @@
 	g.fleet.membership.AnnounceQuarantine(membership.Quarantine(e))
 }
 
-// blocked reports whether requests with the fingerprint are refused. quarantine must be
-// locked.
-func (g *Gateway) blocked(now time.Time, f model.Fingerprint) bool {
+// blocked reports whether requests with the fingerprint are refused. The records of crashes
+// do not block a query over shards, which is in progress on many upstreams at a time: they
+// make it a suspect, and a trial decides. quarantine must be locked.
+func (g *Gateway) blocked(now time.Time, f model.Fingerprint, query bool) bool {
+	if query {
+		return g.quarantine.set.Confirmed(now, f)
+	}
 	return g.quarantine.set.Blocked(now, f, func(service string) bool {
 		return g.answeredSince(now, f, service, time.Time{})
 	})
 }
 
 // quarantined reports whether requests with the fingerprint are refused.
-func (g *Gateway) quarantined(now time.Time, f model.Fingerprint) bool {
+func (g *Gateway) quarantined(now time.Time, f model.Fingerprint, query bool) bool {
 	g.quarantine.Lock()
 	defer g.quarantine.Unlock()
-	return g.blocked(now, f)
+	return g.blocked(now, f, query)
+}
+
+// isShard reports whether the service is a shard of queries.
+func (g *Gateway) isShard(name string) bool {
+	v := g.view.Load()
+	if v == nil {
+		return false
+	}
+	s := v.services[name]
+	return s != nil && s.isShard()
 }
 
 // answeredSince reports whether upstreams of the service have answered a request with the
@@ -98,12 +115,17 @@
 func (g *Gateway) mergeQuarantines(now time.Time, received []membership.Quarantine) {
 	for _, q := range received {
 		e := quarantine.Entry(q)
+		query := g.isShard(e.Service)
 		g.quarantine.Lock()
 		added := g.quarantine.set.Add(now, e)
 		g.quarantine.countsCrashes.Store(g.quarantine.set.CountsCrashes())
-		crashes, blocked := g.quarantine.set.Crashes(now, e.CrashOf), g.blocked(now, e.CrashOf)
+		f := e.CrashOf
+		if f == 0 {
+			f = e.Fingerprint
+		}
+		crashes, blocked := g.quarantine.set.Crashes(now, f), g.blocked(now, f, query)
 		g.quarantine.Unlock()
-		fields := event.Fields{"service": e.Service, "fingerprint": uint64(e.CrashOf), "strikes": crashes}
+		fields := event.Fields{"service": e.Service, "fingerprint": uint64(f), "strikes": crashes}
 		switch {
 		case !added:
 		case e.Disproved:
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -162,10 +162,16 @@
 
 // runAfterDecline continues with a query of which the delegate has not run anything.
 func (r *requestRun) runAfterDecline() Answer {
-	if r.suspect {
+	switch {
+	case !r.suspect:
+		return r.delegateOrRunHere()
+	case r.delegate.declineReason == reasonCleared:
+		r.suspect = false
+		r.g.rememberAnswer(r.now(), r.fingerprint, quarantine.AnyShard)
+		return r.delegateOrRunHere()
+	default:
 		return r.refuseSuspect()
 	}
-	return r.delegateOrRunHere()
 }
 
 func (r *requestRun) recordDelegation(start time.Time, to model.InstanceID, o delegation.Outcome, active int) {
@@ -211,8 +217,8 @@
 	}
 	r := &Request{ID: q.ID, Method: q.Method, Host: q.Host, Target: q.Target, Head: q.Head, Body: q.Body, CallerTimeout: q.Wait, Arrived: now}
 	fingerprint := r.fingerprint()
-	suspected := g.suspected(now, fingerprint)
-	route, reason := g.acceptQuery(now, v, q, active, suspected)
+	suspicion := g.suspicion(now, fingerprint)
+	route, reason := g.acceptQuery(now, v, q, active, suspicion == suspected)
 	if reason != "" {
 		return declined(reason)
 	}
@@ -221,20 +227,21 @@
 		a := newRefusal(code)
 		return port.PeerAnswer{Code: a.Code, Ran: a.Ran, RetryAfter: a.RetryAfter, Active: active}
 	}
-	if g.quarantined(now, fingerprint) {
+	if g.quarantined(now, fingerprint, true) {
 		return refused(result.Quarantined)
 	}
-	if suspected && g.trialHome(fingerprint) != g.cfg.ID {
+	triesSuspects := suspicion != unsuspected && g.trialHome() == g.cfg.ID
+	if suspicion == suspected && !triesSuspects {
 		return refused(result.IsolationPending)
 	}
+	if suspicion == cleared && triesSuspects {
+		return declined(reasonCleared)
+	}
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
 	var a Answer
-	if suspected {
-		var began bool
-		if a, began = run.runTrial(); !began {
-			return refused(result.IsolationPending)
-		}
+	if suspicion == suspected {
+		a = run.runTrial()
 	} else {
 		a = run.runHere()
 	}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -114,6 +114,8 @@
 		set      *quarantine.Set
 		suspects quarantine.Suspects
 		trials   quarantine.Trials
+		// trialEnded is closed when the running trial ends; nil if none is running.
+		trialEnded chan struct{}
 		// hasSuspects is false if there are certainly no suspects. It is read without the
 		// lock.
 		hasSuspects atomic.Bool
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -233,7 +233,8 @@
 			MaxConnections: r.g.maxConnections(now, r.view.table.Services[entry.Service], shard),
 			ShardQuery:     r.route.Gather != nil,
 		}
-		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u) })
+		alone := r.query.Alone()
+		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u, alone) })
 	}
 }
 
@@ -258,8 +259,8 @@
 }
 
 // sendAttempt makes one attempt and updates the estimates of the upstream and of the
-// route with its result.
-func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream) {
+// route with its result. alone is true if it is the trial of a suspect.
+func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	r.held.add(&reply)
 	now := r.now()
@@ -284,7 +285,8 @@
 		r.unanswered.Add(1)
 		if r.crashChecked.CompareAndSwap(false, true) {
 			suspect := quarantine.Suspect{
-				Crash:     quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started},
+				Crash: quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started},
+				Query: r.route.Gather != nil, Trial: alone,
 				RequestID: r.request.ID, Unanswered: 1, Ending: endingOf(&reply), SentAt: start, LostAt: now,
 			}
 			go r.checkUnanswered(suspect, call.Upstream, reply.ConnectionBroken)
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -44,7 +44,7 @@
 		return g.answerUnknownRoute(now, r)
 	}
 	fingerprint := r.fingerprint()
-	if g.quarantined(now, fingerprint) {
+	if g.quarantined(now, fingerprint, route.Gather != nil) {
 		a := newRefusal(result.Quarantined)
 		g.logRefusal(now, r, route, a)
 		return a
@@ -67,7 +67,7 @@
 	switch {
 	case route.Gather == nil:
 		return run.runHere()
-	case g.suspected(now, fingerprint):
+	case g.suspicion(now, fingerprint) == suspected:
 		return run.runSuspect()
 	default:
 		return run.delegateOrRunHere()
--- a/pkg/placement/placement.go
+++ b/pkg/placement/placement.go
@@ -5,7 +5,6 @@
 
 import (
 	"slices"
-	"strconv"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -214,11 +213,11 @@
 	t.add(r)
 }
 
-// TrialHome returns the alive member that runs a request with the fingerprint alone on one
-// upstream, because it may have crashed others. Members with a working platform connection
-// come first. It returns false if no member is alive.
-func TrialHome(f model.Fingerprint, members []membership.Member) (model.InstanceID, bool) {
-	s := newScorer(trialSalt, strconv.FormatUint(uint64(f), 16))
+// TrialHome returns the alive member that tries the queries that may have crashed upstreams,
+// for all instances. Members with a working platform connection come first. It returns
+// false if no member is alive.
+func TrialHome(members []membership.Member) (model.InstanceID, bool) {
+	s := newScorer(trialSalt, "")
 	t := topInstances{limit: 1}
 	for i := range members {
 		m := &members[i]
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -187,7 +187,7 @@
 // whether upstreams of a service have answered such a request before; nil means that none
 // has.
 func (s *Set) Blocked(now time.Time, f model.Fingerprint, answered func(service string) bool) bool {
-	if e, ok := s.entries[f]; ok && e.CrashOf == 0 && e.Until.After(now) {
+	if s.Confirmed(now, f) {
 		return true
 	}
 	total, unanswered := 0, 0
@@ -223,16 +223,38 @@
 	return n
 }
 
-// LastCrash returns when the last crash was recorded that a request with the fingerprint
-// caused, without those that are disproved. It returns false if there is none.
-func (s *Set) LastCrash(now time.Time, f model.Fingerprint) (time.Time, bool) {
-	var last time.Time
+// LastCrash returns when the last crash was recorded under a request with the fingerprint,
+// and the service of the upstream, without crashes that are disproved. It returns false if
+// there is none.
+func (s *Set) LastCrash(now time.Time, f model.Fingerprint) (at time.Time, service string, ok bool) {
+	var last Entry
 	for _, record := range s.crashes[f] {
-		if e := s.entries[record]; !e.Disproved && e.Until.After(now) && e.Until.After(last) {
-			last = e.Until
+		if e := s.entries[record]; e.weight() > 0 && e.Until.After(now) && e.Until.After(last.Until) {
+			last = e
+		}
+	}
+	return last.Until.Add(-Duration), last.Service, last.CrashOf != 0
+}
+
+// Confirm records that an upstream of the service crashed while it ran a suspect alone. If
+// an earlier crash was recorded under the request, it is quarantined and Confirm returns
+// the new entry. Crashes within simultaneousCrashTime may have one reason.
+func (s *Set) Confirm(now time.Time, f model.Fingerprint, service string) (Entry, bool) {
+	e := Entry{Fingerprint: f, Service: service, Until: now.Add(Duration)}
+	for _, record := range s.crashes[f] {
+		earlier := s.entries[record]
+		if earlier.weight() > 0 && earlier.Until.After(now) && e.Until.Sub(earlier.Until) > simultaneousCrashTime {
+			return e, s.Add(now, e)
 		}
 	}
-	return last.Add(-Duration), !last.IsZero()
+	return e, false
+}
+
+// Confirmed reports whether requests with the fingerprint are quarantined by an entry of
+// their own, and not because of records of crashes.
+func (s *Set) Confirmed(now time.Time, f model.Fingerprint) bool {
+	e, ok := s.entries[f]
+	return ok && e.CrashOf == 0 && e.Until.After(now)
 }
 
 // Entries drops expired entries and returns the rest, the latest expiry first.
--- a/pkg/quarantine/suspects.go
+++ b/pkg/quarantine/suspects.go
@@ -29,6 +29,9 @@
 // Suspect is a request to which an upstream gave no answer, maybe because it crashed.
 type Suspect struct {
 	Crash
+	// Query is true for a query over shards, and Trial if it was tried on this upstream
+	// alone.
+	Query, Trial bool
 	// RequestID, Unanswered and Ending are for log lines: the id of the request, the number
 	// of its attempts that had ended without an answer when the upstream was checked, and
 	// how this one ended.
