Withhold the shard whose upstream crashed from a query that other shards answer

Cause: an answer of any shard cleared a query at all instances, also if none of the shard whose upstreams had crashed was there to answer.

A complete answer of the instance that tries suspects disproves all records.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -75,6 +75,9 @@
 	OnePartFirst bool
 	// FirstService is the service of the part that runs alone, if it has a usable upstream.
 	FirstService string
+	// Withheld holds the services whose parts do not run, because the request may crash
+	// their upstreams.
+	Withheld []string
 }
 
 // maxDeclined is the number of declined attempts after which a part gets no
@@ -166,6 +169,8 @@
 	// FirstPartUnanswered: the part that ran alone ended without an answer, so that the
 	// others did not start.
 	FirstPartUnanswered
+	// Withheld: the part may crash its upstreams.
+	Withheld
 )
 
 type attempt struct {
@@ -227,12 +232,17 @@
 }
 
 // Begin returns the first attempt of each part and the verdict so far. If rate limits
-// leave too few parts with an upstream, it starts no attempt at all, so that the request
+// or withheld parts leave too few parts, it starts no attempt at all, so that the request
 // certainly did not run. If failures do, it starts those that it can, because they may
 // show that an upstream works again.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.startedAt = now
 	q.alone = q.cfg.OnePartFirst
+	for i := range q.parts {
+		if p := &q.parts[i]; slices.Contains(q.cfg.Withheld, p.service) {
+			q.abandon(p, Withheld)
+		}
+	}
 	var out []Start
 	if q.alone {
 		out = q.startOnePart(now, nil)
@@ -240,7 +250,7 @@
 		out = q.startAllParts(now, make([]Start, 0, len(q.parts)))
 	}
 	v := q.updateVerdict(now)
-	limited := slices.ContainsFunc(q.parts, func(p part) bool { return p.reason == RateLimited })
+	limited := slices.ContainsFunc(q.parts, func(p part) bool { return p.reason == RateLimited || p.reason == Withheld })
 	if v != TooFew || !limited {
 		return out, v
 	}
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -403,6 +403,14 @@
 		must.Eq(t, c.status != Failed, q.Alone(), must.Sprint(name))
 	}
 
+	c := queryConfig(3, 2)
+	c.Withheld = []string{"s1"}
+	q = New(c, &fakeUpstreams{perService: 2})
+	starts, v = q.Begin(start)
+	must.Eq(t, []string{"s0/0", "s2/0"}, upstreamsOf(starts))
+	must.Eq(t, Pending, v)
+	must.Eq(t, Withheld, q.MissingReason(1))
+
 	q = newQuery(&fakeUpstreams{perService: 1, unavailable: "s0"})
 	starts, _ = q.Begin(start)
 	must.Eq(t, []string{"s1/0"}, upstreamsOf(starts))
--- a/pkg/gateway/alike_requests_test.go
+++ b/pkg/gateway/alike_requests_test.go
@@ -39,6 +39,8 @@
 	silent bool
 	// crashesFrom, if set, is when requests for crashingTarget begin to crash upstreams.
 	crashesFrom time.Time
+	// crashingService, if set, is the only service whose upstreams crash.
+	crashingService string
 	// downtime returns how long a crashed upstream is away before another one takes its
 	// place.
 	downtime func() time.Duration
@@ -151,7 +153,7 @@
 // counts it then.
 func (s *alikeScenario) crashesUpstream(c Call) bool {
 	now := time.Now()
-	if !isCrashing(c) || s.crashesFrom.IsZero() || now.Before(s.crashesFrom) {
+	if !isCrashing(c) || s.crashingService != "" && s.crashingService != c.Upstream.Service || s.crashesFrom.IsZero() || now.Before(s.crashesFrom) {
 		return false
 	}
 	s.withLock(func() {
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -43,6 +43,8 @@
 			return result.RetryBudgetExhausted
 		case fanout.AttemptsUsed:
 			return result.UpstreamShed
+		case fanout.Withheld:
+			return result.IsolationPending
 		}
 	}
 	if r.lastReply != nil {
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -143,8 +143,8 @@
 	switch {
 	case o.err == nil && !o.answer.Declined:
 		r.recordDelegation(start, to, delegation.Answered, o.answer.Active)
-		if a := o.answer.Code; r.suspect && (a == result.OK || a == result.PartialAnswer) {
-			r.g.rememberAnswer(r.now(), r.fingerprint, quarantine.AnyShard)
+		if r.suspect {
+			r.suspectAnswered(o.answer)
 		}
 		return r.logAndReturn(o.verdict(), answerFromPeer(o.answer))
 	case o.err == nil:
@@ -165,9 +165,10 @@
 	switch {
 	case !r.suspect:
 		return r.delegateOrRunHere()
-	case r.delegate.declineReason == reasonCleared:
+	case r.delegate.declineReason == reasonOverloaded:
 		r.suspect = false
 		r.g.rememberAnswer(r.now(), r.fingerprint, quarantine.AnyShard)
+		r.withholdCrashedShards()
 		return r.delegateOrRunHere()
 	default:
 		return r.refuseSuspect()
@@ -230,19 +231,20 @@
 	if g.quarantined(now, fingerprint, true) {
 		return refused(result.Quarantined)
 	}
-	triesSuspects := suspicion != unsuspected && g.trialHome() == g.cfg.ID
-	if suspicion == suspected && !triesSuspects {
+	tries := suspicion != unsuspected && g.trialHome() == g.cfg.ID
+	if suspicion == suspected && !tries {
 		return refused(result.IsolationPending)
 	}
-	if suspicion == cleared && triesSuspects {
-		return declined(reasonCleared)
-	}
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
 	var a Answer
-	if suspicion == suspected {
+	switch {
+	case suspicion == suspected, suspicion == cleared && tries && g.repeatTrial(now, fingerprint):
 		a = run.runTrial()
-	} else {
+	case suspicion == cleared:
+		run.withholdCrashedShards()
+		a = run.runHere()
+	default:
 		a = run.runHere()
 	}
 	if a.Code == result.UpstreamRateLimited {
@@ -273,7 +275,7 @@
 	case route == nil || route.Gather == nil:
 		return nil, "no query over shards"
 	case !suspected && !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget):
-		return nil, "too many queries are in progress"
+		return nil, reasonOverloaded
 	}
 	return route, ""
 }
--- a/pkg/gateway/query_crash_test.go
+++ b/pkg/gateway/query_crash_test.go
@@ -130,6 +130,8 @@
 	// answeredFor is how long the query is answered before it begins to crash upstreams.
 	answeredFor time.Duration
 	resetShare  float64
+	// oneShard is true if the query crashes the upstreams of one shard only.
+	oneShard bool
 }
 
 // checkCrashingQuery sends a crashing query for 40 seconds, and fails the test if too many
@@ -138,6 +140,9 @@
 	simulate(t, func(t *testing.T, ff *fakeFleet) {
 		s := newQueryCrashScenario(t, ff, seed, c.instances)
 		s.silent, s.resetShare = c.silent, c.resetShare
+		if c.oneShard {
+			s.crashingService = "sa"
+		}
 		s.callers.Go(func() { s.sendOrdinary(20 * time.Millisecond) })
 		time.Sleep(3 * time.Second)
 		s.sendBursts(c.answeredFor)
@@ -165,6 +170,7 @@
 		"once, then bursts":      {instances: 9, alone: 5 * time.Second},
 		"once, long before":      {instances: 30, alone: time.Minute},
 		"after it was answered":  {instances: 9, answeredFor: 5 * time.Second},
+		"one shard":              {instances: 9, oneShard: true},
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) { checkCrashingQuery(t, seed, c) })
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -64,11 +64,14 @@
 		g.logRefusal(now, r, route, a)
 		return a
 	}
-	switch {
-	case route.Gather == nil:
+	if route.Gather == nil {
 		return run.runHere()
-	case g.suspicion(now, fingerprint) == suspected:
+	}
+	switch g.suspicion(now, fingerprint) {
+	case suspected:
 		return run.runSuspect()
+	case cleared:
+		return run.runCleared()
 	default:
 		return run.delegateOrRunHere()
 	}
--- a/pkg/gateway/trial.go
+++ b/pkg/gateway/trial.go
@@ -6,6 +6,7 @@
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/placement"
+	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -17,9 +18,9 @@
 	trialUnanswered = "trial_unanswered"
 )
 
-// reasonCleared is why an instance declines a query that it has tried before: the sender
-// may run it like any other.
-const reasonCleared = "an upstream has answered the query since the last crash"
+// reasonOverloaded is why an instance declines a query for lack of processor time. It does
+// not suspect the query then.
+const reasonOverloaded = "too many queries are in progress"
 
 // suspicion says what is known against a query over shards.
 type suspicion int
@@ -30,7 +31,8 @@
 	// suspected: an upstream crashed while it ran the query, and none has answered it
 	// since. The query must be tried before it may run.
 	suspected
-	// cleared: an upstream has answered the query since the last crash.
+	// cleared: an upstream has answered the query since the last crash, but none of the
+	// shard whose upstream crashed. The other shards run the query.
 	cleared
 )
 
@@ -67,7 +69,7 @@
 	home := r.g.trialHome()
 	if home == r.g.cfg.ID {
 		a := r.runTrial()
-		if a.Code == result.IsolationPending {
+		if r.query == nil {
 			r.g.logRefusal(r.now(), r.request, r.route, a)
 		}
 		return a
@@ -79,6 +81,40 @@
 	return r.runDelegated(home)
 }
 
+// runCleared runs a query without the parts of the shards whose upstreams crashed under it.
+// Now and then it tries the query instead.
+func (r *requestRun) runCleared() Answer {
+	if r.g.repeatTrial(r.now(), r.fingerprint) {
+		return r.runSuspect()
+	}
+	r.withholdCrashedShards()
+	return r.delegateOrRunHere()
+}
+
+func (g *Gateway) repeatTrial(now time.Time, f model.Fingerprint) bool {
+	g.quarantine.Lock()
+	defer g.quarantine.Unlock()
+	return g.quarantine.trials.Repeat(now, f)
+}
+
+func (r *requestRun) withholdCrashedShards() {
+	r.g.quarantine.Lock()
+	defer r.g.quarantine.Unlock()
+	r.config.Withheld = r.g.quarantine.set.CrashedServices(r.now(), r.fingerprint)
+}
+
+// suspectAnswered records what another instance's answer to a suspect shows.
+func (r *requestRun) suspectAnswered(a port.PeerAnswer) {
+	switch a.Code {
+	case result.OK:
+		for _, service := range r.services {
+			r.g.disproveCrashes(r.now(), r.fingerprint, service)
+		}
+	case result.PartialAnswer:
+		r.g.rememberAnswer(r.now(), r.fingerprint, quarantine.AnyShard)
+	}
+}
+
 // runTrial runs one part of a suspect alone, and the others if an upstream answers it. It
 // waits for the end of another trial, which may clear this query, but not so long that the
 // caller could not send the query again in time.
@@ -103,7 +139,11 @@
 		if r.g.quarantined(r.now(), r.fingerprint, true) {
 			return newRefusal(result.Quarantined)
 		}
-		if r.g.suspicion(r.now(), r.fingerprint) != suspected {
+		switch r.g.suspicion(r.now(), r.fingerprint) {
+		case unsuspected:
+			return r.runHere()
+		case cleared:
+			r.withholdCrashedShards()
 			return r.runHere()
 		}
 	}
--- a/pkg/quarantine/quarantine.go
+++ b/pkg/quarantine/quarantine.go
@@ -236,6 +236,18 @@
 	return last.Until.Add(-Duration), last.Service, last.CrashOf != 0
 }
 
+// CrashedServices returns the services of the upstreams that crashed under a request with
+// the fingerprint, without crashes that are disproved.
+func (s *Set) CrashedServices(now time.Time, f model.Fingerprint) []string {
+	var out []string
+	for _, record := range s.crashes[f] {
+		if e := s.entries[record]; e.weight() > 0 && e.Until.After(now) && !slices.Contains(out, e.Service) {
+			out = append(out, e.Service)
+		}
+	}
+	return out
+}
+
 // Confirm records that an upstream of the service crashed while it ran a suspect alone. If
 // an earlier crash was recorded under the request, it is quarantined and Confirm returns
 // the new entry. Crashes within simultaneousCrashTime may have one reason.
--- a/pkg/quarantine/trials.go
+++ b/pkg/quarantine/trials.go
@@ -25,6 +25,8 @@
 	running bool
 	// nextAt is when queries whose last trial had no answer may be tried again.
 	nextAt map[model.Fingerprint]time.Time
+	// repeatAt is when queries that only some shards have answered are to be tried again.
+	repeatAt map[model.Fingerprint]time.Time
 }
 
 // Begin reports whether a trial of the query may begin now. If so, End must be called when
@@ -34,7 +36,7 @@
 		return false
 	}
 	if len(t.nextAt) >= maxTrials {
-		t.expire(now)
+		expire(now, t.nextAt)
 	}
 	t.running = len(t.nextAt) < maxTrials
 	return t.running
@@ -54,10 +56,30 @@
 	t.nextAt[f] = now.Add(trialInterval)
 }
 
-func (t *Trials) expire(now time.Time) {
-	for f, next := range t.nextAt {
-		if !now.Before(next) {
-			delete(t.nextAt, f)
+// Repeat reports whether a query that only some shards have answered is to be tried again
+// now. It is true once in each trialInterval.
+func (t *Trials) Repeat(now time.Time, f model.Fingerprint) bool {
+	if now.Before(t.repeatAt[f]) {
+		return false
+	}
+	if t.repeatAt == nil {
+		t.repeatAt = make(map[model.Fingerprint]time.Time)
+	}
+	if len(t.repeatAt) >= maxTrials {
+		expire(now, t.repeatAt)
+	}
+	if len(t.repeatAt) >= maxTrials {
+		return false
+	}
+	t.repeatAt[f] = now.Add(trialInterval)
+	return true
+}
+
+// expire removes the queries whose time has come.
+func expire(now time.Time, at map[model.Fingerprint]time.Time) {
+	for f, due := range at {
+		if !now.Before(due) {
+			delete(at, f)
 		}
 	}
 }
