Leave the query string out of the fingerprint of a request

Cause: the fingerprint included the query string. The platform says that a crashing request comes again with the same path, caller and body; with another query string it was a new request each time, and nothing was ever known against it.

Change: the fingerprint covers method, host, path and body. Requests that differ in their query string only are judged together, for and against.

--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -37,10 +37,11 @@
 	Arrived       time.Time
 }
 
-// fingerprint returns a hash of the method, host, target and body, by which a request
-// is quarantined.
+// fingerprint returns a hash of the method, host, path and body, by which a request is
+// quarantined. A request that crashes upstreams may come with another query string each
+// time.
 func (r *Request) fingerprint() model.Fingerprint {
-	return quarantine.Fingerprint(r.Method+" "+r.Host, r.Target, r.Body)
+	return quarantine.Fingerprint(r.Method+" "+r.Host, pathOf(r.Target), r.Body)
 }
 
 // Answer is the answer to a caller. At most one of Reply and Merged is set.
