--- a/pkg/gateway/alike_requests_test.go
+++ b/pkg/gateway/alike_requests_test.go
@@ -130,11 +130,15 @@
 			s.crash(c.Upstream.ID)
 		}
 	}()
+	var deadline <-chan time.Time
+	if s.maxQueueTime > 0 {
+		deadline = time.After(time.Until(c.Deadline))
+	}
 	if isCrashing(c) {
 		work += queued
 	}
 	select {
-	case <-time.After(time.Until(c.Deadline)):
+	case <-deadline:
 		return Reply{Status: fanout.Unknown, UpstreamOutcome: balancer.TimedOut}
 	case <-ended:
 		if s.silent {
