Check silent and broken attempts of a request apart

Cause: a request is checked for one crash. Since queries wait for the registry, an attempt that only got no answer in time could take that check, and the connections that broke afterwards were never looked at.

Change: one attempt of each kind is checked.

--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -57,11 +57,11 @@
 	// lastReply is the reply of the attempt that ended last.
 	lastReply  *Reply
 	callerLeft bool
-	// crashChecked is true once an attempt without an answer was checked for a crash of
-	// its upstream. Only one attempt is checked for each request: when many upstreams
-	// crash together, a query loses the connections of all its parts without being the
-	// cause.
-	crashChecked atomic.Bool
+	// crashChecked is true once an attempt whose connection broke was checked for a crash of
+	// its upstream, and silenceChecked once one was that got no answer in time. Only one
+	// attempt of each kind is checked for each request: when many upstreams crash together,
+	// a query loses the connections of all its parts without being the cause.
+	crashChecked, silenceChecked atomic.Bool
 	// unanswered counts the attempts whose upstream may have crashed.
 	unanswered atomic.Int64
 	// succeeded is true once an attempt has succeeded.
@@ -283,7 +283,11 @@
 	}
 	if r.mayHaveCrashed(&reply, now.Sub(start)) {
 		r.unanswered.Add(1)
-		if r.crashChecked.CompareAndSwap(false, true) {
+		checked := &r.crashChecked
+		if !reply.ConnectionBroken {
+			checked = &r.silenceChecked
+		}
+		if checked.CompareAndSwap(false, true) {
 			suspect := quarantine.Suspect{
 				Crash: quarantine.Crash{Fingerprint: r.fingerprint, Service: call.Upstream.Service, Upstream: call.Upstream.ID, Started: call.Upstream.Started},
 				Query: r.route.Gather != nil, Trial: alone,
