--- a/pkg/gateway/crash_test.go
+++ b/pkg/gateway/crash_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -448,3 +449,33 @@
 		must.Eq(t, result.OK, g.Serve(t.Context(), request("/x/1")).Code)
 	})
 }
+
+// TestCrashingRequestOfManyAttempts guards against a request to one service that goes on to
+// crash upstreams, because its first run crashed three of them and left one record.
+func TestCrashingRequestOfManyAttempts(t *testing.T) {
+	for _, attempts := range []int{2, 3, 4} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(attempts, " attempts, seed ", seed), func(t *testing.T) {
+				simulate(t, func(t *testing.T, ff *fakeFleet) {
+					r := route("/x/", "s", true)
+					r.MaxAttempts = attempts
+					s := newCrashScenarioWith(t, ff, seed, 9, 40, r)
+					s.sendFrom(0)
+					time.Sleep(2 * stableWindow)
+					var callers sync.WaitGroup
+					for n := range s.instances {
+						g := s.gateways[instanceAddress(n)]
+						callers.Go(func() {
+							r := request(crashingTarget)
+							r.ID = fmt.Sprintf("from %d: burst", n)
+							g.Serve(t.Context(), r)
+						})
+						time.Sleep(30 * time.Millisecond)
+					}
+					callers.Wait()
+					s.check()
+				})
+			})
+		}
+	}
+}
