Soak: queries over shards that crash all upstreams that run them

One run in eight sends such a query, with another query string each time, and ordinary queries over the same shards beside it.

--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -178,7 +178,27 @@
 	}
 	r := &request{id: fmt.Sprintf("%s-%d-%d", crashMark, number, c.sent), method: http.MethodGet, target: fmt.Sprintf("/risky/%s-%d", mark, number), timeBudget: 500 * time.Millisecond}
 	r.route = routeSpec{Prefix: "/risky/", service: []string{"v"}}
+	c.sendOnNewConn(r)
+}
+
+func (c *caller) sendOnNewConn(r *request) {
 	c.closeConn()
 	c.index++
 	c.send(r)
 }
+
+// sendRiskyQuery sends a query over riskyShards on a new connection: one that crashes all
+// upstreams that run it, with another query string each time, or an ordinary one.
+func (c *caller) sendRiskyQuery(number uint64, crashes, silent bool) {
+	c.sent++
+	id, path := crashMark, crashMark
+	switch {
+	case !crashes:
+		id, path = "beside", "beside"
+	case silent:
+		path = silentCrashMark
+	}
+	r := &request{id: fmt.Sprintf("%s-%d-q%d", id, number, c.sent), method: http.MethodGet, target: fmt.Sprintf("%s%s-%d?page=%d", riskySearch, path, number, c.sent), timeBudget: 500 * time.Millisecond}
+	r.route = routeSpec{Prefix: riskySearch, shards: riskyShards}
+	c.sendOnNewConn(r)
+}
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -425,6 +425,17 @@
 	}
 }
 
+// sendCrashingQueries sends the same query over shards, which crashes all upstreams that run
+// it, until the run ends, and ordinary queries over these shards by turns.
+func (h *harness) sendCrashingQueries(seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 3))
+	silent := r.IntN(2) == 0
+	c := &caller{ledger: h.ledger, fleet: h.fleet, services: h.services, index: int(seed % 1000), random: r}
+	for n := 0; h.waitUnlessStopped(50*time.Millisecond + time.Duration(r.Int64N(int64(300*time.Millisecond)))); n++ {
+		c.sendRiskyQuery(seed, n%2 == 0, silent)
+	}
+}
+
 // sendCrashingRequests sends the same request, which crashes each upstream that runs
 // it, until the run ends, like a caller that retries. If silent is true, the connections
 // of the crashed upstreams fall silent instead of breaking.
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -78,6 +78,9 @@
 	// work switches the route /search/.
 	firstShards  = shardNames("a", 4)
 	secondShards = shardNames("b", 6)
+	// riskyShards are searched by queries that crash their upstreams, and by ordinary ones
+	// beside them.
+	riskyShards = shardNames("w", 4)
 	// plainServices holds the mean time of work of each service without shards.
 	plainServices = map[string]time.Duration{"p": 15 * time.Millisecond, "q": 15 * time.Millisecond, "o": 20 * time.Millisecond, "v": 10 * time.Millisecond}
 )
@@ -97,6 +100,21 @@
 	}
 }
 
+const riskySearch = "/risky-search/"
+
+// addRiskySearch starts the upstreams of riskyShards and adds the route to them.
+func (s *services) addRiskySearch() error {
+	for _, name := range riskyShards {
+		if err := s.startService(name, shardWork); err != nil {
+			return err
+		}
+	}
+	s.configure(func(routes map[string]routeSpec) {
+		routes[riskySearch] = routeSpec{Prefix: riskySearch, shards: riskyShards, latencyTarget: 80 * time.Millisecond}
+	})
+	return nil
+}
+
 // startAll starts the upstreams of all services except secondShards, registers them
 // and publishes the first configuration.
 func (s *services) startAll() error {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -121,6 +121,10 @@
 	if seed%4 == 1 {
 		h.running.Go(func() { h.crashUpstreamsBesideAlike(seed) })
 	}
+	if seed%8 == 3 {
+		must.NoError(t, sv.addRiskySearch())
+		h.running.Go(func() { h.sendCrashingQueries(seed) })
+	}
 	h.runPlan(p, r)
 	close(h.stop)
 	callers.Wait()
