--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -106,9 +106,10 @@
 
 // runDelegated asks another instance to run the query. If that instance declines or
 // cannot be reached, the next one is asked, up to maxDelegations, and then this one runs
-// the query. A suspect does not run here. If the call fails later or takes too long, the other instance may already
-// have made as many attempts as the route allows. The query is then not run here: the
-// caller gets an answer without a result, early enough to send the query again.
+// the query, unless it is a suspect. If the call fails later or takes too long, the other
+// instance may already have made as many attempts as the route allows. The query is then
+// not run here: the caller gets an answer without a result, early enough to send the query
+// again.
 func (r *requestRun) runDelegated(to model.InstanceID) Answer {
 	ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
 	defer cancel()
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -33,7 +33,7 @@
 	// askedDelegates lists the other instances that were asked to run the query.
 	askedDelegates []model.InstanceID
 	// suspect is true if the query must not run here, because another instance tries it
-	// first; see Gateway.suspected.
+	// first; see Gateway.suspicion.
 	suspect        bool
 	callerGone     <-chan struct{}
 	fingerprint    model.Fingerprint
