Test that an unanswered query is held back until its upstreams are decided on

Two planted faults passed the tests of queries: a query that runs although the registry has not decided yet, and news of answers that are ignored. The new test fails with either.

--- a/pkg/gateway/query_crash_test.go
+++ b/pkg/gateway/query_crash_test.go
@@ -8,6 +8,8 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sardineturn/sardineturn/pkg/directory"
+	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
@@ -281,3 +283,39 @@
 		}
 	}
 }
+
+// TestUnansweredQueryIsHeldBack guards against an instance that runs a query again although
+// the registry has not shown yet whether the upstreams that did not answer it have crashed,
+// and against one that goes on to refuse it after another instance got an answer.
+func TestUnansweredQueryIsHeldBack(t *testing.T) {
+	for name, answeredElsewhere := range map[string]bool{"not answered": false, "answered elsewhere": true} {
+		t.Run(name, func(t *testing.T) {
+			simulate(t, func(t *testing.T, ff *fakeFleet) {
+				ff.configure(1, gatherRoute(3, "s", "r"))
+				ff.addUpstream(directory.Upstream{ID: "us", Service: "s", Started: 1})
+				ff.addUpstream(directory.Upstream{ID: "ur", Service: "r", Started: 1})
+				ff.answer = waitForEnd
+				gateways := startInstances(ff, 2)
+				g, other := gateways[0], gateways[1]
+				g.Serve(t.Context(), request("/q/1"))
+				time.Sleep(100 * time.Millisecond)
+				attempts := func() (n int) {
+					ff.withLock(func() { n = ff.attempts })
+					return n
+				}
+				before := attempts()
+				if answeredElsewhere {
+					f := request("/q/1").fingerprint()
+					crash := quarantine.Crash{Fingerprint: f, Service: "s", Upstream: "earlier"}
+					other.recordCrash(time.Now(), quarantine.Suspect{Crash: crash, Query: true}, proofRefused)
+					time.Sleep(propagationTime)
+					other.disproveCrashes(time.Now(), f, "s")
+					time.Sleep(propagationTime)
+				}
+				a := g.Serve(t.Context(), request("/q/1"))
+				must.Eq(t, !answeredElsewhere, a.Code == result.IsolationPending)
+				must.Eq(t, answeredElsewhere, attempts() > before)
+			})
+		})
+	}
+}
