--- a/pkg/gateway/query_crash_test.go
+++ b/pkg/gateway/query_crash_test.go
@@ -61,11 +61,16 @@
 	s.downtime = func() time.Duration {
 		return 3*time.Second + time.Duration(s.random.Int64N(int64(1500*time.Millisecond)))
 	}
-	// An entry lapses after three missed reports, one each upstreamReportInterval.
+	return s
+}
+
+// lapseAtRandom makes entries lapse after three missed reports, one each
+// upstreamReportInterval, that began at a random time. Otherwise they lapse as late as
+// possible.
+func (s *queryCrashScenario) lapseAtRandom() {
 	s.lapse = func() time.Duration {
 		return lapseTime - time.Duration(s.random.Int64N(int64(upstreamReportInterval)))
 	}
-	return s
 }
 
 // serve sends a query to a random instance and returns the code of the answer.
@@ -183,6 +188,8 @@
 	queryStrings bool
 	// restartEach, if set, is how often an instance is restarted.
 	restartEach time.Duration
+	// lapseAtRandom is true if entries do not all lapse as late as possible.
+	lapseAtRandom bool
 	// oneShard is true if the query crashes the upstreams of one shard only.
 	oneShard bool
 }
@@ -194,6 +201,9 @@
 		s := newQueryCrashScenario(t, ff, seed, c.instances)
 		s.silent, s.resetShare = c.silent, c.resetShare
 		s.queryStrings = c.queryStrings
+		if c.lapseAtRandom {
+			s.lapseAtRandom()
+		}
 		if c.queueTime > 0 {
 			s.maxQueueTime = c.queueTime
 		}
@@ -245,8 +255,10 @@
 // of all shards because their connections fall silent and do not break.
 func TestQueryThatSilencesAllShards(t *testing.T) {
 	for name, c := range map[string]crashingQueryCase{
-		"bursts":            {instances: 9, silent: true},
-		"once, then bursts": {instances: 9, silent: true, alone: 10 * time.Second},
+		"bursts":                             {instances: 9, silent: true},
+		"once, then bursts":                  {instances: 9, silent: true, alone: 10 * time.Second},
+		"bursts, lapse at random":            {instances: 9, silent: true, lapseAtRandom: true},
+		"once, then bursts, lapse at random": {instances: 9, silent: true, alone: 10 * time.Second, lapseAtRandom: true},
 	} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) { checkCrashingQuery(t, seed, c) })
@@ -254,30 +266,56 @@
 	}
 }
 
+// runOrdinaryQueries sends ordinary queries while another one crashes the upstreams of all
+// shards for 20 seconds, and fails the test if one is quarantined, or refused at the end.
+func runOrdinaryQueries(t *testing.T, ff *fakeFleet, seed uint64, silent, lapseAtRandom bool) *queryCrashScenario {
+	s := newQueryCrashScenario(t, ff, seed, 9)
+	s.silent = silent
+	if lapseAtRandom {
+		s.lapseAtRandom()
+	}
+	s.crashesFrom = time.Now()
+	s.callers.Go(func() { s.sendOrdinary(10 * time.Millisecond) })
+	s.sendBursts(20 * time.Second)
+	time.Sleep(2 * crashDowntime)
+	close(s.stop)
+	s.callers.Wait()
+	t.Logf("%d ordinary queries failed, refused: %v until %v", len(s.failed), s.refused, s.lastRefused.Sub(s.crashesFrom))
+	must.Eq(t, 0, s.refused[result.Quarantined])
+	codes := make(map[result.Code]int)
+	for _, target := range append(s.failed, popularTarget) {
+		codes[s.serve(target)]++
+	}
+	t.Log("later: ", codes)
+	must.Eq(t, 0, codes[result.Quarantined]+codes[result.IsolationPending])
+	return s
+}
+
 // TestOrdinaryQueriesBesideCrashingQuery guards against refusing ordinary queries because
-// they were in progress when another query crashed the upstreams of all shards.
+// they were in progress when another query crashed the upstreams of all shards. All
+// upstreams are back after crashDowntime.
 func TestOrdinaryQueriesBesideCrashingQuery(t *testing.T) {
 	for name, silent := range map[string]bool{"breaks": false, "silent": true} {
 		for seed := range uint64(3) {
 			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
 				simulate(t, func(t *testing.T, ff *fakeFleet) {
-					s := newQueryCrashScenario(t, ff, seed, 9)
-					s.silent = silent
-					s.crashesFrom = time.Now()
-					s.callers.Go(func() { s.sendOrdinary(10 * time.Millisecond) })
-					s.sendBursts(20 * time.Second)
-					time.Sleep(2 * crashDowntime)
-					close(s.stop)
-					s.callers.Wait()
-					t.Logf("%d ordinary queries failed, refused: %v until %v", len(s.failed), s.refused, s.lastRefused.Sub(s.crashesFrom))
-					must.Eq(t, 0, s.refused[result.Quarantined])
+					s := runOrdinaryQueries(t, ff, seed, silent, false)
+					must.LessEq(t, crashDowntime+2*time.Second, s.lastRefused.Sub(s.crashesFrom))
+				})
+			})
+		}
+	}
+}
+
+// TestOrdinaryQueriesAreServedAfterCrashes guards against ordinary queries that stay refused
+// for longer than the decisions on crashes take.
+func TestOrdinaryQueriesAreServedAfterCrashes(t *testing.T) {
+	for name, silent := range map[string]bool{"breaks": false, "silent": true} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(name, " seed ", seed), func(t *testing.T) {
+				simulate(t, func(t *testing.T, ff *fakeFleet) {
+					s := runOrdinaryQueries(t, ff, seed, silent, true)
 					must.LessEq(t, refusedAfterCrash, s.lastRefused.Sub(s.crashes[len(s.crashes)-1]))
-					codes := make(map[result.Code]int)
-					for _, target := range append(s.failed, popularTarget) {
-						codes[s.serve(target)]++
-					}
-					t.Log("later: ", codes)
-					must.Eq(t, 0, codes[result.Quarantined]+codes[result.IsolationPending])
 				})
 			})
 		}
