Evacuate data centres that the store names

Cause: operators could not keep requests from the upstreams of one data centre. The key op/evacuate/ZONE requests that until it is removed.

Change: the decoder translates the key into a data centre, and the directory withholds the ready upstreams there from all choices. Balancers keep what they know of withheld upstreams. An attempt asks Call.MaySend right before its first byte is sent, and no longer waits for a connection once that returns false and its address is no longer listed. Probes and health checks of evacuated upstreams are skipped; such an upstream counts as not crashed. Without such a key nothing changes.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -167,7 +167,7 @@
 
 func (c *Client) execute(ctx context.Context, call port.UpstreamCall) port.UpstreamReply {
 	p := c.resizedPool(call.Address, call.MaxConnections)
-	if err := p.acquire(ctx, call.Deadline); err != nil {
+	if err := p.acquire(ctx, call.Deadline, nil); err != nil {
 		return notSentReply(c.stopReason(ctx, call.Deadline))
 	}
 	defer p.requestSemaphore.Release()
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -89,6 +89,8 @@
 	// matchesRequest reports whether a response answers this request; nil accepts
 	// all. An upstream may send a second answer to an earlier request.
 	matchesRequest func(http.Header) bool
+	// maySend reports whether the request may still be sent; nil means true.
+	maySend func() bool
 }
 
 // roundTrip sends a request and reads its answer. The result says whether any byte
--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 )
@@ -25,8 +26,16 @@
 	// MatchesRequest reports whether a response answers this request. Responses to
 	// other requests are dropped.
 	MatchesRequest func(http.Header) bool
+	// MaySend, if set, is called when a connection is available. If it returns false, the
+	// request is not sent, and Err is ErrWithdrawn. It also ends the wait for a connection
+	// of an address that is no longer retained.
+	MaySend func() bool
 }
 
+// ErrWithdrawn is the error of an exchange that was not sent because Exchange.MaySend
+// returned false.
+var ErrWithdrawn = errors.New("the request was withdrawn before it was sent")
+
 // Response is the outcome of an exchange.
 type Response struct {
 	Status int
@@ -56,10 +65,10 @@
 	if e.WaitContext != nil {
 		waitCtx = e.WaitContext
 	}
-	if err := p.acquire(waitCtx, e.Deadline); err != nil {
+	if err := p.acquire(waitCtx, e.Deadline, e.MaySend); err != nil {
 		return Response{Err: err}
 	}
 	defer p.requestSemaphore.Release()
-	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest})
+	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest, maySend: e.MaySend})
 	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, Err: a.err, answer: a}
 }
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -222,9 +222,9 @@
 	p.changed = make(chan struct{})
 }
 
-// acquire acquires the request semaphore. It waits until ctx ends or the deadline has
-// passed.
-func (p *pool) acquire(ctx context.Context, deadline time.Time) error {
+// acquire acquires the request semaphore. It waits until ctx ends, the deadline has passed,
+// or the pool is closed and maySend, if set, returns false.
+func (p *pool) acquire(ctx context.Context, deadline time.Time, maySend func() bool) error {
 	if err := ctx.Err(); err != nil {
 		return err
 	}
@@ -233,6 +233,14 @@
 	}
 	ctx, cancel := context.WithDeadline(ctx, deadline)
 	defer cancel()
+	if maySend != nil {
+		stop := context.AfterFunc(p.ctx, func() {
+			if !maySend() {
+				cancel()
+			}
+		})
+		defer stop()
+	}
 	return p.requestSemaphore.Acquire(ctx, semaphore.Unbounded)
 }
 
@@ -258,6 +266,10 @@
 		if err != nil {
 			return answer{err: err}
 		}
+		if m.maySend != nil && !m.maySend() {
+			p.put(c)
+			return answer{err: ErrWithdrawn}
+		}
 		a := c.roundTrip(ctx, deadline, m)
 		if a.reusable {
 			p.put(c)
--- a/pkg/adapter/upstreamhttp/pool_test.go
+++ b/pkg/adapter/upstreamhttp/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,3 +133,41 @@
 	}
 	wg.Wait()
 }
+
+// TestWithdrawnRequestIsNotSent guards against a request that is sent after it was
+// withdrawn while it waited for a connection, against one that waits on although no
+// connection will become available, and against the end of a request in progress.
+func TestWithdrawnRequestIsNotSent(t *testing.T) {
+	for name, retained := range map[string]bool{"address dropped": false, "address listed elsewhere": true} {
+		t.Run(name, func(t *testing.T) {
+			answerFirst := make(chan bool)
+			s := startScriptedServer(t, func(int) (bool, bool) { <-answerFirst; return true, true })
+			c := newClient(t)
+			var withdrawn atomic.Bool
+			exchange := func(maySend func() bool) <-chan Response {
+				out := make(chan Response, 1)
+				go func() {
+					out <- c.Exchange(t.Context(), Exchange{Address: s.address, MaxConnections: 1, Deadline: time.Now().Add(ampleTimeout), Message: []byte("GET / HTTP/1.1\r\nHost: h\r\n\r\n"), Method: "GET", MaxAnswerBytes: 1000, MaySend: maySend})
+				}()
+				return out
+			}
+			running := exchange(nil)
+			<-s.received
+			waiting := exchange(func() bool { return !withdrawn.Load() })
+			waitFor(t, func() bool { return c.poolOrNew(s.address, 1).requestSemaphore.Waiting() == 1 })
+			withdrawn.Store(true)
+			c.Retain(map[string]bool{s.address: retained})
+			if !retained {
+				must.Error(t, (<-waiting).Err)
+			}
+			close(answerFirst)
+			r := <-running
+			must.NoError(t, r.Err)
+			r.Release()
+			if retained {
+				must.ErrorIs(t, (<-waiting).Err, ErrWithdrawn)
+			}
+			must.Eq(t, 0, len(s.received))
+		})
+	}
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -151,6 +151,8 @@
 type Service struct {
 	local     model.DataCentre
 	upstreams []*Upstream
+	// withheld holds upstreams that must get no attempts for the time being.
+	withheld []*Upstream
 	// offset moves the start of the search for an upstream with each Pick.
 	offset int
 }
@@ -159,12 +161,21 @@
 // data centre.
 func NewService(local model.DataCentre) *Service { return &Service{local: local} }
 
-// Update replaces the list of upstreams. The observations of an upstream are kept
-// as long as its id, start time and address stay the same.
-func (s *Service) Update(now time.Time, list []directory.Upstream) {
+// Update replaces the list of upstreams. Those in withheld are listed as well but must get
+// no attempts for the time being. The observations of an upstream are kept as long as its
+// id, start time and address stay the same.
+func (s *Service) Update(now time.Time, list []directory.Upstream, withheld ...directory.Upstream) {
+	s.upstreams, s.withheld = s.updated(now, list), s.updated(now, withheld)
+}
+
+// updated returns the upstreams with the given entries.
+func (s *Service) updated(now time.Time, list []directory.Upstream) []*Upstream {
 	updated := make([]*Upstream, 0, len(list))
 	for _, entry := range list {
-		u := s.Find(entry.ID)
+		u := findIn(s.upstreams, entry.ID)
+		if u == nil {
+			u = findIn(s.withheld, entry.ID)
+		}
 		if u == nil || u.Started != entry.Started || u.Address != entry.Address {
 			u = &Upstream{latencyFactor: 1, observedAt: now}
 		}
@@ -174,12 +185,14 @@
 		}
 		updated = append(updated, u)
 	}
-	s.upstreams = updated
+	return updated
 }
 
-// Find returns the listed upstream with the id, or nil.
-func (s *Service) Find(id string) *Upstream {
-	for _, u := range s.upstreams {
+// Find returns the upstream with the id that may get attempts, or nil.
+func (s *Service) Find(id string) *Upstream { return findIn(s.upstreams, id) }
+
+func findIn(list []*Upstream, id string) *Upstream {
+	for _, u := range list {
 		if u.ID == id {
 			return u
 		}
@@ -187,7 +200,7 @@
 	return nil
 }
 
-// Len returns the number of listed upstreams.
+// Len returns the number of upstreams that may get attempts.
 func (s *Service) Len() int { return len(s.upstreams) }
 
 // Pick returns the upstream with the lowest expected cost that is not among the
@@ -349,5 +362,11 @@
 	u.failureRate += smoothing * (failed - u.failureRate)
 }
 
-// Upstreams returns the listed upstreams.
+// Upstreams returns the upstreams that may get attempts.
 func (s *Service) Upstreams() []*Upstream { return s.upstreams }
+
+// Withheld returns the listed upstreams that must get no attempts.
+func (s *Service) Withheld() []*Upstream { return s.withheld }
+
+// AllWithheld reports whether there are listed upstreams and none of them may get attempts.
+func (s *Service) AllWithheld() bool { return len(s.upstreams) == 0 && len(s.withheld) > 0 }
--- a/pkg/balancer/balancer_test.go
+++ b/pkg/balancer/balancer_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/model"
 )
@@ -165,3 +166,23 @@
 	}
 	must.Eq(t, 8*time.Millisecond, l.Median())
 }
+
+// TestWithheldUpstream guards against attempts on a withheld upstream, and against the
+// loss of what is known of an upstream while it is withheld: it would get the requests
+// that it had declined before.
+func TestWithheldUpstream(t *testing.T) {
+	s := newService("near", "far")
+	u := s.Find("u0")
+	list := []directory.Upstream{u.Upstream, s.Find("u1").Upstream}
+	u.RateLimit.Observe(start, start, 5, backpressure.Share{Instances: 1, Senders: 1})
+	s.Update(start, list[1:], list[0])
+	must.Nil(t, s.Find("u0"))
+	must.Eq(t, "u1", s.Pick(start, typical, nil, true).ID)
+	must.Nil(t, s.Pick(start, typical, []string{"u1"}, true))
+	must.False(t, s.AllWithheld())
+	s.Update(start, nil, list...)
+	must.True(t, s.AllWithheld())
+	s.Update(start, list)
+	must.Eq(t, u, s.Find("u0"))
+	must.Eq(t, 5, s.Find("u0").RateLimit.Limit())
+}
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -4,6 +4,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -49,11 +50,13 @@
 	// lapsing holds, for each upstream whose entry lapsed, the time at which it is
 	// removed unless its entry returns.
 	lapsing map[string]time.Time
+	// evacuated holds the data centres whose upstreams must get no requests.
+	evacuated map[model.DataCentre]bool
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time)}
+	return &Directory{upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time), evacuated: make(map[model.DataCentre]bool)}
 }
 
 // Set adds or replaces the entry of an upstream.
@@ -100,11 +103,38 @@
 	return u, ok
 }
 
-// Services returns the ready upstreams of each service, ordered by id.
-func (d *Directory) Services() map[string][]Upstream {
+// Evacuate starts the evacuation of a data centre, which need not be known, and reports
+// whether it was not evacuated before.
+func (d *Directory) Evacuate(dc model.DataCentre) bool {
+	started := !d.evacuated[dc]
+	d.evacuated[dc] = true
+	return started
+}
+
+// EndEvacuation ends the evacuation of a data centre and reports whether it was evacuated.
+func (d *Directory) EndEvacuation(dc model.DataCentre) bool {
+	ended := d.evacuated[dc]
+	delete(d.evacuated, dc)
+	return ended
+}
+
+// Evacuated returns the evacuated data centres in order.
+func (d *Directory) Evacuated() []model.DataCentre { return slices.Sorted(maps.Keys(d.evacuated)) }
+
+// Services returns the ready upstreams of each service outside the evacuated data centres,
+// ordered by id.
+func (d *Directory) Services() map[string][]Upstream { return d.ready(false) }
+
+// Withheld returns the ready upstreams of each service in the evacuated data centres,
+// ordered by id.
+func (d *Directory) Withheld() map[string][]Upstream { return d.ready(true) }
+
+// ready returns the ready upstreams of each service that are in evacuated data centres, or
+// those that are not.
+func (d *Directory) ready(evacuated bool) map[string][]Upstream {
 	out := make(map[string][]Upstream)
 	for _, u := range d.upstreams {
-		if u.State == Ready {
+		if u.State == Ready && d.evacuated[u.DataCentre] == evacuated {
 			out[u.Service] = append(out[u.Service], u)
 		}
 	}
--- a/pkg/directory/directory_test.go
+++ b/pkg/directory/directory_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/model"
 )
 
 var start = time.Unix(1000, 0)
@@ -61,3 +63,22 @@
 	must.SliceEmpty(t, readyIDs(d, "s"))
 	must.SliceEmpty(t, d.Expire(start.Add(time.Hour)))
 }
+
+// TestEvacuatedDataCentres guards against upstreams of an evacuated data centre that are
+// listed as usable, and against an evacuation that affects other data centres or lasts
+// after its end.
+func TestEvacuatedDataCentres(t *testing.T) {
+	d := New()
+	must.True(t, d.Evacuate("x"))
+	must.False(t, d.Evacuate("x"))
+	d.Set(Upstream{ID: "a", Service: "s", DataCentre: "x"})
+	d.Set(Upstream{ID: "b", Service: "s", DataCentre: "y"})
+	d.Set(Upstream{ID: "c", Service: "s", DataCentre: "x", State: Draining})
+	must.Eq(t, []string{"b"}, readyIDs(d, "s"))
+	must.Len(t, 1, d.Withheld()["s"])
+	must.Eq(t, []model.DataCentre{"x"}, d.Evacuated())
+	must.False(t, d.EndEvacuation("y"))
+	must.True(t, d.EndEvacuation("x"))
+	must.Eq(t, []string{"a", "b"}, readyIDs(d, "s"))
+	must.MapEmpty(t, d.Withheld())
+}
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -38,6 +38,9 @@
 // refusalCode returns the result code for a request that no upstream ran.
 func (r *requestRun) refusalCode() result.Code {
 	for i := range r.replies {
+		if r.isEvacuatedPart(i) {
+			return result.Evacuated
+		}
 		switch r.query.MissingReason(i) {
 		case fanout.BudgetUsed:
 			return result.RetryBudgetExhausted
@@ -69,8 +72,10 @@
 		}
 		s.mu.Unlock()
 	}
-	if retryAt.IsZero() {
-		return newRefusal(r.refusalCode())
+	if code := r.refusalCode(); code == result.Evacuated {
+		return newEvacuationRefusal()
+	} else if retryAt.IsZero() {
+		return newRefusal(code)
 	}
 	a := newRefusal(result.UpstreamRateLimited)
 	a.RetryAfter = max(a.RetryAfter, retryAt.Sub(now))
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -35,7 +35,7 @@
 func (r *requestRun) checkUnanswered(suspect quarantine.Suspect, u directory.Upstream, connectionBroken bool) {
 	g, crash := r.g, suspect.Crash
 	if connectionBroken {
-		probe := g.probeAfterLoss(u.Address)
+		probe := g.probeAfterLoss(u)
 		g.ports.Metrics.CrashChecked(probe.String())
 		suspect.Unanswered = int(r.unanswered.Load())
 		now := g.ports.Clock.Now()
@@ -52,11 +52,14 @@
 	}
 }
 
-func (g *Gateway) probeAfterLoss(address string) ProbeResult {
+func (g *Gateway) probeAfterLoss(u directory.Upstream) ProbeResult {
 	time.Sleep(crashCheckDelay)
+	if g.isEvacuated(u.DataCentre) {
+		return ProbeSkipped
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
-	return g.ports.Upstreams.Probe(ctx, address)
+	return g.ports.Upstreams.Probe(ctx, u.Address)
 }
 
 // mayEndAsPlanned reports whether an upstream may have ended because it left as planned.
@@ -169,19 +172,23 @@
 }
 
 // checkRemoved records the crashes of an upstream whose entry was removed and that does
-// not answer a health check. Without a path, an accepted connection counts as an answer.
+// not answer a health check. Without a path, an accepted connection counts as an answer. In
+// an evacuated data centre nothing is sent, and the upstream counts as not crashed.
 func (g *Gateway) checkRemoved(u directory.Upstream, path string) {
 	ctx, cancel := context.WithTimeout(context.Background(), crashCheckTimeout)
 	defer cancel()
 	var probe ProbeResult
-	if path == "" {
+	switch {
+	case g.isEvacuated(u.DataCentre):
+		probe = ProbeSkipped
+	case path == "":
 		probe = g.ports.Upstreams.Probe(ctx, u.Address)
-	} else {
+	default:
 		probe = g.ports.Upstreams.CheckHealth(ctx, u, path)
 	}
 	g.ports.Metrics.CrashChecked(probe.String())
 	g.quarantine.Lock()
-	crashes := g.quarantine.suspects.CheckFinished(u.ID, u.Started, probe == ProbeAccepted)
+	crashes := g.quarantine.suspects.CheckFinished(u.ID, u.Started, probe == ProbeAccepted || probe == ProbeSkipped)
 	g.quarantine.Unlock()
 	g.info(event.RemovalChecked, event.Fields{"upstream": u.ID, "service": u.Service, "probe": probe.String(), "requests": len(crashes)}, "the health of an upstream whose entry was removed was checked")
 	g.recordRegistryCrashes(g.ports.Clock.Now(), crashes, proofRemoved)
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -88,6 +88,10 @@
 		outageEnd time.Time
 	}
 
+	// evacuated holds the evacuated data centres; nil if there are none. The map is not
+	// changed once it is stored.
+	evacuated atomic.Pointer[map[model.DataCentre]bool]
+
 	// fleet holds the membership and values that are derived from it.
 	fleet struct {
 		sync.Mutex
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -91,6 +91,10 @@
 	MaxConnections int
 	// ShardQuery is true if the attempt is for one part of a query over shards.
 	ShardQuery bool
+	// MaySend reports whether the request may still be sent to the upstream. It must be
+	// called right before the first byte is sent, and if it returns false, when the wait
+	// for a connection can end; nil means true. It is safe for concurrent use.
+	MaySend func() bool
 }
 
 // Reply is the outcome of a Call.
@@ -130,11 +134,13 @@
 	ProbeUnanswered
 	// ProbeReplaced: another process than the upstream answered.
 	ProbeReplaced
+	// ProbeSkipped: no connection was opened, because the data centre is evacuated.
+	ProbeSkipped
 )
 
 // String returns the result's name in logs and metrics.
 func (r ProbeResult) String() string {
-	return [...]string{"accepted", "refused", "unanswered", "replaced"}[r]
+	return [...]string{"accepted", "refused", "unanswered", "replaced", "skipped"}[r]
 }
 
 // Upstreams sends requests to upstreams.
@@ -156,6 +162,10 @@
 type Decoder interface {
 	// Config decodes a change of the configuration; ok is false for any other key.
 	Config(c feed.Change) (config routing.Config, ok bool, err error)
+	// Evacuation decodes a change of the key that requests the evacuation of a data
+	// centre; ok is false for any other key. With an error, dc is set if the key names a
+	// data centre, which is then evacuated nevertheless.
+	Evacuation(c feed.Change) (dc model.DataCentre, ok bool, err error)
 	// Upstream decodes a change of an upstream's registry entry; ok is false for any
 	// other key. For a removal only the id is set.
 	Upstream(c feed.Change) (u directory.Upstream, ok bool, err error)
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -51,6 +51,10 @@
 		g.adoptConfig(config, err, c.Revision, source)
 		return
 	}
+	if dc, ok, err := g.ports.Decoder.Evacuation(c); ok {
+		g.applyEvacuation(c, dc, err, source)
+		return
+	}
 	u, ok, err := g.ports.Decoder.Upstream(c)
 	if !ok {
 		return
@@ -106,26 +110,28 @@
 	}
 	old := g.view.Load()
 	v := &view{table: p.table, services: make(map[string]*service)}
-	listed := p.directory.Services()
+	listed, withheld := p.directory.Services(), p.directory.Withheld()
 	addresses := make(map[string]bool)
 	shards := p.table.ShardServices()
 	for name := range p.table.Services {
 		v.services[name] = g.serviceFor(now, old, name, shards[name])
 	}
-	for name, upstreams := range listed {
-		s := v.services[name]
-		if s == nil {
-			// Upstreams may register before a configuration names their service.
-			s = g.serviceFor(now, old, name, shards[name])
-			v.services[name] = s
+	for _, services := range []map[string][]directory.Upstream{listed, withheld} {
+		for name := range services {
+			if v.services[name] == nil {
+				// Upstreams may register before a configuration names their service.
+				v.services[name] = g.serviceFor(now, old, name, shards[name])
+			}
 		}
+	}
+	for _, upstreams := range listed {
 		for _, u := range upstreams {
 			addresses[u.Address] = true
 		}
 	}
 	for name, s := range v.services {
 		s.mu.Lock()
-		s.balancer.Update(now, listed[name])
+		s.balancer.Update(now, listed[name], withheld[name]...)
 		s.mu.Unlock()
 	}
 	if g.view.Swap(v) == nil {
--- a/pkg/gateway/request_log.go
+++ b/pkg/gateway/request_log.go
@@ -132,6 +132,9 @@
 	for i := range r.replies {
 		if r.replies[i] == nil {
 			out[r.services[i]] = r.query.MissingReason(i).String()
+			if r.isEvacuatedPart(i) {
+				out[r.services[i]] = result.Evacuated.String()
+			}
 		}
 	}
 	return out
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -104,6 +104,7 @@
 		r.g.activeQueries.Add(1)
 		defer r.g.activeQueries.Add(-1)
 	}
+	r.withholdEvacuated()
 	r.query = fanout.New(r.config, r)
 	r.replies = make([]*Reply, len(r.services))
 	// Capacity for the first attempts, and a quarter more for the usual number of
@@ -232,6 +233,7 @@
 			SendContext:    r.sendCtx,
 			MaxConnections: r.g.maxConnections(now, r.view.table.Services[entry.Service], shard),
 			ShardQuery:     r.route.Gather != nil,
+			MaySend:        func() bool { return !r.g.isEvacuated(entry.DataCentre) },
 		}
 		alone := r.query.Alone()
 		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u, alone) })
@@ -263,6 +265,7 @@
 func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	r.held.add(&reply)
+	r.g.recordWithdrawal(&reply, call.Upstream)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -18,6 +19,8 @@
 	AgeMS         int64              `json:"age_ms"`
 	Upstreams     int                `json:"upstreams"`
 	Active        int                `json:"active"`
+	// Evacuated lists the data centres whose upstreams get no requests.
+	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
 }
 
 // Status implements operatorhttp.Inspector.
@@ -34,6 +37,7 @@
 	p.Lock()
 	defer p.Unlock()
 	s.Revision, s.Upstreams = p.replica.Revision(), p.directory.Len()
+	s.Evacuated = p.directory.Evacuated()
 	s.AgeMS = g.ports.Clock.Now().Sub(p.confirmedAt).Milliseconds()
 	if p.table != nil {
 		s.ConfigVersion = p.table.Version
@@ -60,6 +64,9 @@
 	LatencyFactor float64 `json:"latency_factor"`
 	FailureRate   float64 `json:"failure_rate"`
 	BlockedMS     int64   `json:"blocked_ms,omitempty"`
+	// Evacuated is true if the upstream gets no requests because its data centre is
+	// evacuated.
+	Evacuated bool `json:"evacuated,omitempty"`
 }
 
 // Explain implements operatorhttp.Inspector. It ignores the priority and the shard,
@@ -75,12 +82,21 @@
 	defer s.mu.Unlock()
 	out := Explanation{Service: name, ExtraAttempts: s.budget.Available(now)}
 	for _, u := range s.balancer.Upstreams() {
-		latencyFactor, failureRate := u.DecayedEstimates(now)
-		e := UpstreamExplanation{ID: u.ID, DataCentre: string(u.DataCentre), InFlight: u.InFlight(), LatencyFactor: latencyFactor, FailureRate: failureRate}
-		if u.Blocked(now) {
-			e.BlockedMS = u.BlockedFor(now).Round(time.Millisecond).Milliseconds()
-		}
+		out.Upstreams = append(out.Upstreams, explainUpstream(now, u))
+	}
+	for _, u := range s.balancer.Withheld() {
+		e := explainUpstream(now, u)
+		e.Evacuated = true
 		out.Upstreams = append(out.Upstreams, e)
 	}
 	return out, nil
 }
+
+func explainUpstream(now time.Time, u *balancer.Upstream) UpstreamExplanation {
+	latencyFactor, failureRate := u.DecayedEstimates(now)
+	e := UpstreamExplanation{ID: u.ID, DataCentre: string(u.DataCentre), InFlight: u.InFlight(), LatencyFactor: latencyFactor, FailureRate: failureRate}
+	if u.Blocked(now) {
+		e.BlockedMS = u.BlockedFor(now).Round(time.Millisecond).Milliseconds()
+	}
+	return e
+}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -118,6 +118,7 @@
 	restarts            tally.Counter
 	pauses              tally.Counter
 	suppressedLines     tally.Counter
+	withdrawnAttempts   tally.Counter
 
 	queued          *family[tally.Gauge]
 	inFlight        *family[tally.Gauge]
@@ -127,6 +128,7 @@
 	tickets         tally.Gauge
 	documents       tally.Gauge
 	ready           tally.Gauge
+	evacuated       tally.Gauge
 
 	requestLatency *family[tally.Histogram]
 	queueDelay     *family[tally.Histogram]
@@ -180,6 +182,7 @@
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
+		withdrawnAttempts:   scope.Counter(nameWithdrawnAttempts),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
 		inFlight:            gauges(nameInFlight, tagGroup),
 		members:             gauges(nameMembers, tagState),
@@ -188,6 +191,7 @@
 		tickets:             scope.Gauge(nameTickets),
 		documents:           scope.Gauge(nameDocuments),
 		ready:               scope.Gauge(nameReady),
+		evacuated:           scope.Gauge(nameEvacuated),
 		requestLatency:      newFamily(scope, nameRequestLatency, latency, tagPriority),
 		queueDelay:          newFamily(scope, nameQueueDelay, latency, tagPriority),
 		coverage:            newFamily(scope, nameCoverage, ratio, tagPriority),
@@ -392,6 +396,21 @@
 	}
 }
 
+// AttemptWithdrawn counts an attempt that was not sent because the data centre of its
+// upstream was evacuated while the attempt waited for a connection.
+func (m *Metrics) AttemptWithdrawn() {
+	if m != nil {
+		m.withdrawnAttempts.Inc(1)
+	}
+}
+
+// SetEvacuated sets the number of evacuated data centres.
+func (m *Metrics) SetEvacuated(n int) {
+	if m != nil {
+		m.evacuated.Update(float64(n))
+	}
+}
+
 // QueueDelay records the time that a request waited in a queue.
 func (m *Metrics) QueueDelay(priority string, d time.Duration) {
 	if m != nil {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -28,6 +28,7 @@
 	nameRestarts            = "query_restarts_total"
 	namePauses              = "pauses_total"
 	nameSuppressedLines     = "suppressed_log_lines_total"
+	nameWithdrawnAttempts   = "withdrawn_attempts_total"
 )
 
 // Names of gauges.
@@ -40,6 +41,7 @@
 	nameTickets         = "order_tickets_held"
 	nameDocuments       = "documents_in_force"
 	nameReady           = "ready"
+	nameEvacuated       = "evacuated_data_centres"
 )
 
 // Names of histograms.
