Treat upstream responses with an invalid status as no response

Cause: responses with status 600 or 999 were passed on to callers, and with the header for requests that did not run they counted as refusals. For 000 to 099 and for 1xx with the headers of a final response, the attempt waited until its deadline. Health checks accepted such responses.

Change: the connection reader ends the round trip with ErrInvalidStatus at the header of such a response. The outcome is unknown, the connection is closed, the attempt counts as a failure of the upstream, and a health check counts as unanswered. A counter has the reason invalid_status.

--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -18,9 +19,14 @@
 // left for answers.
 var ErrAnswerTooLarge = errors.New("answer exceeds the size limit")
 
+// ErrInvalidStatus means that an upstream sent a response whose status is not a final
+// status of HTTP (200 to 599). Such a response says nothing about the request, and where it
+// ends is unknown, so its connection is closed.
+var ErrInvalidStatus = errors.New("upstream sent a response with an invalid status")
+
 var (
 	errStaleConnection  = errors.New("upstream closed the idle connection or sent data on it")
-	errProtocolSwitch   = errors.New("upstream switched the protocol")
+	errProtocolSwitch   = fmt.Errorf("%w: it switched the protocol or sent too many informational responses", ErrInvalidStatus)
 	errMismatchedAnswer = errors.New("upstream answered another request")
 )
 
@@ -30,6 +36,8 @@
 	// maxInformationalResponses limits the number of 1xx responses before a final
 	// response.
 	maxInformationalResponses = 5
+	// maxStatus is the highest status that HTTP defines.
+	maxStatus = 599
 	// maxMismatchedAnswers limits how many answers to other requests are dropped while
 	// waiting for the answer to a request.
 	maxMismatchedAnswers = 3
@@ -89,6 +97,9 @@
 	// matchesRequest reports whether a response answers this request; nil accepts
 	// all. An upstream may send a second answer to an earlier request.
 	matchesRequest func(http.Header) bool
+	// finalHeader is a header that upstreams put into final responses only; empty if
+	// there is none.
+	finalHeader string
 }
 
 // roundTrip sends a request and reads its answer. The result says whether any byte
@@ -154,7 +165,7 @@
 func (c *conn) receive(m message, a *answer) {
 	request := &http.Request{Method: m.method}
 	for range maxMismatchedAnswers + 1 {
-		resp, err := c.readHeader(request)
+		resp, err := c.readHeader(request, m.finalHeader)
 		if err != nil {
 			a.err = err
 			return
@@ -183,24 +194,39 @@
 }
 
 // readHeader reads the header of the next final response and skips informational
-// ones (1xx).
-func (c *conn) readHeader(request *http.Request) (*http.Response, error) {
+// ones (1xx). It fails with ErrInvalidStatus at a response that is neither, because the
+// bytes after it may be its body or nothing: waiting for another response would last until
+// the deadline.
+func (c *conn) readHeader(request *http.Request, finalHeader string) (*http.Response, error) {
 	for range maxInformationalResponses + 1 {
 		c.limited.remaining = maxHeaderBytes
 		resp, err := http.ReadResponse(c.reader, request)
 		if err != nil {
 			return nil, err
 		}
-		if resp.StatusCode == http.StatusSwitchingProtocols {
+		switch {
+		case resp.StatusCode == http.StatusSwitchingProtocols:
 			return nil, errProtocolSwitch
-		}
-		if resp.StatusCode >= http.StatusOK {
+		case resp.StatusCode < http.StatusContinue || resp.StatusCode > maxStatus || isFinalInformational(resp, finalHeader):
+			return nil, fmt.Errorf("%w: %q", ErrInvalidStatus, resp.Status)
+		case resp.StatusCode >= http.StatusOK:
 			return resp, nil
 		}
 	}
 	return nil, errProtocolSwitch
 }
 
+// isFinalInformational reports whether the header of an informational response (1xx) shows
+// that no other response will follow: it has or announces a body, ends the connection, or
+// has a header of final responses. HTTP forbids the first two.
+func isFinalInformational(resp *http.Response, finalHeader string) bool {
+	if resp.StatusCode >= http.StatusOK {
+		return false
+	}
+	return resp.Close || len(resp.TransferEncoding) > 0 || resp.Header.Get("Content-Length") != "" ||
+		finalHeader != "" && resp.Header.Get(finalHeader) != ""
+}
+
 // parseKeepAliveTimeout returns the timeout in the Keep-Alive header, or zero if
 // there is none.
 func parseKeepAliveTimeout(h http.Header) time.Duration {
--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -25,6 +25,10 @@
 	// MatchesRequest reports whether a response answers this request. Responses to
 	// other requests are dropped.
 	MatchesRequest func(http.Header) bool
+	// FinalHeader is a header that the upstream puts into final responses only. An
+	// informational response (1xx) with it ends the exchange with ErrInvalidStatus. It
+	// may be empty.
+	FinalHeader string
 }
 
 // Response is the outcome of an exchange.
@@ -60,6 +64,6 @@
 		return Response{Err: err}
 	}
 	defer p.requestSemaphore.Release()
-	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest})
+	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest, finalHeader: e.FinalHeader})
 	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, Err: a.err, answer: a}
 }
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -109,6 +109,9 @@
 	// RateLimit is how many requests a second the upstream takes from all instances
 	// together, as its answer said; zero if it named no limit.
 	RateLimit float64
+	// InvalidStatus is true if the attempt ended because the upstream sent an answer with
+	// an invalid status.
+	InvalidStatus bool
 	// MismatchedAnswers counts the answers that were dropped because they belonged to
 	// other requests.
 	MismatchedAnswers int
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -263,6 +263,7 @@
 func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	r.held.add(&reply)
+	r.g.countDroppedAnswer(&reply)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -59,6 +59,7 @@
 const (
 	DropAttemptMismatch DropReason = "attempt_mismatch"
 	DropLate            DropReason = "late"
+	DropInvalidStatus   DropReason = "invalid_status"
 )
 
 // Verdict is the decision about a received document.
