Forecasts of overloaded upstreams, and queries that spare them

Change: the balancer forecasts the latency of an upstream from its latest attempts; with ShedSlowParts a query leaves out parts that it does not need, sends no useless hedges and starts nothing if it cannot have its least number of parts. The routing table tells whether a query has a less urgent one beside it that is to be answered sooner.

--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -104,6 +104,8 @@
 	failures     int
 	timeouts     int
 	blockedUntil time.Time
+	// recent holds the latest attempts, for Forecast.
+	recent recentRatios
 	// RateLimit is this instance's share of the rate limit that its answers name.
 	RateLimit backpressure.RateLimit
 }
@@ -300,6 +302,7 @@
 		u.inFlight = slices.Delete(u.inFlight, i, i+1)
 	}
 	took := now.Sub(start)
+	u.recent.record(now, took, typical, o)
 	switch o {
 	case Succeeded:
 		u.observe(now, float64(took)/float64(max(typical, time.Millisecond)), 0)
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -7,6 +7,7 @@
 package fanout
 
 import (
+	"cmp"
 	"slices"
 	"time"
 )
@@ -38,6 +39,9 @@
 	// other is available; unresponsive is then true if the last attempts on that
 	// upstream ended without an answer.
 	Pick(service string, excluded []string, first bool) (upstream string, unresponsive, ok bool)
+	// Forecast returns how long an attempt on the service will take at least, or zero if
+	// nothing shows that its upstreams are slow or have queues.
+	Forecast(service string) time.Duration
 	// RateLimited reports whether the rate limits of all upstreams of the service forbid
 	// a first attempt now.
 	RateLimited(service string) bool
@@ -73,6 +77,10 @@
 	// OnePartFirst is true if the request may crash the upstreams that run it. One attempt
 	// of one part then runs alone, and the others start once an upstream has answered it.
 	OnePartFirst bool
+	// ShedSlowParts makes the query spare overloaded upstreams: it leaves out parts whose
+	// forecast exceeds AnswerBy, up to half of those that may be missing, sends no hedges that would be
+	// answered after AnswerBy, and starts nothing if MinParts cannot be reached.
+	ShedSlowParts bool
 	// FirstService is the service of the part that runs alone, if it has a usable upstream.
 	FirstService string
 	// Withheld holds the services whose parts do not run, because the request may crash
@@ -171,6 +179,8 @@
 	FirstPartUnanswered
 	// Withheld: the part may crash its upstreams.
 	Withheld
+	// TooSlow: no upstream of the service was expected to answer in time.
+	TooSlow
 )
 
 type attempt struct {
@@ -234,7 +244,9 @@
 // Begin returns the first attempt of each part and the verdict so far. If rate limits
 // or withheld parts leave too few parts, it starts no attempt at all, so that the request
 // certainly did not run. If failures do, it starts those that it can, because they may
-// show that an upstream works again.
+// show that an upstream works again, unless the configuration says ShedSlowParts: a part
+// without a usable upstream then has an attempt of another request in flight, which shows
+// that as well.
 func (q *Query) Begin(now time.Time) ([]Start, Verdict) {
 	q.startedAt = now
 	q.alone = q.cfg.OnePartFirst
@@ -243,6 +255,9 @@
 			q.abandon(p, Withheld)
 		}
 	}
+	if q.cfg.ShedSlowParts {
+		q.skipSlowParts(now)
+	}
 	var out []Start
 	if q.alone {
 		out = q.startOnePart(now, nil)
@@ -251,7 +266,7 @@
 	}
 	v := q.updateVerdict(now)
 	limited := slices.ContainsFunc(q.parts, func(p part) bool { return p.reason == RateLimited || p.reason == Withheld })
-	if v != TooFew || !limited {
+	if v != TooFew || !limited && !q.cfg.ShedSlowParts {
 		return out, v
 	}
 	for i := range q.attempts {
@@ -260,6 +275,30 @@
 	return nil, TooFew
 }
 
+// skipSlowParts abandons the parts with the longest forecasts that exceed AnswerBy. Their
+// answers would come too late for this request, and the upstreams have no capacity to spare
+// for work that nobody uses. At most half of the parts that may be missing are abandoned:
+// the others make up for upstreams that pause while the query runs.
+func (q *Query) skipSlowParts(now time.Time) {
+	type slowPart struct {
+		part     *part
+		forecast time.Duration
+	}
+	useful := q.cfg.AnswerBy.Sub(now)
+	var slow []slowPart
+	for i := range q.parts {
+		p := &q.parts[i]
+		if f := q.upstreams.Forecast(p.service); !p.abandoned && f > useful {
+			slow = append(slow, slowPart{p, f})
+		}
+	}
+	slices.SortFunc(slow, func(a, b slowPart) int { return cmp.Compare(b.forecast, a.forecast) })
+	spare := len(q.parts) - q.abandoned - q.cfg.MinParts
+	for i := range min(max(0, spare/2), len(slow)) {
+		q.abandon(slow[i].part, TooSlow)
+	}
+}
+
 // startAllParts sends the first attempt of each part that has none yet.
 func (q *Query) startAllParts(now time.Time, out []Start) []Start {
 	for i := range q.parts {
@@ -485,6 +524,10 @@
 	}
 	u, _, ok := q.upstreams.Pick(p.service, p.tried, false)
 	canWait := now.Before(q.cfg.HedgeBy)
+	if q.cfg.ShedSlowParts && q.upstreams.Forecast(p.service) > q.cfg.AnswerBy.Sub(now) {
+		// Another attempt would not be answered in time either.
+		ok = false
+	}
 	if !ok || !q.upstreams.TakeExtraAttempt(p.service, canWait) {
 		p.hedgeAt = now.Add(hedgeRetryDelay)
 		if canWait {
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -28,8 +28,12 @@
 	// rate limits if limited is true.
 	unavailable string
 	limited     bool
+	// forecasts holds the forecast of each service with slow upstreams.
+	forecasts map[string]time.Duration
 }
 
+func (f *fakeUpstreams) Forecast(service string) time.Duration { return f.forecasts[service] }
+
 func (f *fakeUpstreams) RateLimited(service string) bool {
 	return f.limited && service == f.unavailable
 }
@@ -424,3 +428,61 @@
 	starts, _ = q.Begin(start)
 	must.Eq(t, []string{"s1/0"}, upstreamsOf(starts))
 }
+
+// TestShedSlowParts guards against a query that hands overloaded upstreams work whose answer
+// it would not wait for, and against one that leaves out parts that it needs.
+func TestShedSlowParts(t *testing.T) {
+	u := &fakeUpstreams{perService: 3, extraBudget: 100, forecasts: map[string]time.Duration{"s0": 80 * time.Millisecond, "s1": 90 * time.Millisecond, "s2": 70 * time.Millisecond, "s3": 40 * time.Millisecond}}
+	for _, c := range []struct {
+		shed     bool
+		minParts int
+		want     []string
+	}{
+		{false, 8, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 8, []string{"s0/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 6, []string{"s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 4, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 9, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 10, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+	} {
+		cfg := queryConfig(10, c.minParts)
+		cfg.ShedSlowParts = c.shed
+		starts, v := New(cfg, u).Begin(start)
+		must.Eq(t, Pending, v)
+		must.Eq(t, c.want, upstreamsOf(starts), must.Sprint(c))
+	}
+}
+
+// TestNoHedgeWithoutUse guards against hedges on overloaded upstreams: a second attempt that
+// cannot be answered in time only makes their queues longer.
+func TestNoHedgeWithoutUse(t *testing.T) {
+	for _, shed := range []bool{false, true} {
+		u := &fakeUpstreams{perService: 3, extraBudget: 100, forecasts: map[string]time.Duration{"s0": 45 * time.Millisecond, "s1": 5 * time.Millisecond}}
+		cfg := queryConfig(2, 2)
+		cfg.ShedSlowParts = shed
+		q := New(cfg, u)
+		q.Begin(start)
+		starts, _ := q.Tick(atMillis(10))
+		want := []string{"s0/1", "s1/1"}
+		if shed {
+			want = want[1:]
+		}
+		must.Eq(t, want, upstreamsOf(starts))
+	}
+}
+
+// TestUnreachableCoverageStartsNothing guards against a query that sends parts although too
+// few shards have a usable upstream: their work is wasted, and the caller cannot be told
+// that the query did not run.
+func TestUnreachableCoverageStartsNothing(t *testing.T) {
+	for _, shed := range []bool{false, true} {
+		u := &fakeUpstreams{perService: 3, unavailable: "s1"}
+		cfg := queryConfig(4, 4)
+		cfg.ShedSlowParts = shed
+		q := New(cfg, u)
+		starts, v := q.Begin(start)
+		must.Eq(t, TooFew, v)
+		must.Eq(t, shed, q.NotRun())
+		must.Eq(t, shed, len(starts) == 0)
+	}
+}
--- a/pkg/fanout/strings.go
+++ b/pkg/fanout/strings.go
@@ -23,5 +23,5 @@
 
 // String returns the reason as shown in logs.
 func (m MissingReason) String() string {
-	return nameOrUndefined([]string{"", "in_progress", "no_upstream", "rate_limited", "attempts_used", "budget_used", "not_repeatable", "first_part_unanswered", "withheld"}, m)
+	return nameOrUndefined([]string{"", "in_progress", "no_upstream", "rate_limited", "attempts_used", "budget_used", "not_repeatable", "first_part_unanswered", "withheld", "too_slow"}, m)
 }
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -91,6 +91,8 @@
 	Config
 	// hosts holds the routes of each host, the longest prefix first.
 	hosts map[string][]*Route
+	// urgentNeedsLonger is the result of UrgentNeedsLonger.
+	urgentNeedsLonger bool
 }
 
 // NewTable returns a table of the routes of a configuration.
@@ -103,9 +105,46 @@
 	for _, routes := range t.hosts {
 		slices.SortStableFunc(routes, func(a, b *Route) int { return cmp.Compare(len(b.Prefix), len(a.Prefix)) })
 	}
+	t.urgentNeedsLonger = urgentNeedsLonger(c.Routes)
 	return t
 }
 
+// UrgentNeedsLonger reports whether a query over shards has a less urgent query beside it on
+// the same shards that is to be answered sooner. Upstreams that serve requests in the order
+// of their arrival then favour the less urgent one, whose parts take less time.
+func (t *Table) UrgentNeedsLonger() bool { return t.urgentNeedsLonger }
+
+func urgentNeedsLonger(routes []Route) bool {
+	// least holds, of the queries on a shard, the shortest latency target of each priority.
+	least := make(map[string]map[int]time.Duration)
+	for i := range routes {
+		r := &routes[i]
+		if r.Gather == nil {
+			continue
+		}
+		for _, name := range r.Gather.Services {
+			targets := least[name]
+			if targets == nil {
+				targets = make(map[int]time.Duration)
+				least[name] = targets
+			}
+			if d, has := targets[r.Priority]; !has || r.LatencyTarget < d {
+				targets[r.Priority] = r.LatencyTarget
+			}
+		}
+	}
+	for _, targets := range least {
+		for urgent, longer := range targets {
+			for priority, shorter := range targets {
+				if urgent < priority && shorter < longer {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
 // Match returns the route of the host with the longest prefix that path begins
 // with, or nil. The host may include a port.
 func (t *Table) Match(host, path string) *Route {
--- a/pkg/routing/routing_test.go
+++ b/pkg/routing/routing_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 	"pgregory.net/rapid"
@@ -74,3 +75,25 @@
 		}
 	})
 }
+
+// TestUrgentNeedsLonger guards against load shedding in deployments whose order of arrival
+// already favours urgent queries, and against missing it where it does not.
+func TestUrgentNeedsLonger(t *testing.T) {
+	query := func(priority int, target time.Duration, services ...string) Route {
+		return Route{Priority: priority, LatencyTarget: target, Gather: &Gather{Services: services}}
+	}
+	for name, c := range map[string]struct {
+		routes []Route
+		want   bool
+	}{
+		"none":                             {nil, false},
+		"urgent is shorter":                {[]Route{query(0, 50, "a", "b"), query(1, 150, "a", "b")}, false},
+		"urgent is longer":                 {[]Route{query(2, 60, "a", "b"), query(1, 200, "b")}, true},
+		"urgent is longer on other shards": {[]Route{query(2, 60, "a"), query(1, 200, "b")}, false},
+		"same priority":                    {[]Route{query(1, 60, "a"), query(1, 200, "a")}, false},
+		"less urgent request to one shard": {[]Route{{Priority: 2, LatencyTarget: 60, Targets: []Target{{Service: "a"}}}, query(1, 200, "a")}, false},
+		"one of several less urgent ones":  {[]Route{query(2, 300, "a"), query(2, 60, "a"), query(1, 200, "a")}, true},
+	} {
+		must.Eq(t, c.want, NewTable(Config{Routes: c.routes}).UrgentNeedsLonger(), must.Sprint(name))
+	}
+}
