Gateway: load shedding by the setting load_shedding

Change: the gateway asks admission control before it runs a request, cancels stalled attempts when their request is answered, and gives requests that callers send again until their deadline.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -219,6 +219,7 @@
 		Seeds:          gatewaySeeds(s),
 		FirstStart:     s.FirstStart,
 		Capacity:       s.Capacity(),
+		LoadShedding:   loadShedding(s.LoadShedding),
 		RetryBudget:    retryBudgetLimits(s),
 	}, gateway.Ports{
 		Clock:      p.Clock,
@@ -233,6 +234,17 @@
 	})
 }
 
+func loadShedding(s settings.LoadShedding) gateway.LoadShedding {
+	switch s {
+	case settings.LoadSheddingOn:
+		return gateway.ShedAlways
+	case settings.LoadSheddingAuto:
+		return gateway.ShedByRoutes
+	default:
+		return gateway.ShedNever
+	}
+}
+
 func gatewaySeeds(s settings.Gateway) []gateway.Seed {
 	var seeds []gateway.Seed
 	for _, address := range s.SeedAddresses() {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -60,6 +60,7 @@
 	RequestCleared      ID = 414
 	CrashExcused        ID = 415
 	SuspectTried        ID = 416
+	AdmissionChanged    ID = 417
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -120,7 +120,7 @@
 		a, err := r.g.ports.QueryPeers.RunQuery(ctx, to, query)
 		answers <- peerOutcome{a, err}
 	})
-	timer := time.NewTimer(max(0, r.answerBy.Add(r.route.LatencyTarget).Sub(start)))
+	timer := time.NewTimer(max(0, r.delegateDeadline().Sub(start)))
 	defer timer.Stop()
 	select {
 	case o := <-answers:
@@ -138,6 +138,15 @@
 	}
 }
 
+// delegateDeadline returns until when this instance waits for the delegate's answer. Its
+// caller can then still send the request again, unless it has done so before.
+func (r *requestRun) delegateDeadline() time.Time {
+	if r.shedsLoad && r.repeated() {
+		return r.deadline
+	}
+	return r.answerBy.Add(r.route.LatencyTarget)
+}
+
 // handlePeerOutcome answers a delegated query with the outcome of the call, or runs the
 // query here if the other instance has not run any of it.
 func (r *requestRun) handlePeerOutcome(start time.Time, to model.InstanceID, o peerOutcome) Answer {
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/internal/workers"
+	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
 	"github.com/sardineturn/sardineturn/pkg/directory"
@@ -42,10 +43,32 @@
 	// Capacity is the processor time that this instance may use, in cores; zero if
 	// unknown.
 	Capacity float64
+	// LoadShedding says when the gateway refuses requests and leaves out parts of queries
+	// for which overloaded upstreams have no capacity.
+	LoadShedding LoadShedding
 	// RetryBudget limits the retries and hedges on each service.
 	RetryBudget retrybudget.Limits
 }
 
+// LoadShedding says when a gateway sheds load.
+type LoadShedding int
+
+// Values of LoadShedding.
+const (
+	// ShedNever: requests are served in the order of their arrival.
+	ShedNever LoadShedding = iota
+	// ShedAlways: load is shed with any configuration.
+	ShedAlways
+	// ShedByRoutes: load is shed if the configuration has routes that need it; see
+	// routing.Table.UrgentNeedsLonger.
+	ShedByRoutes
+)
+
+// applies reports whether load is shed with the routes of a table.
+func (l LoadShedding) applies(t *routing.Table) bool {
+	return l == ShedAlways || l == ShedByRoutes && t.UrgentNeedsLonger()
+}
+
 // Seed is an instance from the settings. It may or may not be running.
 type Seed struct {
 	ID             model.InstanceID
@@ -130,6 +153,8 @@
 		memory *quarantine.Answers
 	}
 
+	admission admissionControl
+
 	latencies sync.Map // route name to *routeLatency
 	timing    callerTiming
 	logLimit  logLineLimit
@@ -204,6 +229,7 @@
 		SuspicionTimeout: suspicionTimeout,
 	}, now)
 	g.fleet.maxMembers = 1
+	g.admission.controller = admission.NewController()
 	return g
 }
 
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -34,7 +34,9 @@
 	askedDelegates []model.InstanceID
 	// suspect is true if the query must not run here, because another instance tries it
 	// first; see Gateway.suspicion.
-	suspect        bool
+	suspect bool
+	// shedsLoad is true if overloaded upstreams are spared; see LoadShedding.
+	shedsLoad      bool
 	callerGone     <-chan struct{}
 	fingerprint    model.Fingerprint
 	query          *fanout.Query
@@ -78,6 +80,8 @@
 	// attempt; see attemptLine.
 	latencyFactor, failureRate float64
 	inFlight                   int
+	// cancel cancels the attempt; nil if it was not sent.
+	cancel context.CancelFunc
 }
 
 type attemptResult struct {
@@ -100,12 +104,23 @@
 
 // execute executes the request and returns its verdict and answer.
 func (r *requestRun) execute() (fanout.Verdict, Answer) {
+	r.query = fanout.New(r.config, r)
+	r.replies = make([]*Reply, len(r.services))
+	began := r.now()
+	if refusal, ok := r.admit(began); !ok {
+		return fanout.TooFew, refusal
+	}
+	verdict, a := r.executeAdmitted()
+	r.endAdmission(began, a)
+	return verdict, a
+}
+
+// executeAdmitted executes a request that admission control has admitted.
+func (r *requestRun) executeAdmitted() (fanout.Verdict, Answer) {
 	if r.route.Gather != nil {
 		r.g.activeQueries.Add(1)
 		defer r.g.activeQueries.Add(-1)
 	}
-	r.query = fanout.New(r.config, r)
-	r.replies = make([]*Reply, len(r.services))
 	// Capacity for the first attempts, and a quarter more for the usual number of
 	// hedges.
 	r.attempts = make([]attempt, 0, len(r.services)*5/4+1)
@@ -192,10 +207,29 @@
 	case r.callerLeft:
 		time.AfterFunc(time.Until(r.deadline), r.cancel)
 	default:
+		if r.shedsLoad {
+			r.cancelStalled()
+		}
 		time.AfterFunc(unneededAttemptTimeout, r.cancel)
 	}
 }
 
+// stalledFactor is the multiple of the typical latency after which an attempt whose answer
+// is no longer needed is cancelled at once. It would take a slow or overloaded upstream
+// longer to run the request than to accept the new connection.
+const stalledFactor = 2
+
+// cancelStalled cancels the attempts in flight that have stalled.
+func (r *requestRun) cancelStalled() {
+	now := r.now()
+	for i := range r.attempts {
+		a := &r.attempts[i]
+		if a.reply == nil && a.cancel != nil && now.Sub(a.startedAt) > stalledFactor*r.typicalLatency {
+			a.cancel()
+		}
+	}
+}
+
 func (r *requestRun) attemptsInFlight() bool {
 	for i := range r.attempts {
 		if r.attempts[i].reply == nil {
@@ -234,7 +268,11 @@
 			ShardQuery:     r.route.Gather != nil,
 		}
 		alone := r.query.Alone()
-		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u, alone) })
+		ctx := r.ctx
+		if r.shedsLoad {
+			ctx, a.cancel = context.WithCancel(r.ctx)
+		}
+		r.g.workers.Go(func() { r.sendAttempt(ctx, s.Attempt, now, call, service, u, alone) })
 	}
 }
 
@@ -246,9 +284,11 @@
 
 // attemptDeadline returns the time after which the answer to an attempt that starts now
 // is no longer of use: the deadline of the request or, for a query over shards, an earlier
-// time set by maxLateShare.
+// time set by maxLateShare. With load shedding, a query that its caller has sent again has
+// until its deadline: the caller will not come once more, and admission control keeps the
+// queues of the upstreams short.
 func (r *requestRun) attemptDeadline(now time.Time) time.Time {
-	if r.route.Gather == nil {
+	if r.route.Gather == nil || r.shedsLoad && r.repeated() {
 		return r.deadline
 	}
 	usefulUntil := now.Add(time.Duration((1 + maxLateShare) * float64(r.route.LatencyTarget)))
@@ -260,8 +300,8 @@
 
 // sendAttempt makes one attempt and updates the estimates of the upstream and of the
 // route with its result. alone is true if it is the trial of a suspect.
-func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
-	reply := r.g.ports.Upstreams.Send(r.ctx, call)
+func (r *requestRun) sendAttempt(ctx context.Context, number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
+	reply := r.g.ports.Upstreams.Send(ctx, call)
 	r.held.add(&reply)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -179,6 +179,7 @@
 // see requestTimes.
 func (g *Gateway) newRequestRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint, callerElapsed, transitTime time.Duration) *requestRun {
 	answerBy, deadline := requestTimes(r, route, callerElapsed, transitTime)
+	shedsLoad := g.cfg.LoadShedding.applies(v.table)
 	cfg := fanout.Config{
 		Services:    services,
 		MinParts:    1,
@@ -189,8 +190,9 @@
 	if route.Gather != nil {
 		cfg.MinParts = route.Gather.MinParts()
 		cfg.AnswerBy = answerBy
+		cfg.ShedSlowParts = shedsLoad
 	}
-	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route)}
+	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route), shedsLoad: shedsLoad}
 	run.typicalLatency, run.hedgeAfter = run.latency.estimates()
 	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLeadFactor * float64(run.typicalLatency)))
 	run.config = cfg
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -18,11 +19,13 @@
 	AgeMS         int64              `json:"age_ms"`
 	Upstreams     int                `json:"upstreams"`
 	Active        int                `json:"active"`
+	// Limited lists the routes whose requests are limited because of overloaded upstreams.
+	Limited []admission.RouteStatus `json:"limited,omitempty"`
 }
 
 // Status implements operatorhttp.Inspector.
 func (g *Gateway) Status() any {
-	s := Status{Active: g.ActiveRequests()}
+	s := Status{Active: g.ActiveRequests(), Limited: g.admissionStatus()}
 	s.Ready, s.Reason = g.Ready()
 	g.fleet.Lock()
 	s.Reader = g.fleet.isReader
--- a/pkg/gateway/upstream_choice.go
+++ b/pkg/gateway/upstream_choice.go
@@ -56,6 +56,17 @@
 	return u.ID, u.Unresponsive(), true
 }
 
+// Forecast implements fanout.Upstreams.
+func (r *requestRun) Forecast(serviceName string) time.Duration {
+	s := r.view.services[serviceName]
+	if s == nil {
+		return 0
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.balancer.Forecast(r.now(), r.typicalLatency)
+}
+
 // RateLimited implements fanout.Upstreams.
 func (r *requestRun) RateLimited(serviceName string) bool {
 	s := r.view.services[serviceName]
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -105,6 +105,7 @@
 	hedges              *family[tally.Counter]
 	hedgesSuppressed    *family[tally.Counter]
 	delegations         *family[tally.Counter]
+	admissionChanges    *family[tally.Counter]
 	droppedAnswers      *family[tally.Counter]
 	invariantViolations *family[tally.Counter]
 	documentVerdicts    *family[tally.Counter]
@@ -167,6 +168,7 @@
 		hedges:              counters(nameHedges, tagReason),
 		hedgesSuppressed:    counters(nameHedgesSuppressed, tagReason),
 		delegations:         counters(nameDelegations, tagResult),
+		admissionChanges:    counters(nameAdmissionChanges, tagResult),
 		droppedAnswers:      counters(nameDroppedAnswers, tagReason),
 		invariantViolations: counters(nameInvariantViolations, tagInvariant),
 		documentVerdicts:    counters(nameDocumentVerdicts, tagVerdict),
@@ -288,6 +290,13 @@
 	}
 }
 
+// AdmissionChanged counts a change of what the limit of a route aims at.
+func (m *Metrics) AdmissionChanged(goal string) {
+	if m != nil {
+		m.admissionChanges.seriesFor(goal).Inc(1)
+	}
+}
+
 // HedgeSuppressed counts a hedge that was due and not sent.
 func (m *Metrics) HedgeSuppressed(reason SuppressReason) {
 	if m != nil {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -15,6 +15,7 @@
 	nameHedges              = "hedges_total"
 	nameHedgesSuppressed    = "hedges_suppressed_total"
 	nameDelegations         = "delegated_queries_total"
+	nameAdmissionChanges    = "admission_changes_total"
 	nameDroppedAnswers      = "dropped_answers_total"
 	nameInvariantViolations = "invariant_violations_total"
 	nameDocumentVerdicts    = "document_verdicts_total"
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -41,8 +41,21 @@
 	Cores           int              `json:"cores"`
 	CoreShare       float64          `json:"core_share"`
 	Budget          RetryBudget      `json:"budget"`
+	LoadShedding    LoadShedding     `json:"load_shedding"`
 }
 
+// LoadShedding says when requests are refused, and parts of queries left out, for which
+// overloaded upstreams have no capacity.
+type LoadShedding string
+
+// Values of LoadShedding.
+const (
+	LoadSheddingOff LoadShedding = "off"
+	LoadSheddingOn  LoadShedding = "on"
+	// LoadSheddingAuto lets the routes of the configuration decide.
+	LoadSheddingAuto LoadShedding = "auto"
+)
+
 // RetryBudget limits the extra attempts on a service across all instances.
 type RetryBudget struct {
 	Ratio     float64 `json:"ratio"`
@@ -69,7 +82,7 @@
 	if faults := jsoncheck.Check(content, gatewaySchema()); len(faults) > 0 {
 		return Gateway{}, &Error{Faults: faults}
 	}
-	s := Gateway{LogLevel: DefaultLogLevel, StopMS: DefaultStopMS}
+	s := Gateway{LogLevel: DefaultLogLevel, StopMS: DefaultStopMS, LoadShedding: LoadSheddingOff}
 	if err := json.Unmarshal(content, &s); err != nil {
 		return Gateway{}, &Error{Faults: []jsoncheck.Fault{{Path: "$", Code: jsoncheck.WrongType, Reason: err.Error()}}}
 	}
