--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
@@ -21,11 +22,13 @@
 	Active        int                `json:"active"`
 	// Evacuated lists the data centres whose upstreams get no requests.
 	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
+	// Limited lists the routes whose requests are limited because of overloaded upstreams.
+	Limited []admission.RouteStatus `json:"limited,omitempty"`
 }
 
 // Status implements operatorhttp.Inspector.
 func (g *Gateway) Status() any {
-	s := Status{Active: g.ActiveRequests()}
+	s := Status{Active: g.ActiveRequests(), Limited: g.admissionStatus()}
 	s.Ready, s.Reason = g.Ready()
 	g.fleet.Lock()
 	s.Reader = g.fleet.isReader
