Limit the bytes of requests in flight to one upstream

Cause: an upstream crashes if the requests that it holds exceed its memory, and each attempt copied the whole body of its request into a message, so that a query over 54 shards held 55 copies of its body.

Change: an Exchange takes the body apart from the header and sends both with one writev. Nothing sets the limit yet.

--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -13,6 +13,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
@@ -31,6 +33,9 @@
 	idleTimeout    = 30 * time.Minute
 	statusTimeout  = 200 * time.Millisecond
 	maxHeaderBytes = 16 << 10
+	// smallRequestBytes is the size up to which a request does not count towards the limit
+	// of bytes in flight, so that usual requests have no overhead.
+	smallRequestBytes = 8 << 10
 	// answerTransitTime is subtracted from the deadline that the upstream gets, so
 	// that its answer "expired" arrives before the attempt's own deadline. At that
 	// deadline the attempt is cancelled, which closes the connection.
@@ -44,6 +49,9 @@
 	// connections. A negative value turns them off.
 	keepAliveInterval time.Duration
 	memory            answerMemory
+	// maxRequestBytes limits the bytes of requests in flight to one upstream; zero means
+	// no limit.
+	maxRequestBytes int64
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -61,6 +69,11 @@
 // to this size each. It must be called before the first request.
 func (c *Client) LimitAnswerMemory(bytes int64) { c.memory.limit = bytes }
 
+// LimitRequestBytes limits the bytes of the requests (Exchange) in flight to each upstream.
+// Requests of at most smallRequestBytes do not count, and a larger one than the limit is
+// sent alone. It must be called before the first request.
+func (c *Client) LimitRequestBytes(bytes int64) { c.maxRequestBytes = bytes }
+
 // NewWithoutTCPKeepAlive returns a client whose connections send no TCP keep-alive
 // probes. It is for owners that close idle connections themselves and set a
 // deadline for every request. Turning on the probes takes a third of the system
@@ -143,6 +156,10 @@
 	p := c.pools[address]
 	if p == nil {
 		p = newPool(address, max(1, limit), c.keepAliveInterval, &c.memory)
+		if c.maxRequestBytes > 0 {
+			p.requestBytes = semaphore.NewWeighted(c.maxRequestBytes)
+			p.maxRequestBytes = c.maxRequestBytes
+		}
 		c.pools[address] = p
 	}
 	return p
--- a/pkg/adapter/upstreamhttp/conn.go
+++ b/pkg/adapter/upstreamhttp/conn.go
@@ -89,6 +89,8 @@
 // message is an encoded HTTP request with the rules for reading its answer.
 type message struct {
 	text []byte
+	// body is sent after text.
+	body []byte
 	// method is the HTTP method of the request. The reader of the answer needs it
 	// because an answer to HEAD has no body. Empty means any other method.
 	method string
@@ -110,7 +112,7 @@
 		return answer{err: err}
 	}
 	stop := context.AfterFunc(ctx, c.interrupt)
-	n, err := c.send(m.text)
+	n, err := c.send(m.text, m.body)
 	a.sent = n > 0
 	if err != nil {
 		stop()
@@ -153,11 +155,16 @@
 // send writes a request. If the upstream has closed the connection while it was
 // idle, or has sent data on it, send fails without writing any byte, so that the
 // request certainly did not run.
-func (c *conn) send(request []byte) (int, error) {
+func (c *conn) send(request, body []byte) (int64, error) {
 	if c.reader.Buffered() > 0 || peekReceiveBuffer(c.Conn) != receiveEmpty {
 		return 0, errStaleConnection
 	}
-	return c.Write(request)
+	if len(body) > 0 {
+		buffers := net.Buffers{request, body}
+		return buffers.WriteTo(c.Conn)
+	}
+	n, err := c.Write(request)
+	return int64(n), err
 }
 
 // receive reads the response to m into a and sets a.reusable if the connection can
--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -16,8 +16,11 @@
 	// is sent. If it is nil, the context that is passed to Client.Exchange also ends
 	// the wait.
 	WaitContext context.Context
-	// Message is the whole encoded HTTP request.
+	// Message is the encoded HTTP request up to the body, or the whole one.
 	Message []byte
+	// Body is the rest of the request. It is sent without being copied, so that the
+	// attempts of a query over many shards share it.
+	Body []byte
 	// Method is the HTTP method of Message; an answer to HEAD has no body.
 	Method string
 	// MaxAnswerBytes is the size limit of the answer's body.
@@ -42,7 +45,10 @@
 	// MismatchedAnswers is the number of dropped answers, which belonged to other
 	// requests.
 	MismatchedAnswers int
-	Err               error
+	// WaitedForBytes is true if the request waited because of the limit of bytes in
+	// flight.
+	WaitedForBytes bool
+	Err            error
 	// answer holds the memory that is reserved for Body.
 	answer answer
 }
@@ -60,10 +66,17 @@
 	if e.WaitContext != nil {
 		waitCtx = e.WaitContext
 	}
+	// The bytes come first: a request that waits for them must not hold a place that a
+	// small request could use.
+	release, waited, err := p.acquireBytes(waitCtx, e.Deadline, int64(len(e.Message)+len(e.Body)))
+	if err != nil {
+		return Response{WaitedForBytes: waited, Err: err}
+	}
+	defer release()
 	if err := p.acquire(waitCtx, e.Deadline); err != nil {
-		return Response{Err: err}
+		return Response{WaitedForBytes: waited, Err: err}
 	}
 	defer p.requestSemaphore.Release()
-	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest, finalHeader: e.FinalHeader})
-	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, Err: a.err, answer: a}
+	a := p.roundTrip(ctx, waitCtx, e.Deadline, message{text: e.Message, body: e.Body, method: e.Method, maxBodyBytes: e.MaxAnswerBytes, matchesRequest: e.MatchesRequest, finalHeader: e.FinalHeader})
+	return Response{Status: a.status, Header: a.header, Body: a.body, Sent: a.sent, MismatchedAnswers: a.mismatched, WaitedForBytes: waited, Err: a.err, answer: a}
 }
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	weighted "golang.org/x/sync/semaphore"
+
 	"github.com/sardineturn/sardineturn/internal/semaphore"
 )
 
@@ -20,9 +22,13 @@
 	// requestSemaphore allows as many concurrent requests as connections. Further
 	// requests wait here, in order of arrival.
 	requestSemaphore *semaphore.Semaphore
-	ctx              context.Context
-	cancel           context.CancelFunc
-	dials            sync.WaitGroup
+	// requestBytes limits the bytes of requests in flight to maxRequestBytes; nil if there
+	// is no limit.
+	requestBytes    *weighted.Weighted
+	maxRequestBytes int64
+	ctx             context.Context
+	cancel          context.CancelFunc
+	dials           sync.WaitGroup
 
 	mu    sync.Mutex
 	limit int
@@ -236,6 +242,23 @@
 	return p.requestSemaphore.Acquire(ctx, semaphore.Unbounded)
 }
 
+// acquireBytes counts the bytes of a request as in flight. If they exceed the limit, it
+// waits, in order of arrival, until ctx ends or the deadline has passed. release must be
+// called when the request has ended.
+func (p *pool) acquireBytes(ctx context.Context, deadline time.Time, bytes int64) (release func(), waited bool, err error) {
+	if p.requestBytes == nil || bytes <= smallRequestBytes {
+		return func() {}, false, nil
+	}
+	bytes = min(bytes, p.maxRequestBytes)
+	release = func() { p.requestBytes.Release(bytes) }
+	if p.requestBytes.TryAcquire(bytes) {
+		return release, false, nil
+	}
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	defer cancel()
+	return release, true, p.requestBytes.Acquire(ctx, bytes)
+}
+
 // connectBy returns an idle connection if there is one, or else waits for one until
 // the deadline.
 func (p *pool) connectBy(ctx context.Context, deadline time.Time) (*conn, error) {
