Limit the memory of request bodies at the ingress

Cause: an instance took in every body that callers sent. At 225 requests a second of 256 KB, with upstreams that read slowly, one with 184 MB exceeded its memory and was killed.

Change: with memory_mb, the bodies of callers' requests and of delegated queries take an eighth of it at most, 4 MB or more. The ingress reserves the length of a body, or max_body_bytes for a chunked one, before it reads it; the priority comes from the route. Beyond the limit a request is refused before its body is read: 503, code 3030, Retry-After from the rate of release. Attempts share the body and keep it reserved until the last of them ends. A reserved body must arrive within the caller's timeout, 30 s at most. One instance has at most 2 MB of requests in flight to one upstream. Events 420 and 421, two metrics and the status show shortages. Without memory_mb nothing is limited.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -186,10 +186,31 @@
 // take while they are read.
 const answerMemoryShare = 0.25
 
+const (
+	// bodyMemoryShare is the share of the process's memory that the bodies of callers'
+	// requests may take together. Answers may take two quarters.
+	bodyMemoryShare = 0.125
+	// minBodyMemory is the least limit on the bodies together. A minimum share, an eighth
+	// of it, then has room for a body of 256 KB.
+	minBodyMemory = 4 << 20
+	// upstreamRequestBytes limits the bytes of requests in flight to one upstream: eight
+	// bodies of 256 KB, for an upstream with 4 slots and as many places in its queue.
+	upstreamRequestBytes = 2 << 20
+)
+
+// bodyMemory returns the limit on the memory of the bodies of requests, or zero for none.
+func bodyMemory(s settings.Gateway) int64 {
+	if s.MemoryMB <= 0 {
+		return 0
+	}
+	return max(minBodyMemory, int64(s.MemoryMB*bodyMemoryShare*(1<<20)))
+}
+
 func newGatewayUpstreams(s settings.Gateway, clock port.Clock) *upstreamhttp.Client {
 	client := upstreamhttp.NewWithoutTCPKeepAlive(clock)
 	if s.MemoryMB > 0 {
 		client.LimitAnswerMemory(int64(s.MemoryMB * answerMemoryShare * (1 << 20)))
+		client.LimitRequestBytes(upstreamRequestBytes)
 	}
 	return client
 }
@@ -220,6 +241,7 @@
 		FirstStart:     s.FirstStart,
 		Capacity:       s.Capacity(),
 		RetryBudget:    retryBudgetLimits(s),
+		BodyMemory:     bodyMemory(s),
 	}, gateway.Ports{
 		Clock:      p.Clock,
 		Upstreams:  platform.NewUpstreams(p.Upstreams, p.Clock),
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -60,6 +60,8 @@
 	RequestCleared      ID = 414
 	CrashExcused        ID = 415
 	SuspectTried        ID = 416
+	BodyMemoryShort     ID = 420
+	BodyMemoryRestored  ID = 421
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -6,7 +6,6 @@
 
 	"github.com/sardineturn/sardineturn/internal/minheap"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
-	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -78,14 +77,6 @@
 	return a
 }
 
-// countDroppedAnswer counts an upstream's answer that was not used because its status is
-// invalid.
-func (g *Gateway) countDroppedAnswer(reply *Reply) {
-	if reply.InvalidStatus {
-		g.ports.Metrics.AnswerDropped(metrics.DropInvalidStatus)
-	}
-}
-
 func later(a, b time.Time) time.Time {
 	if b.After(a) {
 		return b
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -239,6 +239,10 @@
 	if suspicion != suspected && !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget) {
 		return declined(g.loadReason(now, fingerprint, suspicion))
 	}
+	if _, ok := g.reserveBody(r, int64(len(q.Body))); !ok {
+		return declined("the memory for the bodies of requests is used up")
+	}
+	defer r.ReleaseBody()
 	run := g.newRequestRun(v, r, route, route.Gather.Services, fingerprint, q.Spent, q.ReturnDelay)
 	run.callerGone = ctx.Done()
 	var a Answer
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardineturn/sardineturn/internal/workers"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/bodymemory"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -44,6 +45,9 @@
 	Capacity float64
 	// RetryBudget limits the retries and hedges on each service.
 	RetryBudget retrybudget.Limits
+	// BodyMemory limits the memory, in bytes, of the bodies of all requests; zero means no
+	// limit.
+	BodyMemory int64
 }
 
 // Seed is an instance from the settings. It may or may not be running.
@@ -133,8 +137,10 @@
 	latencies sync.Map // route name to *routeLatency
 	timing    callerTiming
 	logLimit  logLineLimit
-	workers   *workers.Pool
-	delegates delegates
+	// bodyMemory limits the memory of the bodies of requests.
+	bodyMemory bodyMemory
+	workers    *workers.Pool
+	delegates  delegates
 
 	stopping atomic.Bool
 	// answerBy is when a stopping gateway must have answered all requests, and answersDue
@@ -186,6 +192,9 @@
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
 	g.settings.seeds, g.settings.budget = cfg.Seeds, cfg.RetryBudget
+	if cfg.BodyMemory > 0 {
+		g.bodyMemory.limiter = bodymemory.New(cfg.BodyMemory)
+	}
 	g.quarantine.set = quarantine.New(0)
 	g.answers.memory = quarantine.NewAnswers(now)
 	g.delegates.table = delegation.NewTable(cfg.Capacity)
@@ -319,6 +328,7 @@
 			now := g.ports.Clock.Now()
 			g.expireLapsed(now)
 			g.updateRetryBudgets(now)
+			g.updateBodyMemory(now)
 			g.ports.Upstreams.CloseIdle(g.idleTime())
 		}
 	}
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -35,6 +35,8 @@
 	// zero if the caller did not state it.
 	CallerTimeout time.Duration
 	Arrived       time.Time
+	// memory is reserved for the body; nil if the body does not count towards the limit.
+	memory *requestMemory
 }
 
 // fingerprint returns a hash of the method, host, path and body, by which a request is
@@ -112,6 +114,9 @@
 	// InvalidStatus is true if the attempt ended because the upstream sent an answer with
 	// an invalid status.
 	InvalidStatus bool
+	// WaitedForBytes is true if the attempt waited because too many bytes of requests were
+	// in flight to the upstream.
+	WaitedForBytes bool
 	// MismatchedAnswers counts the answers that were dropped because they belonged to
 	// other requests.
 	MismatchedAnswers int
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -52,8 +52,9 @@
 	attempts   []attempt
 	// replies holds the accepted answer of each part.
 	replies []*Reply
-	// held holds all replies until the answer is delivered.
-	held heldReplies
+	// held holds all replies until the answer is delivered. It is a pointer so that an
+	// answer that waits for its caller does not keep the request's body in memory.
+	held *heldReplies
 	// lastReply is the reply of the attempt that ended last.
 	lastReply  *Reply
 	callerLeft bool
@@ -263,7 +264,7 @@
 func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	r.held.add(&reply)
-	r.g.countDroppedAnswer(&reply)
+	r.g.countReply(&reply)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -190,7 +190,7 @@
 		cfg.MinParts = route.Gather.MinParts()
 		cfg.AnswerBy = answerBy
 	}
-	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route)}
+	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route), held: new(heldReplies)}
 	run.typicalLatency, run.hedgeAfter = run.latency.estimates()
 	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLeadFactor * float64(run.typicalLatency)))
 	run.config = cfg
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -18,11 +18,12 @@
 	AgeMS         int64              `json:"age_ms"`
 	Upstreams     int                `json:"upstreams"`
 	Active        int                `json:"active"`
+	BodyMemory    *BodyMemoryStatus  `json:"body_memory,omitempty"`
 }
 
 // Status implements operatorhttp.Inspector.
 func (g *Gateway) Status() any {
-	s := Status{Active: g.ActiveRequests()}
+	s := Status{Active: g.ActiveRequests(), BodyMemory: g.bodyMemoryStatus()}
 	s.Ready, s.Reason = g.Ready()
 	g.fleet.Lock()
 	s.Reader = g.fleet.isReader
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -118,6 +118,7 @@
 	crashChecks         *family[tally.Counter]
 	restarts            tally.Counter
 	pauses              tally.Counter
+	upstreamByteWaits   tally.Counter
 	suppressedLines     tally.Counter
 
 	queued          *family[tally.Gauge]
@@ -128,6 +129,7 @@
 	tickets         tally.Gauge
 	documents       tally.Gauge
 	ready           tally.Gauge
+	bodyMemory      *family[tally.Gauge]
 
 	requestLatency *family[tally.Histogram]
 	queueDelay     *family[tally.Histogram]
@@ -180,6 +182,7 @@
 		crashChecks:         counters(nameCrashChecks, tagResult),
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
+		upstreamByteWaits:   scope.Counter(nameUpstreamByteWaits),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
 		inFlight:            gauges(nameInFlight, tagGroup),
@@ -189,6 +192,7 @@
 		tickets:             scope.Gauge(nameTickets),
 		documents:           scope.Gauge(nameDocuments),
 		ready:               scope.Gauge(nameReady),
+		bodyMemory:          gauges(nameBodyMemory, tagPriority),
 		requestLatency:      newFamily(scope, nameRequestLatency, latency, tagPriority),
 		queueDelay:          newFamily(scope, nameQueueDelay, latency, tagPriority),
 		coverage:            newFamily(scope, nameCoverage, ratio, tagPriority),
@@ -393,6 +397,21 @@
 	}
 }
 
+// WaitedForUpstreamBytes counts an attempt that waited because too many bytes of requests
+// were in flight to its upstream.
+func (m *Metrics) WaitedForUpstreamBytes() {
+	if m != nil {
+		m.upstreamByteWaits.Inc(1)
+	}
+}
+
+// SetBodyMemory sets the memory that is reserved for the bodies of requests.
+func (m *Metrics) SetBodyMemory(priority string, bytes int64) {
+	if m != nil {
+		m.bodyMemory.seriesFor(priority).Update(float64(bytes))
+	}
+}
+
 // QueueDelay records the time that a request waited in a queue.
 func (m *Metrics) QueueDelay(priority string, d time.Duration) {
 	if m != nil {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -27,6 +27,7 @@
 	nameCrashChecks         = "crash_checks_total"
 	nameRestarts            = "query_restarts_total"
 	namePauses              = "pauses_total"
+	nameUpstreamByteWaits   = "upstream_byte_waits_total"
 	nameSuppressedLines     = "suppressed_log_lines_total"
 )
 
@@ -40,6 +41,7 @@
 	nameTickets         = "order_tickets_held"
 	nameDocuments       = "documents_in_force"
 	nameReady           = "ready"
+	nameBodyMemory      = "body_memory_bytes"
 )
 
 // Names of histograms.
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -59,6 +59,7 @@
 	ConnectionLimit      Code = 3024
 	RetryBudgetExhausted Code = 3025
 	UpstreamRateLimited  Code = 3026
+	BodyMemoryFull       Code = 3030
 
 	UpstreamFailed    Code = 4000
 	UpstreamLost      Code = 4001
@@ -118,6 +119,7 @@
 	ConnectionLimit:      "connection_limit",
 	RetryBudgetExhausted: "retry_budget_exhausted",
 	UpstreamRateLimited:  "upstream_rate_limited",
+	BodyMemoryFull:       "body_memory_full",
 	UpstreamFailed:       "upstream_failed",
 	UpstreamLost:         "upstream_lost",
 	OutcomeUnknown:       "outcome_unknown",
