Test that an invalid status does not reach a caller

Cause: the tests of invalid statuses covered the upstream adapter only.

Change: a test with a whole gateway, whose upstream answers with status 600.

On the code before the fix the caller got status 600, and with the header for requests that did not run a 503 with Retry-After.

--- a/pkg/app/gateway_test.go
+++ b/pkg/app/gateway_test.go
@@ -108,7 +108,7 @@
 // startGateway starts a gateway whose configuration has one route, for requests that are
 // not idempotent, to one upstream. It returns the settings, and a function that stops
 // the gateway and waits until it has ended.
-func startGateway(t *testing.T, u *upstreamStub) (settings.Gateway, func() error) {
+func startGateway(t *testing.T, u http.Handler) (settings.Gateway, func() error) {
 	t.Helper()
 	upstream := httptest.NewServer(u)
 	t.Cleanup(upstream.Close)
@@ -268,3 +268,28 @@
 		must.True(t, answered[id], must.Sprint("request ", id, " ran and got no answer"))
 	}
 }
+
+// TestInvalidStatusIsNotPassedOn guards against an upstream's status that is none of HTTP
+// and reaches the caller, as an answer or as a refusal of a request that did not run.
+func TestInvalidStatusIsNotPassedOn(t *testing.T) {
+	s, stop := startGateway(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
+		w.Header().Set("X-Server-Stamp", "signature")
+		if r.URL.Path == "/declined" {
+			w.Header().Set("X-Not-Executed", "1")
+		}
+		w.WriteHeader(600)
+	}))
+	for _, path := range []string{"/failed", "/declined"} {
+		req, err := http.NewRequest(http.MethodPost, "http://"+s.CallerAddress+path, nil)
+		must.NoError(t, err)
+		req.Host = "a.example"
+		req.Header.Set("X-Request-Id", "1")
+		resp, err := http.DefaultClient.Do(req)
+		must.NoError(t, err)
+		must.Eq(t, http.StatusBadGateway, resp.StatusCode, must.Sprint(path))
+		must.Eq(t, "", resp.Header.Get("Retry-After"))
+		must.NoError(t, resp.Body.Close())
+	}
+	must.NoError(t, stop())
+}
