--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -60,9 +60,11 @@
 	RequestCleared      ID = 414
 	CrashExcused        ID = 415
 	SuspectTried        ID = 416
+	AdmissionChanged    ID = 417
 	EvacuationStarted   ID = 420
 	EvacuationEnded     ID = 421
-	AdmissionChanged    ID = 417
+	BodyMemoryShort     ID = 422
+	BodyMemoryRestored  ID = 423
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"github.com/sardineturn/sardineturn/internal/workers"
 	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
+	"github.com/sardineturn/sardineturn/pkg/bodymemory"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -48,6 +49,9 @@
 	LoadShedding LoadShedding
 	// RetryBudget limits the retries and hedges on each service.
 	RetryBudget retrybudget.Limits
+	// BodyMemory limits the memory, in bytes, of the bodies of all requests; zero means no
+	// limit.
+	BodyMemory int64
 }
 
 // LoadShedding says when a gateway sheds load.
@@ -162,8 +166,10 @@
 	latencies sync.Map // route name to *routeLatency
 	timing    callerTiming
 	logLimit  logLineLimit
-	workers   *workers.Pool
-	delegates delegates
+	// bodyMemory limits the memory of the bodies of requests.
+	bodyMemory bodyMemory
+	workers    *workers.Pool
+	delegates  delegates
 
 	stopping atomic.Bool
 	// answerBy is when a stopping gateway must have answered all requests, and answersDue
@@ -215,6 +221,9 @@
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
 	g.settings.seeds, g.settings.budget = cfg.Seeds, cfg.RetryBudget
+	if cfg.BodyMemory > 0 {
+		g.bodyMemory.limiter = bodymemory.New(cfg.BodyMemory)
+	}
 	g.quarantine.set = quarantine.New(0)
 	g.answers.memory = quarantine.NewAnswers(now)
 	g.delegates.table = delegation.NewTable(cfg.Capacity)
@@ -349,6 +358,7 @@
 			now := g.ports.Clock.Now()
 			g.expireLapsed(now)
 			g.updateRetryBudgets(now)
+			g.updateBodyMemory(now)
 			g.ports.Upstreams.CloseIdle(g.idleTime())
 		}
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -192,7 +192,7 @@
 		cfg.AnswerBy = answerBy
 		cfg.ShedSlowParts = shedsLoad
 	}
-	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route), shedsLoad: shedsLoad}
+	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route), shedsLoad: shedsLoad, held: new(heldReplies)}
 	run.typicalLatency, run.hedgeAfter = run.latency.estimates()
 	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLeadFactor * float64(run.typicalLatency)))
 	run.config = cfg
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -23,12 +23,13 @@
 	// Evacuated lists the data centres whose upstreams get no requests.
 	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
 	// Limited lists the routes whose requests are limited because of overloaded upstreams.
-	Limited []admission.RouteStatus `json:"limited,omitempty"`
+	Limited    []admission.RouteStatus `json:"limited,omitempty"`
+	BodyMemory *BodyMemoryStatus       `json:"body_memory,omitempty"`
 }
 
 // Status implements operatorhttp.Inspector.
 func (g *Gateway) Status() any {
-	s := Status{Active: g.ActiveRequests(), Limited: g.admissionStatus()}
+	s := Status{Active: g.ActiveRequests(), Limited: g.admissionStatus(), BodyMemory: g.bodyMemoryStatus()}
 	s.Ready, s.Reason = g.Ready()
 	g.fleet.Lock()
 	s.Reader = g.fleet.isReader
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -119,6 +119,7 @@
 	crashChecks         *family[tally.Counter]
 	restarts            tally.Counter
 	pauses              tally.Counter
+	upstreamByteWaits   tally.Counter
 	suppressedLines     tally.Counter
 	withdrawnAttempts   tally.Counter
 
@@ -131,6 +132,7 @@
 	documents       tally.Gauge
 	ready           tally.Gauge
 	evacuated       tally.Gauge
+	bodyMemory      *family[tally.Gauge]
 
 	requestLatency *family[tally.Histogram]
 	queueDelay     *family[tally.Histogram]
@@ -184,6 +186,7 @@
 		crashChecks:         counters(nameCrashChecks, tagResult),
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
+		upstreamByteWaits:   scope.Counter(nameUpstreamByteWaits),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
 		withdrawnAttempts:   scope.Counter(nameWithdrawnAttempts),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
@@ -195,6 +198,7 @@
 		documents:           scope.Gauge(nameDocuments),
 		ready:               scope.Gauge(nameReady),
 		evacuated:           scope.Gauge(nameEvacuated),
+		bodyMemory:          gauges(nameBodyMemory, tagPriority),
 		requestLatency:      newFamily(scope, nameRequestLatency, latency, tagPriority),
 		queueDelay:          newFamily(scope, nameQueueDelay, latency, tagPriority),
 		coverage:            newFamily(scope, nameCoverage, ratio, tagPriority),
@@ -421,6 +425,21 @@
 	}
 }
 
+// WaitedForUpstreamBytes counts an attempt that waited because too many bytes of requests
+// were in flight to its upstream.
+func (m *Metrics) WaitedForUpstreamBytes() {
+	if m != nil {
+		m.upstreamByteWaits.Inc(1)
+	}
+}
+
+// SetBodyMemory sets the memory that is reserved for the bodies of requests.
+func (m *Metrics) SetBodyMemory(priority string, bytes int64) {
+	if m != nil {
+		m.bodyMemory.seriesFor(priority).Update(float64(bytes))
+	}
+}
+
 // QueueDelay records the time that a request waited in a queue.
 func (m *Metrics) QueueDelay(priority string, d time.Duration) {
 	if m != nil {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -28,6 +28,7 @@
 	nameCrashChecks         = "crash_checks_total"
 	nameRestarts            = "query_restarts_total"
 	namePauses              = "pauses_total"
+	nameUpstreamByteWaits   = "upstream_byte_waits_total"
 	nameSuppressedLines     = "suppressed_log_lines_total"
 	nameWithdrawnAttempts   = "withdrawn_attempts_total"
 )
@@ -43,6 +44,7 @@
 	nameDocuments       = "documents_in_force"
 	nameReady           = "ready"
 	nameEvacuated       = "evacuated_data_centres"
+	nameBodyMemory      = "body_memory_bytes"
 )
 
 // Names of histograms.
--- a/pkg/result/result.go
+++ b/pkg/result/result.go
@@ -60,6 +60,7 @@
 	RetryBudgetExhausted Code = 3025
 	UpstreamRateLimited  Code = 3026
 	Evacuated            Code = 3030
+	BodyMemoryFull       Code = 3031
 
 	UpstreamFailed    Code = 4000
 	UpstreamLost      Code = 4001
@@ -120,6 +121,7 @@
 	RetryBudgetExhausted: "retry_budget_exhausted",
 	UpstreamRateLimited:  "upstream_rate_limited",
 	Evacuated:            "evacuated",
+	BodyMemoryFull:       "body_memory_full",
 	UpstreamFailed:       "upstream_failed",
 	UpstreamLost:         "upstream_lost",
 	OutcomeUnknown:       "outcome_unknown",
