Limit the requests to cold upstreams over all instances

Cause: upstreams that have just started, or have become cold again, got as many requests as any other. With cold_per_s of a service they must get at most cold_excess x cold_per_s + cold_slack in any second, from all instances.

Change: each instance has a share of the limit without messages between instances (pkg/backpressure, ColdLimit). The first K of the known instances, in an order that differs for each upstream, have a token bucket; the others send nothing to the upstream while it is cold. Instances that cannot be reached stay in the order for 10 minutes, and an instance that starts has no share until it knows the others. Tokens are reserved when an attempt starts and used right before it is sent, so that attempts that waited for a connection do not arrive together. A request for which all upstreams are at their limits is refused at once with code 3026. The cold time comes from the registry or the newer answer to a health check, plus the age of the replica. New: settings section "cold", event 422, gauge cold_upstreams, reasons of withdrawn_attempts_total, status and explain fields. docs/design/cold-upstreams.md derives the bound. Without cold_per_s nothing changes.

The template yields null for a bound that the platform does not state; null values in this section count as absent, because the process would not start.

Each new test was first seen to fail on code with one fault planted: - TestColdBound: no margin for unknown instances, every instance a sharer, or limits that are dropped with the entry (39 requests too many). Not caught by a test, because the limit's other rules cover it: tokens that are not capped while they refill (Set caps them), and a reserved request that is sent although its share has shrunk.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -21,6 +21,7 @@
 	"github.com/sardineturn/sardineturn/pkg/adapter/peergrpc"
 	"github.com/sardineturn/sardineturn/pkg/adapter/peerudp"
 	"github.com/sardineturn/sardineturn/pkg/adapter/upstreamhttp"
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/gateway"
 	"github.com/sardineturn/sardineturn/pkg/logqueue"
@@ -220,6 +221,7 @@
 		FirstStart:     s.FirstStart,
 		Capacity:       s.Capacity(),
 		RetryBudget:    retryBudgetLimits(s),
+		ColdBounds:     backpressure.ColdBounds{Excess: s.Cold.Excess, Slack: s.Cold.Slack},
 	}, gateway.Ports{
 		Clock:      p.Clock,
 		Upstreams:  platform.NewUpstreams(p.Upstreams, p.Clock),
--- a/pkg/backpressure/backpressure_test.go
+++ b/pkg/backpressure/backpressure_test.go
@@ -102,3 +102,21 @@
 	must.False(t, none.Allows(epoch, true))
 	must.LessEq(t, 2*time.Second, none.RetryAt(epoch).Sub(epoch))
 }
+
+// TestColdSharesFitTheBound guards against shares of a cold upstream whose sum exceeds the
+// platform's bound, less the margin for instances that are not known, when the requests of
+// a tenth of a second more arrive in a second.
+func TestColdSharesFitTheBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		perSecond := rapid.Float64Range(0, 1000).Draw(t, "per second")
+		b := ColdBounds{Excess: rapid.Float64Range(0, 4).Draw(t, "excess"), Slack: rapid.Float64Range(0, 20).Draw(t, "slack")}
+		senders := rapid.IntRange(1, 5000).Draw(t, "senders")
+		sharers, rate, burst := divideCold(perSecond, b, senders)
+		if sharers == 0 {
+			return
+		}
+		must.LessEq(t, 0.8*(b.Excess*perSecond+b.Slack)+1e-6, 1.1*rate+float64(sharers)*burst)
+		must.GreaterEq(t, 1, burst)
+		must.LessEq(t, senders, sharers)
+	})
+}
--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -106,6 +106,9 @@
 	blockedUntil time.Time
 	// RateLimit is this instance's share of the rate limit that its answers name.
 	RateLimit backpressure.RateLimit
+	// coldLimit is this instance's share of the requests that the upstream tolerates while
+	// it is cold; nil if there is no limit.
+	coldLimit *backpressure.ColdLimit
 }
 
 // InFlight returns the number of attempts of this instance that are in flight on
@@ -153,6 +156,10 @@
 	upstreams []*Upstream
 	// withheld holds upstreams that must get no attempts for the time being.
 	withheld []*Upstream
+	// coldLimits holds the limits of the upstreams that are cold or were so lately, by id.
+	// They last longer than the observations, so that an upstream that is listed again
+	// does not get the requests of a second twice.
+	coldLimits map[string]*coldLimitRecord
 	// offset moves the start of the search for an upstream with each Pick.
 	offset int
 }
@@ -179,10 +186,10 @@
 		if u == nil || u.Started != entry.Started || u.Address != entry.Address {
 			u = &Upstream{latencyFactor: 1, observedAt: now}
 		}
-		if u.Upstream != entry {
-			u.Upstream = entry
+		if !sameReport(u.Upstream, entry) {
 			u.coldUntil = now.Add(entry.ColdFor)
 		}
+		u.Upstream = entry
 		updated = append(updated, u)
 	}
 	return updated
@@ -204,8 +211,8 @@
 func (s *Service) Len() int { return len(s.upstreams) }
 
 // Pick returns the upstream with the lowest expected cost that is not among the
-// excluded ones, or nil. An upstream whose rate limit allows no further attempt is never
-// chosen, and an avoided upstream only for the first attempt of a part, if there is no
+// excluded ones, or nil. An upstream whose rate limit, or whose limit while it is cold,
+// allows no further attempt is never chosen, and an avoided upstream only for the first attempt of a part, if there is no
 // other. typical is the typical latency of such a request.
 func (s *Service) Pick(now time.Time, typical time.Duration, excluded []string, first bool) *Upstream {
 	var best *Upstream
@@ -218,7 +225,7 @@
 		if slices.Contains(excluded, u.ID) {
 			continue
 		}
-		if u.avoided(now) && !first || !u.RateLimit.Allows(now, first) {
+		if u.avoided(now) && !first || !u.RateLimit.Allows(now, first) || !u.coldAllows(now) {
 			continue
 		}
 		cost := s.cost(now, u, typical)
@@ -229,11 +236,11 @@
 	return best
 }
 
-// RateLimited reports whether there are upstreams and the rate limits of all of them
-// forbid a first attempt now.
+// RateLimited reports whether there are upstreams and the rate limits of all of them, or
+// their limits while they are cold, forbid a first attempt now.
 func (s *Service) RateLimited(now time.Time) bool {
 	for _, u := range s.upstreams {
-		if u.RateLimit.Allows(now, true) {
+		if u.RateLimit.Allows(now, true) && u.coldAllows(now) {
 			return false
 		}
 	}
@@ -245,11 +252,11 @@
 func (s *Service) RetryAt(now time.Time) time.Time {
 	next := s.upstreams[0]
 	for _, u := range s.upstreams[1:] {
-		if u.RateLimit.AllowedAt(now, true).Before(next.RateLimit.AllowedAt(now, true)) {
+		if u.allowedAt(now).Before(next.allowedAt(now)) {
 			next = u
 		}
 	}
-	return next.RateLimit.RetryAt(now)
+	return next.retryAt(now)
 }
 
 // cost returns the expected latency of one more attempt on the upstream, with
--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -39,6 +39,9 @@
 	// ColdFor is how much longer the upstream remains slow after its start,
 	// counted from the time of its report.
 	ColdFor time.Duration
+	// ColdUntil is when the upstream is certainly no longer slow by its last report, on
+	// this instance's clock; zero if it did not report to be slow.
+	ColdUntil time.Time
 	// Started is the Unix time of its start in milliseconds. It differs between
 	// processes that use the same id one after the other.
 	Started int64
@@ -65,6 +68,18 @@
 	delete(d.lapsing, u.ID)
 }
 
+// SetColdUntil replaces Upstream.ColdUntil of a listed upstream's process by what a newer
+// report says, and reports whether the process is listed.
+func (d *Directory) SetColdUntil(id string, started int64, until time.Time) bool {
+	u, ok := d.upstreams[id]
+	if !ok || u.Started != started {
+		return false
+	}
+	u.ColdUntil = until
+	d.upstreams[id] = u
+	return true
+}
+
 // Remove removes the entry of an upstream. If the entry lapsed and the upstream was
 // ready, the entry stays listed until LapseGrace after the first such removal.
 func (d *Directory) Remove(now time.Time, id string, lapsed bool) {
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -62,6 +62,7 @@
 	SuspectTried        ID = 416
 	EvacuationStarted   ID = 420
 	EvacuationEnded     ID = 421
+	ColdLimitsChanged   ID = 422
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/answer.go
+++ b/pkg/gateway/answer.go
@@ -63,11 +63,14 @@
 	var retryAt time.Time
 	for i, name := range r.services {
 		s := r.view.services[name]
-		if s == nil || r.query.MissingReason(i) != fanout.RateLimited {
+		if s == nil {
 			continue
 		}
+		reason := r.query.MissingReason(i)
 		s.mu.Lock()
-		if s.balancer.RateLimited(now) {
+		// An attempt that found the share of a cold upstream used up leaves its part
+		// without an upstream.
+		if reason == fanout.RateLimited && s.balancer.RateLimited(now) || reason == fanout.NoUpstream && s.balancer.ColdLimited(now) {
 			retryAt = later(retryAt, s.balancer.RetryAt(now))
 		}
 		s.mu.Unlock()
--- a/pkg/gateway/crash.go
+++ b/pkg/gateway/crash.go
@@ -184,7 +184,9 @@
 	case path == "":
 		probe = g.ports.Upstreams.Probe(ctx, u.Address)
 	default:
-		probe = g.ports.Upstreams.CheckHealth(ctx, u, path)
+		health := g.ports.Upstreams.CheckHealth(ctx, u, path)
+		probe = health.Probe
+		g.recordHealth(u, health)
 	}
 	g.ports.Metrics.CrashChecked(probe.String())
 	g.quarantine.Lock()
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -10,6 +10,7 @@
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/feed"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
@@ -57,13 +58,19 @@
 }
 
 // recordWithdrawal marks the reply to an attempt that was not sent because the data centre
-// of its upstream was evacuated meanwhile. The attempt shows nothing about the upstream.
-func (g *Gateway) recordWithdrawal(reply *Reply, u directory.Upstream) {
-	if reply.Status != fanout.NotSent || !g.isEvacuated(u.DataCentre) {
-		return
+// of its upstream was evacuated meanwhile, or because the upstream is cold. The attempt
+// shows nothing about the upstream.
+func (g *Gateway) recordWithdrawal(reply *Reply, u directory.Upstream, gate *coldGate) {
+	denied := gate.close()
+	switch {
+	case reply.Status != fanout.NotSent:
+	case g.isEvacuated(u.DataCentre):
+		reply.UpstreamOutcome, reply.Detail = balancer.Cancelled, "the upstream's data centre is evacuated"
+		g.ports.Metrics.AttemptWithdrawn(metrics.WithdrawnEvacuated)
+	case denied:
+		reply.UpstreamOutcome, reply.Detail = balancer.Cancelled, coldLimitDetail
+		g.ports.Metrics.AttemptWithdrawn(metrics.WithdrawnCold)
 	}
-	reply.UpstreamOutcome, reply.Detail = balancer.Cancelled, "the upstream's data centre is evacuated"
-	g.ports.Metrics.AttemptWithdrawn()
 }
 
 // withholdEvacuated leaves out the parts whose services have upstreams in evacuated data
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -25,14 +25,10 @@
 }
 
 // countSent makes the upstreams answer with f and returns a function that returns, and
-// clears, the number of requests that reached each data centre. Like the adapter, an
-// upstream calls MaySend before it counts a request.
+// clears, the number of requests that reached each data centre.
 func (ff *fakeFleet) countSent(f func(ctx context.Context, c Call) Reply) (sent func() map[model.DataCentre]int) {
 	counts := make(map[model.DataCentre]int)
 	ff.answer = func(ctx context.Context, c Call) Reply {
-		if !c.MaySend() {
-			return Reply{Status: fanout.NotSent, UpstreamOutcome: balancer.Unreachable}
-		}
 		ff.withLock(func() { counts[c.Upstream.DataCentre]++ })
 		return f(ctx, c)
 	}
@@ -195,12 +191,10 @@
 			}
 			return successReply(c, "")
 		})
-		answer := ff.answer
-		ff.answer = func(ctx context.Context, c Call) Reply {
+		ff.connect = func(c Call) {
 			if c.Upstream.DataCentre == "a" && c.Request.ID == "1" {
-				time.Sleep(300 * time.Millisecond) // Waits for a connection.
+				time.Sleep(300 * time.Millisecond)
 			}
-			return answer(ctx, c)
 		}
 		g := ff.start(0, 1)
 		time.Sleep(propagationTime)
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/sirupsen/logrus"
 
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
@@ -65,10 +66,15 @@
 	answer   func(ctx context.Context, c Call) Reply
 	answerTo func(ctx context.Context, instance string, c Call) Reply
 	attempts int
+	// connect, if set, is called for each attempt and waits for a connection. Like the
+	// adapter, the fake asks Call.MaySend then; attempts counts only what is sent.
+	connect func(c Call)
 	// crashed holds the addresses of the upstreams that refuse connections or, if
 	// crashedSilently is true, do not answer.
 	crashed         map[string]bool
 	crashedSilently bool
+	// coldPerSecond is the limit for cold upstreams in the configurations of configure.
+	coldPerSecond float64
 	// healthChecks counts the probes and health checks by address.
 	healthChecks map[string]int
 }
@@ -133,7 +139,7 @@
 	c := routing.Config{Version: version, Routes: routes, Services: make(map[string]routing.Service)}
 	for _, r := range routes {
 		for _, target := range r.Targets {
-			c.Services[target.Service] = routing.Service{Name: target.Service, MaxConnections: 100}
+			c.Services[target.Service] = routing.Service{Name: target.Service, MaxConnections: 100, ColdPerSecond: ff.coldPerSecond}
 		}
 	}
 	ff.mu.Lock()
@@ -358,6 +364,12 @@
 
 // Send implements Upstreams.
 func (u fakeUpstreams) Send(ctx context.Context, c Call) Reply {
+	if u.connect != nil {
+		u.connect(c)
+	}
+	if !c.MaySend() {
+		return Reply{Status: fanout.NotSent, UpstreamOutcome: balancer.Unreachable}
+	}
 	u.mu.Lock()
 	answer, answerTo := u.answer, u.answerTo
 	u.attempts++
@@ -386,8 +398,8 @@
 }
 
 // CheckHealth implements Upstreams.
-func (u fakeUpstreams) CheckHealth(ctx context.Context, listed directory.Upstream, _ string) ProbeResult {
-	return u.Probe(ctx, listed.Address)
+func (u fakeUpstreams) CheckHealth(ctx context.Context, listed directory.Upstream, _ string) Health {
+	return Health{Probe: u.Probe(ctx, listed.Address)}
 }
 
 // Retain implements Upstreams.
@@ -420,6 +432,7 @@
 	log.SetOutput(io.Discard)
 	p := instancePorts{fakeFleet: ff, id: instanceAddress(n)}
 	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Seeds = model.InstanceID(p.id), "c", "z", p.id, seeds
+	cfg.ColdBounds = backpressure.ColdBounds{Excess: 1.5, Slack: 5}
 	cfg.RetryBudget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
 	g := New(cfg, Ports{
 		Clock: port.SystemClock{}, Upstreams: fakeUpstreams{p}, Decoder: ff, Store: p, FeedPeers: p, QueryPeers: p, Control: fakeControl{p}, Log: log,
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/internal/workers"
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
 	"github.com/sardineturn/sardineturn/pkg/directory"
@@ -44,6 +45,8 @@
 	Capacity float64
 	// RetryBudget limits the retries and hedges on each service.
 	RetryBudget retrybudget.Limits
+	// ColdBounds bounds the requests to cold upstreams.
+	ColdBounds backpressure.ColdBounds
 }
 
 // Seed is an instance from the settings. It may or may not be running.
@@ -91,6 +94,8 @@
 	// evacuated holds the evacuated data centres; nil if there are none. The map is not
 	// changed once it is stored.
 	evacuated atomic.Pointer[map[model.DataCentre]bool]
+	// coldUpstreams is the number of upstreams whose limit for cold upstreams applies.
+	coldUpstreams atomic.Int64
 
 	// fleet holds the membership and values that are derived from it.
 	fleet struct {
@@ -109,6 +114,11 @@
 		// isQueryRunner is true if this instance is one of them.
 		maxQueryRunners int
 		isQueryRunner   bool
+		// known holds all instances that may send requests to upstreams, including those
+		// that this one cannot reach at present.
+		known knownInstances
+		// coldSenders is the last copy of known.
+		coldSenders *coldSenders
 		// isReader is true if this instance reads the platform for the others.
 		isReader bool
 	}
@@ -208,6 +218,7 @@
 		SuspicionTimeout: suspicionTimeout,
 	}, now)
 	g.fleet.maxMembers = 1
+	g.fleet.known.update(now, g.fleet.membership.Members())
 	return g
 }
 
@@ -323,6 +334,7 @@
 			now := g.ports.Clock.Now()
 			g.expireLapsed(now)
 			g.updateRetryBudgets(now)
+			g.updateColdLimits(now)
 			g.ports.Upstreams.CloseIdle(g.idleTime())
 		}
 	}
--- a/pkg/gateway/member_sync.go
+++ b/pkg/gateway/member_sync.go
@@ -60,6 +60,9 @@
 		// failure detector reports members that are gone.
 		return
 	}
+	g.fleet.Lock()
+	g.fleet.known.addReported(g.ports.Clock.Now(), ids)
+	g.fleet.Unlock()
 	known := make(map[model.InstanceID]bool)
 	for _, id := range alive {
 		known[id] = true
--- a/pkg/gateway/membership.go
+++ b/pkg/gateway/membership.go
@@ -92,6 +92,7 @@
 	var members []membership.Member
 	if changed {
 		members = g.fleet.membership.Members()
+		g.fleet.known.update(g.ports.Clock.Now(), members)
 		g.fleet.maxMembers = max(g.fleet.maxMembers, len(members))
 		g.fleet.maxTotalCores = max(g.fleet.maxTotalCores, totalCapacity(members))
 		runners, isRunner := queryRunners(members, g.cfg.ID)
--- a/pkg/gateway/port.go
+++ b/pkg/gateway/port.go
@@ -143,6 +143,15 @@
 	return [...]string{"accepted", "refused", "unanswered", "replaced", "skipped"}[r]
 }
 
+// Health is the outcome of a health check.
+type Health struct {
+	Probe ProbeResult
+	// ColdFor is how much longer the upstream remains slow, if StatesCold says that it
+	// stated it.
+	ColdFor    time.Duration
+	StatesCold bool
+}
+
 // Upstreams sends requests to upstreams.
 type Upstreams interface {
 	// Send runs one attempt. Cancelling ctx cancels it at the upstream.
@@ -151,7 +160,7 @@
 	Probe(ctx context.Context, address string) ProbeResult
 	// CheckHealth requests the path from the upstream over a connection of its own. Any
 	// answer of the upstream counts as accepted.
-	CheckHealth(ctx context.Context, u directory.Upstream, path string) ProbeResult
+	CheckHealth(ctx context.Context, u directory.Upstream, path string) Health
 	// Retain closes the connections to all addresses but the given ones.
 	Retain(addresses map[string]bool)
 	// CloseIdle closes the connections that have had no request for the given time.
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -59,6 +59,9 @@
 	if !ok {
 		return
 	}
+	if u.ColdFor > 0 {
+		u.ColdUntil = now.Add(u.ColdFor + now.Sub(p.confirmedAt))
+	}
 	switch {
 	case c.Deleted:
 		g.info(event.UpstreamGone, event.Fields{"upstream": u.ID, "revision": c.Revision, "lapsed": c.Lapsed, "source": source}, "an upstream's entry was removed")
@@ -129,11 +132,14 @@
 			addresses[u.Address] = true
 		}
 	}
+	cold := g.newColdLimiter(now, p.table)
 	for name, s := range v.services {
 		s.mu.Lock()
 		s.balancer.Update(now, listed[name], withheld[name]...)
+		cold.limit(s)
 		s.mu.Unlock()
 	}
+	cold.report()
 	if g.view.Swap(v) == nil {
 		close(g.viewAvailable)
 		g.info(event.ProcessReady, event.Fields{"version": p.table.Version, "upstreams": p.directory.Len()}, "the gateway is ready")
--- a/pkg/gateway/rate_limit.go
+++ b/pkg/gateway/rate_limit.go
@@ -80,7 +80,12 @@
 
 // shareHash orders the instances differently for each upstream.
 func shareHash(upstream string, id model.InstanceID) uint64 {
+	return mixHashes(xxhash.Sum64String(upstream), xxhash.Sum64String(string(id)))
+}
+
+// mixHashes combines the hashes of an upstream and an instance.
+func mixHashes(upstream, instance uint64) uint64 {
 	const odd = 0x9e3779b97f4a7c15 // 2^64 divided by the golden ratio
-	h := (xxhash.Sum64String(upstream) ^ xxhash.Sum64String(string(id))) * odd
+	h := (upstream ^ instance) * odd
 	return h ^ h>>32
 }
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -8,6 +8,7 @@
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/event"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
+	"github.com/sardineturn/sardineturn/pkg/metrics"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/quarantine"
 	"github.com/sardineturn/sardineturn/pkg/routing"
@@ -221,6 +222,14 @@
 			r.results <- attemptResult{attempt: s.Attempt, reply: &Reply{Status: fanout.NotSent, Detail: "the upstream is no longer listed"}}
 			continue
 		}
+		gate := r.newColdGate(service, s.Upstream)
+		if !gate.reserve(now) {
+			// Another request has used the share since the query picked the upstream.
+			service.mu.Unlock()
+			r.g.ports.Metrics.AttemptWithdrawn(metrics.WithdrawnCold)
+			r.results <- attemptResult{attempt: s.Attempt, reply: &Reply{Status: fanout.NotSent, Detail: coldLimitDetail}}
+			continue
+		}
 		a.latencyFactor, a.failureRate = u.DecayedEstimates(now)
 		a.inFlight = u.InFlight()
 		u.AttemptStarted(now)
@@ -233,10 +242,10 @@
 			SendContext:    r.sendCtx,
 			MaxConnections: r.g.maxConnections(now, r.view.table.Services[entry.Service], shard),
 			ShardQuery:     r.route.Gather != nil,
-			MaySend:        func() bool { return !r.g.isEvacuated(entry.DataCentre) },
+			MaySend:        func() bool { return !r.g.isEvacuated(entry.DataCentre) && gate.open() },
 		}
 		alone := r.query.Alone()
-		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u, alone) })
+		r.g.workers.Go(func() { r.sendAttempt(s.Attempt, now, call, service, u, gate, alone) })
 	}
 }
 
@@ -262,10 +271,10 @@
 
 // sendAttempt makes one attempt and updates the estimates of the upstream and of the
 // route with its result. alone is true if it is the trial of a suspect.
-func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, alone bool) {
+func (r *requestRun) sendAttempt(number int, start time.Time, call Call, service *service, u *balancer.Upstream, gate *coldGate, alone bool) {
 	reply := r.g.ports.Upstreams.Send(r.ctx, call)
 	r.held.add(&reply)
-	r.g.recordWithdrawal(&reply, call.Upstream)
+	r.g.recordWithdrawal(&reply, call.Upstream, gate)
 	now := r.now()
 	share := r.g.rateShare(&reply, call.Upstream.ID, service.isShard())
 	service.mu.Lock()
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -21,11 +21,13 @@
 	Active        int                `json:"active"`
 	// Evacuated lists the data centres whose upstreams get no requests.
 	Evacuated []model.DataCentre `json:"evacuated,omitempty"`
+	// Cold is the number of upstreams whose limit for cold upstreams applies.
+	Cold int `json:"cold"`
 }
 
 // Status implements operatorhttp.Inspector.
 func (g *Gateway) Status() any {
-	s := Status{Active: g.ActiveRequests()}
+	s := Status{Active: g.ActiveRequests(), Cold: int(g.coldUpstreams.Load())}
 	s.Ready, s.Reason = g.Ready()
 	g.fleet.Lock()
 	s.Reader = g.fleet.isReader
@@ -67,6 +69,11 @@
 	// Evacuated is true if the upstream gets no requests because its data centre is
 	// evacuated.
 	Evacuated bool `json:"evacuated,omitempty"`
+	// ColdMS is how much longer the upstream counts as cold, and ColdPerSecond how many
+	// requests this instance may send to it in a second meanwhile. Both are absent if the
+	// upstream is not cold or its service has no limit for cold upstreams.
+	ColdMS        int64    `json:"cold_ms,omitempty"`
+	ColdPerSecond *float64 `json:"cold_rate,omitempty"`
 }
 
 // Explain implements operatorhttp.Inspector. It ignores the priority and the shard,
@@ -98,5 +105,9 @@
 	if u.Blocked(now) {
 		e.BlockedMS = u.BlockedFor(now).Round(time.Millisecond).Milliseconds()
 	}
+	if limit := u.ColdLimit(now); limit != nil {
+		rate := limit.Rate()
+		e.ColdMS, e.ColdPerSecond = u.ColdUntil.Sub(now).Milliseconds(), &rate
+	}
 	return e
 }
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -61,6 +61,17 @@
 	DropLate            DropReason = "late"
 )
 
+// WithdrawReason says why an attempt was not sent after its upstream had been chosen.
+type WithdrawReason string
+
+// Reasons to withdraw an attempt.
+const (
+	// WithdrawnEvacuated: the upstream's data centre was evacuated meanwhile.
+	WithdrawnEvacuated WithdrawReason = "evacuated"
+	// WithdrawnCold: the upstream is cold, and its limit did not allow the request.
+	WithdrawnCold WithdrawReason = "cold"
+)
+
 // Verdict is the decision about a received document.
 type Verdict string
 
@@ -118,7 +129,7 @@
 	restarts            tally.Counter
 	pauses              tally.Counter
 	suppressedLines     tally.Counter
-	withdrawnAttempts   tally.Counter
+	withdrawnAttempts   *family[tally.Counter]
 
 	queued          *family[tally.Gauge]
 	inFlight        *family[tally.Gauge]
@@ -129,6 +140,7 @@
 	documents       tally.Gauge
 	ready           tally.Gauge
 	evacuated       tally.Gauge
+	coldUpstreams   tally.Gauge
 
 	requestLatency *family[tally.Histogram]
 	queueDelay     *family[tally.Histogram]
@@ -182,7 +194,7 @@
 		restarts:            scope.Counter(nameRestarts),
 		pauses:              scope.Counter(namePauses),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
-		withdrawnAttempts:   scope.Counter(nameWithdrawnAttempts),
+		withdrawnAttempts:   counters(nameWithdrawnAttempts, tagReason),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
 		inFlight:            gauges(nameInFlight, tagGroup),
 		members:             gauges(nameMembers, tagState),
@@ -192,6 +204,7 @@
 		documents:           scope.Gauge(nameDocuments),
 		ready:               scope.Gauge(nameReady),
 		evacuated:           scope.Gauge(nameEvacuated),
+		coldUpstreams:       scope.Gauge(nameColdUpstreams),
 		requestLatency:      newFamily(scope, nameRequestLatency, latency, tagPriority),
 		queueDelay:          newFamily(scope, nameQueueDelay, latency, tagPriority),
 		coverage:            newFamily(scope, nameCoverage, ratio, tagPriority),
@@ -396,11 +409,18 @@
 	}
 }
 
-// AttemptWithdrawn counts an attempt that was not sent because the data centre of its
-// upstream was evacuated while the attempt waited for a connection.
-func (m *Metrics) AttemptWithdrawn() {
+// AttemptWithdrawn counts an attempt that was not sent although its upstream had been
+// chosen.
+func (m *Metrics) AttemptWithdrawn(reason WithdrawReason) {
+	if m != nil {
+		m.withdrawnAttempts.seriesFor(string(reason)).Inc(1)
+	}
+}
+
+// SetColdUpstreams sets the number of upstreams whose limit for cold upstreams applies.
+func (m *Metrics) SetColdUpstreams(n int) {
 	if m != nil {
-		m.withdrawnAttempts.Inc(1)
+		m.coldUpstreams.Update(float64(n))
 	}
 }
 
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -42,6 +42,7 @@
 	nameDocuments       = "documents_in_force"
 	nameReady           = "ready"
 	nameEvacuated       = "evacuated_data_centres"
+	nameColdUpstreams   = "cold_upstreams"
 )
 
 // Names of histograms.
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -76,6 +76,9 @@
 	// MaxConnections is the number of connections that an upstream accepts from
 	// all instances together.
 	MaxConnections int
+	// ColdPerSecond is the number of requests a second that a cold upstream tolerates from
+	// all instances together; zero means no limit.
+	ColdPerSecond float64
 }
 
 // Limits holds the limits on what callers may send and how long they may take.
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -4,6 +4,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"net/netip"
 	"os"
 	"sync"
@@ -41,8 +42,21 @@
 	Cores           int              `json:"cores"`
 	CoreShare       float64          `json:"core_share"`
 	Budget          RetryBudget      `json:"budget"`
+	Cold            ColdBounds       `json:"cold"`
 }
 
+// ColdBounds bounds the requests to a cold upstream across all instances.
+type ColdBounds struct {
+	Excess float64 `json:"excess"`
+	Slack  float64 `json:"slack"`
+}
+
+// Defaults of ColdBounds.
+const (
+	DefaultColdExcess = 1.5
+	DefaultColdSlack  = 5
+)
+
 // RetryBudget limits the extra attempts on a service across all instances.
 type RetryBudget struct {
 	Ratio     float64 `json:"ratio"`
@@ -66,10 +80,11 @@
 // ParseGateway checks the text and fills in the defaults. If the text is
 // invalid, the error is an *Error.
 func ParseGateway(content []byte) (Gateway, error) {
+	content = withoutNullBounds(content)
 	if faults := jsoncheck.Check(content, gatewaySchema()); len(faults) > 0 {
 		return Gateway{}, &Error{Faults: faults}
 	}
-	s := Gateway{LogLevel: DefaultLogLevel, StopMS: DefaultStopMS}
+	s := Gateway{LogLevel: DefaultLogLevel, StopMS: DefaultStopMS, Cold: ColdBounds{Excess: DefaultColdExcess, Slack: DefaultColdSlack}}
 	if err := json.Unmarshal(content, &s); err != nil {
 		return Gateway{}, &Error{Faults: []jsoncheck.Fault{{Path: "$", Code: jsoncheck.WrongType, Reason: err.Error()}}}
 	}
@@ -79,6 +94,29 @@
 	return s, nil
 }
 
+// withoutNullBounds removes the null values of the section "cold". The platform's template
+// yields null for a bound that the platform does not state; it then has its default.
+func withoutNullBounds(content []byte) []byte {
+	var all, cold map[string]json.RawMessage
+	if json.Unmarshal(content, &all) != nil || json.Unmarshal(all["cold"], &cold) != nil {
+		return content
+	}
+	before := len(cold)
+	maps.DeleteFunc(cold, func(_ string, value json.RawMessage) bool { return string(value) == "null" })
+	if len(cold) == before {
+		return content
+	}
+	section, err := json.Marshal(cold)
+	if err != nil {
+		return content
+	}
+	all["cold"] = section
+	if changed, err := json.Marshal(all); err == nil {
+		return changed
+	}
+	return content
+}
+
 func (s Gateway) check() []jsoncheck.Fault {
 	var faults []jsoncheck.Fault
 	addFault := func(path, text string) {
