--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -65,6 +65,7 @@
 	EvacuationEnded     ID = 421
 	BodyMemoryShort     ID = 422
 	BodyMemoryRestored  ID = 423
+	ColdLimitsChanged   ID = 424
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"github.com/sardineturn/sardineturn/internal/workers"
 	"github.com/sardineturn/sardineturn/pkg/admission"
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/bodymemory"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
@@ -52,6 +53,8 @@
 	// BodyMemory limits the memory, in bytes, of the bodies of all requests; zero means no
 	// limit.
 	BodyMemory int64
+	// ColdBounds bounds the requests to cold upstreams.
+	ColdBounds backpressure.ColdBounds
 }
 
 // LoadShedding says when a gateway sheds load.
@@ -118,6 +121,8 @@
 	// evacuated holds the evacuated data centres; nil if there are none. The map is not
 	// changed once it is stored.
 	evacuated atomic.Pointer[map[model.DataCentre]bool]
+	// coldUpstreams is the number of upstreams whose limit for cold upstreams applies.
+	coldUpstreams atomic.Int64
 
 	// fleet holds the membership and values that are derived from it.
 	fleet struct {
@@ -136,6 +141,11 @@
 		// isQueryRunner is true if this instance is one of them.
 		maxQueryRunners int
 		isQueryRunner   bool
+		// known holds all instances that may send requests to upstreams, including those
+		// that this one cannot reach at present.
+		known knownInstances
+		// coldSenders is the last copy of known.
+		coldSenders *coldSenders
 		// isReader is true if this instance reads the platform for the others.
 		isReader bool
 	}
@@ -243,6 +253,7 @@
 	}, now)
 	g.fleet.maxMembers = 1
 	g.admission.controller = admission.NewController()
+	g.fleet.known.update(now, g.fleet.membership.Members())
 	return g
 }
 
@@ -359,6 +370,7 @@
 			g.expireLapsed(now)
 			g.updateRetryBudgets(now)
 			g.updateBodyMemory(now)
+			g.updateColdLimits(now)
 			g.ports.Upstreams.CloseIdle(g.idleTime())
 		}
 	}
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -62,6 +62,17 @@
 	DropInvalidStatus   DropReason = "invalid_status"
 )
 
+// WithdrawReason says why an attempt was not sent after its upstream had been chosen.
+type WithdrawReason string
+
+// Reasons to withdraw an attempt.
+const (
+	// WithdrawnEvacuated: the upstream's data centre was evacuated meanwhile.
+	WithdrawnEvacuated WithdrawReason = "evacuated"
+	// WithdrawnCold: the upstream is cold, and its limit did not allow the request.
+	WithdrawnCold WithdrawReason = "cold"
+)
+
 // Verdict is the decision about a received document.
 type Verdict string
 
@@ -121,7 +132,7 @@
 	pauses              tally.Counter
 	upstreamByteWaits   tally.Counter
 	suppressedLines     tally.Counter
-	withdrawnAttempts   tally.Counter
+	withdrawnAttempts   *family[tally.Counter]
 
 	queued          *family[tally.Gauge]
 	inFlight        *family[tally.Gauge]
@@ -133,6 +144,7 @@
 	ready           tally.Gauge
 	evacuated       tally.Gauge
 	bodyMemory      *family[tally.Gauge]
+	coldUpstreams   tally.Gauge
 
 	requestLatency *family[tally.Histogram]
 	queueDelay     *family[tally.Histogram]
@@ -188,7 +200,7 @@
 		pauses:              scope.Counter(namePauses),
 		upstreamByteWaits:   scope.Counter(nameUpstreamByteWaits),
 		suppressedLines:     scope.Counter(nameSuppressedLines),
-		withdrawnAttempts:   scope.Counter(nameWithdrawnAttempts),
+		withdrawnAttempts:   counters(nameWithdrawnAttempts, tagReason),
 		queued:              gauges(nameQueued, tagGroup, tagPriority),
 		inFlight:            gauges(nameInFlight, tagGroup),
 		members:             gauges(nameMembers, tagState),
@@ -199,6 +211,7 @@
 		ready:               scope.Gauge(nameReady),
 		evacuated:           scope.Gauge(nameEvacuated),
 		bodyMemory:          gauges(nameBodyMemory, tagPriority),
+		coldUpstreams:       scope.Gauge(nameColdUpstreams),
 		requestLatency:      newFamily(scope, nameRequestLatency, latency, tagPriority),
 		queueDelay:          newFamily(scope, nameQueueDelay, latency, tagPriority),
 		coverage:            newFamily(scope, nameCoverage, ratio, tagPriority),
@@ -410,11 +423,18 @@
 	}
 }
 
-// AttemptWithdrawn counts an attempt that was not sent because the data centre of its
-// upstream was evacuated while the attempt waited for a connection.
-func (m *Metrics) AttemptWithdrawn() {
+// AttemptWithdrawn counts an attempt that was not sent although its upstream had been
+// chosen.
+func (m *Metrics) AttemptWithdrawn(reason WithdrawReason) {
+	if m != nil {
+		m.withdrawnAttempts.seriesFor(string(reason)).Inc(1)
+	}
+}
+
+// SetColdUpstreams sets the number of upstreams whose limit for cold upstreams applies.
+func (m *Metrics) SetColdUpstreams(n int) {
 	if m != nil {
-		m.withdrawnAttempts.Inc(1)
+		m.coldUpstreams.Update(float64(n))
 	}
 }
 
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -45,6 +45,7 @@
 	nameReady           = "ready"
 	nameEvacuated       = "evacuated_data_centres"
 	nameBodyMemory      = "body_memory_bytes"
+	nameColdUpstreams   = "cold_upstreams"
 )
 
 // Names of histograms.
