Directory: entries from a backup do not bring back upstreams that have left

Cause: a store that returns from a backup lists entries that are older than those that were known, so that an upstream that drains or was removed would be used again. An entry that the store may have lost is removed only once the platform has confirmed, after LapseGrace, that it is missing. Without a change of era nothing is checked. Nothing calls EraChanged yet.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -41,6 +41,8 @@
 	// Started is the Unix time of its start in milliseconds. It differs between
 	// processes that use the same id one after the other.
 	Started int64
+	// Sequence increases with every report of the process.
+	Sequence int64
 }
 
 // Directory holds the listed upstreams.
@@ -48,23 +50,55 @@
 	upstreams map[string]Upstream
 	// lapsing holds, for each upstream whose entry lapsed, the time at which it is
 	// removed unless its entry returns.
-	lapsing map[string]time.Time
+	lapsing  map[string]time.Time
+	rollback rollback
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time)}
+	return &Directory{
+		upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time),
+		rollback: rollback{departures: make(map[string]departure), held: make(map[string]Upstream), lost: make(map[string]bool)},
+	}
 }
 
-// Set adds or replaces the entry of an upstream.
-func (d *Directory) Set(u Upstream) {
+// Set adds or replaces the entry of an upstream. It returns false if the entry is not used
+// because it may be older than what is known of the upstream: the platform returned from a
+// backup, and the upstream had reported draining or was removed.
+func (d *Directory) Set(u Upstream) bool {
+	delete(d.rollback.held, u.ID)
+	if d.outdated(u) {
+		d.hold(u)
+		return false
+	}
+	u.Sequence = d.highestSequence(u)
+	d.rollback.forget(u.ID)
 	d.upstreams[u.ID] = u
 	delete(d.lapsing, u.ID)
+	delete(d.rollback.lost, u.ID)
+	return true
+}
+
+// highestSequence returns the highest known sequence of the lifetime of the entry, which
+// an entry from a backup does not lower.
+func (d *Directory) highestSequence(u Upstream) int64 {
+	sequence := u.Sequence
+	if u.Started == 0 || d.rollback.eraChangedAt.IsZero() {
+		return sequence
+	}
+	if listed, ok := d.upstreams[u.ID]; ok && listed.Started == u.Started {
+		sequence = max(sequence, listed.Sequence)
+	}
+	if left, ok := d.rollback.departures[u.ID]; ok && left.started == u.Started {
+		sequence = max(sequence, left.sequence)
+	}
+	return sequence
 }
 
 // Remove removes the entry of an upstream. If the entry lapsed and the upstream was
 // ready, the entry stays listed until LapseGrace after the first such removal.
 func (d *Directory) Remove(now time.Time, id string, lapsed bool) {
+	delete(d.rollback.held, id)
 	u, ok := d.upstreams[id]
 	if !ok {
 		return
@@ -72,20 +106,25 @@
 	if lapsed && u.State == Ready {
 		if _, pending := d.lapsing[id]; !pending {
 			d.lapsing[id] = now.Add(LapseGrace)
+			d.rollback.lost[id] = d.rollback.checking
 		}
 		return
 	}
 	delete(d.upstreams, id)
 	delete(d.lapsing, id)
+	delete(d.rollback.lost, id)
+	d.rollback.depart(u)
 }
 
 // Expire removes the lapsed entries that did not return within LapseGrace, and
-// returns their ids.
+// returns their ids. An entry that the platform may have lost is removed only once the
+// platform has confirmed, after that time, that it is missing.
 func (d *Directory) Expire(now time.Time) []string {
 	var expired []string
 	for id, removeAt := range d.lapsing {
-		if !now.Before(removeAt) {
+		if !now.Before(removeAt) && !d.rollback.mayReturn(id, removeAt) {
 			expired = append(expired, id)
+			delete(d.rollback.lost, id)
 			delete(d.upstreams, id)
 			delete(d.lapsing, id)
 		}
@@ -109,10 +148,12 @@
 		}
 	}
 	for _, list := range out {
-		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, compareIDs)
 	}
 	return out
 }
 
+func compareIDs(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
+
 // Len returns the number of entries.
 func (d *Directory) Len() int { return len(d.upstreams) }
