Positions of era and revision, so that a store may return from a backup

Cause: when the store returns from a backup it issues its revisions again. An instance ignored its listing as older, or applied changes of the new content to the old one. Change: feed.Position, the pair of era and revision, replaces the revision in deltas, copies, the store and the calls between instances. A delta of a later era is applied only if it is full, one of an earlier era never; keys that the first listing of an era lacks are removed as lapsed. A watch answer of another era and a listing whose pages differ in era are discarded and all keys are listed; a listing of an earlier era than the copy is a failed call. The era travels in an optional field of the request, so that an instance of the previous version, which sends none, differs from one in era 0 and is not sent all keys at every poll. Event 315, sardineturn_store_era_changes_total and era in the status show a change of era, event 420 an entry that is held, and the directory is told.

--- a/pkg/adapter/peergrpc/changes.go
+++ b/pkg/adapter/peergrpc/changes.go
@@ -57,10 +57,10 @@
 	return n
 }
 
-// changesDigest returns a hash of the keys and revisions of a delta, which does not
-// depend on their order.
+// changesDigest returns a hash of the era, the keys and the revisions of a delta, which
+// does not depend on their order. Within an era they determine the values.
 func changesDigest(d feed.Delta) uint64 {
-	sum := d.Revision
+	sum := d.Revision + d.Era*0x9e3779b97f4a7c15
 	for i := range d.Changes {
 		sum += xxhash.Sum64String(d.Changes[i].Key) * (2*d.Changes[i].Revision + 1)
 	}
--- a/pkg/adapter/peergrpc/changes_test.go
+++ b/pkg/adapter/peergrpc/changes_test.go
@@ -20,17 +20,19 @@
 type changesHandler struct {
 	queryHandler
 	delta feed.Delta
+	after feed.Position
 }
 
-func (h *changesHandler) HandleFetchChanges(context.Context, uint64, time.Duration) (feed.Delta, time.Duration, bool) {
+func (h *changesHandler) HandleFetchChanges(_ context.Context, after feed.Position, _ time.Duration) (feed.Delta, time.Duration, bool) {
+	h.after = after
 	return h.delta, 5 * time.Millisecond, true
 }
 
 // fullDelta returns a delta of all keys, whose values have about 300 bytes each.
-func fullDelta(revision uint64, keys int) feed.Delta {
-	d := feed.Delta{Revision: revision, Full: true, Lapsed: true}
+func fullDelta(era, revision uint64, keys int) feed.Delta {
+	d := feed.Delta{Position: feed.Position{Era: era, Revision: revision}, Full: true, Lapsed: true}
 	for i := range keys {
-		value := fmt.Sprintf(`{"service":"s%d","zone":"z","state":"ready","padding":%q}`, i, strings.Repeat("x", 250))
+		value := fmt.Sprintf(`{"service":"s%d","zone":"z%d","state":"ready","padding":%q}`, i, era, strings.Repeat("x", 250))
 		d.Changes = append(d.Changes, feed.Change{Key: fmt.Sprint("servers/i", i), Revision: revision - uint64(i%3), Value: []byte(value)})
 	}
 	return d
@@ -38,7 +40,7 @@
 
 // TestChangesArePreserved guards against changes of published keys that are lost or
 // altered between instances, compressed or not, and against a compressed copy that is
-// sent again after the keys have changed.
+// sent again after the keys have changed or the platform has returned from a backup.
 func TestChangesArePreserved(t *testing.T) {
 	h := &changesHandler{}
 	l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -48,13 +50,15 @@
 	client := NewClient(port.SystemClock{})
 	t.Cleanup(func() { client.Close(); server.Stop() })
 	deltas := []feed.Delta{
-		fullDelta(100, 3), fullDelta(100, 500), fullDelta(101, 500), fullDelta(100, 500),
-		{Revision: 102, Changes: []feed.Change{{Key: "k", Revision: 102, Deleted: true, Lapsed: true}}},
+		fullDelta(0, 100, 3), fullDelta(0, 100, 500), fullDelta(0, 101, 500), fullDelta(0, 100, 500), fullDelta(1, 100, 500),
+		{Position: feed.Position{Revision: 102}, Changes: []feed.Change{{Key: "k", Revision: 102, Deleted: true, Lapsed: true}}},
 	}
-	for _, d := range deltas {
+	for i, d := range deltas {
 		h.delta = d
-		got, age, err := client.FetchChanges(t.Context(), model.InstanceID(l.Addr().String()), 0, time.Second)
+		after := feed.Position{Era: uint64(i % 2), Revision: uint64(i)}
+		got, age, err := client.FetchChanges(t.Context(), model.InstanceID(l.Addr().String()), after, time.Second)
 		must.NoError(t, err)
+		must.Eq(t, after, h.after)
 		must.Eq(t, d, got)
 		must.Eq(t, 5*time.Millisecond, age)
 	}
@@ -65,7 +69,7 @@
 // at once, and against compressed replies to instances that cannot read them.
 func TestFullCopiesAreCompressed(t *testing.T) {
 	var e changesEncoder
-	d := fullDelta(7, 500)
+	d := fullDelta(0, 7, 500)
 	var reply wire.FetchChangesReply
 	must.NoError(t, e.encode(&reply, d, true))
 	must.SliceEmpty(t, reply.GetChanges())
@@ -77,3 +81,13 @@
 	_, err := decodeChanges(&wire.FetchChangesReply{CompressedChanges: reply.GetCompressedChanges()[:100]})
 	must.Error(t, err)
 }
+
+// TestOldVersionStatesNoEra guards against taking a sender whose version does not know
+// eras for one in era 0. In a later era it would be sent all keys in answer to each of its
+// requests, without a wait.
+func TestOldVersionStatesNoEra(t *testing.T) {
+	h := &changesHandler{}
+	_, err := NewGatewayServer(h).FetchChanges(t.Context(), &wire.FetchChangesRequest{After: 7})
+	must.NoError(t, err)
+	must.Eq(t, feed.Position{Era: feed.UnknownEra, Revision: 7}, h.after)
+}
--- a/pkg/adapter/peergrpc/gateway.go
+++ b/pkg/adapter/peergrpc/gateway.go
@@ -50,11 +50,15 @@
 // FetchChanges implements wire.PeerServer.
 func (s *GatewayServer) FetchChanges(ctx context.Context, w *wire.FetchChangesRequest) (*wire.FetchChangesReply, error) {
 	wait := min(time.Duration(w.GetWaitMs())*time.Millisecond, maxChangesWait)
-	delta, age, ok := s.handler.HandleFetchChanges(ctx, w.GetAfter(), wait)
+	after := feed.Position{Era: feed.UnknownEra, Revision: w.GetAfter()}
+	if w.Era != nil {
+		after.Era = w.GetEra()
+	}
+	delta, age, ok := s.handler.HandleFetchChanges(ctx, after, wait)
 	if !ok {
 		return nil, status.Error(codes.Unavailable, "no published keys are known yet")
 	}
-	reply := &wire.FetchChangesReply{Revision: delta.Revision, Full: delta.Full, Lapsed: delta.Lapsed, AgeMs: age.Milliseconds()}
+	reply := &wire.FetchChangesReply{Era: delta.Era, Revision: delta.Revision, Full: delta.Full, Lapsed: delta.Lapsed, AgeMs: age.Milliseconds()}
 	if err := s.changes.encode(reply, delta, w.GetAcceptsCompressed()); err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
@@ -62,9 +66,9 @@
 }
 
 // FetchChanges implements port.FeedPeers.
-func (c *Client) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
+func (c *Client) FetchChanges(ctx context.Context, to model.InstanceID, after feed.Position, wait time.Duration) (feed.Delta, time.Duration, error) {
 	reply, err := call(ctx, c, to, func(peer wire.PeerClient) (*wire.FetchChangesReply, error) {
-		return peer.FetchChanges(ctx, &wire.FetchChangesRequest{After: after, WaitMs: wait.Milliseconds(), AcceptsCompressed: true})
+		return peer.FetchChanges(ctx, &wire.FetchChangesRequest{Era: &after.Era, After: after.Revision, WaitMs: wait.Milliseconds(), AcceptsCompressed: true})
 	})
 	if err != nil {
 		return feed.Delta{}, 0, err
@@ -73,7 +77,7 @@
 	if err != nil {
 		return feed.Delta{}, 0, err
 	}
-	delta := feed.Delta{Changes: changes, Revision: reply.GetRevision(), Full: reply.GetFull(), Lapsed: reply.GetLapsed()}
+	delta := feed.Delta{Changes: changes, Position: feed.Position{Era: reply.GetEra(), Revision: reply.GetRevision()}, Full: reply.GetFull(), Lapsed: reply.GetLapsed()}
 	return delta, time.Duration(reply.GetAgeMs()) * time.Millisecond, nil
 }
 
--- a/pkg/adapter/peergrpc/query_test.go
+++ b/pkg/adapter/peergrpc/query_test.go
@@ -32,7 +32,7 @@
 	return []model.InstanceID{"10.0.0.1:1", "10.0.0.2:1"}
 }
 
-func (*queryHandler) HandleFetchChanges(context.Context, uint64, time.Duration) (feed.Delta, time.Duration, bool) {
+func (*queryHandler) HandleFetchChanges(context.Context, feed.Position, time.Duration) (feed.Delta, time.Duration, bool) {
 	return feed.Delta{}, 0, false
 }
 
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -42,6 +42,7 @@
 	HistoryGone      ID = 310
 	FirstReadSlow    ID = 311
 	OutageEnded      ID = 312
+	StoreEraChanged  ID = 315
 
 	UpstreamEjected     ID = 400
 	UpstreamRestored    ID = 401
@@ -60,6 +61,7 @@
 	RequestCleared      ID = 414
 	CrashExcused        ID = 415
 	SuspectTried        ID = 416
+	EntryHeld           ID = 420
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/feed.go
+++ b/pkg/gateway/feed.go
@@ -54,6 +54,10 @@
 	sourceUpdateTimeout = 150 * time.Millisecond
 	// sourceRetryPause is the wait after a source has failed, or if there is no source.
 	sourceRetryPause = 10 * time.Millisecond
+	// earlierEraPause replaces sourceRetryPause after a source has answered from a copy of
+	// an earlier era. A source whose version does not know eras may answer at once, with
+	// changes that are of no use.
+	earlierEraPause = 150 * time.Millisecond
 	// batchPause is the wait after a watch has returned changes. Changes that follow each
 	// other quickly are then returned together, so that they cost few calls. It is a
 	// small part of the time in which a configuration must be in force.
@@ -67,6 +71,10 @@
 	lapseWindow = 2500 * time.Millisecond
 )
 
+// errEarlierEra means that the platform or a source answered with keys of an earlier era
+// than those of the copy.
+var errEarlierEra = errors.New("the keys are of an earlier era of the platform than the copy")
+
 // feedLoop is the state of the loop that keeps the copy of the platform's keys up to
 // date. It either reads the platform or gets the changes from another instance.
 type feedLoop struct {
@@ -142,14 +150,14 @@
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	return p.replica.Revision() > 0, now.Sub(p.confirmedAt)
+	return !p.replica.Position().IsZero(), now.Sub(p.confirmedAt)
 }
 
-func (g *Gateway) revision() uint64 {
+func (g *Gateway) position() feed.Position {
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	return p.replica.Revision()
+	return p.replica.Position()
 }
 
 // readStore makes one call to the platform and applies the changes that it returns.
@@ -166,7 +174,7 @@
 	if givesWay {
 		readCtx, cancel = context.WithTimeout(ctx, firstListTimeout)
 	}
-	d, err := l.listOrWatch(readCtx, g.revision(), wait)
+	d, err := l.listOrWatch(readCtx, g.position(), wait)
 	cancel()
 	now := g.ports.Clock.Now()
 	if ctx.Err() != nil {
@@ -211,22 +219,30 @@
 	<-read
 }
 
-// listOrWatch waits for changes after a revision. It reads all keys instead if the
-// revision is zero or the platform no longer has the changes after it.
-func (l *feedLoop) listOrWatch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+// listOrWatch waits for changes after a position. It reads all keys instead if the
+// position is zero, if the platform no longer has the changes after it, or if the platform
+// is in another era. It returns errEarlierEra if the keys are of an earlier era than the
+// position.
+func (l *feedLoop) listOrWatch(ctx context.Context, after feed.Position, wait time.Duration) (feed.Delta, error) {
 	g := l.g
-	if after > 0 {
+	if !after.IsZero() {
 		watchCtx, cancel := context.WithTimeout(ctx, wait+storeAnswerTimeout)
 		defer cancel()
 		d, err := g.ports.Store.Watch(watchCtx, after, wait)
-		if !errors.Is(err, port.ErrHistoryGone) {
+		switch {
+		case errors.Is(err, port.ErrHistoryGone):
+			g.info(event.HistoryGone, event.Fields{"era": after.Era, "revision": after.Revision}, "the platform no longer has the changes since this revision; reading the whole content")
+		case err != nil || d.Era == after.Era:
 			return d, err
 		}
-		g.info(event.HistoryGone, event.Fields{"revision": after}, "the platform no longer has the changes since this revision; reading the whole content")
 	}
 	listCtx, cancel := context.WithTimeout(ctx, storeListTimeout)
 	defer cancel()
-	return g.ports.Store.List(listCtx)
+	d, err := g.ports.Store.List(listCtx)
+	if err == nil && d.Era < after.Era {
+		return feed.Delta{}, errEarlierEra
+	}
+	return d, err
 }
 
 // recordReadFailure records that a call of the platform, which began at start, failed.
@@ -324,7 +340,10 @@
 	if ctx.Err() != nil {
 		return
 	}
-	if err != nil {
+	switch {
+	case errors.Is(err, errEarlierEra):
+		sleep(ctx, earlierEraPause)
+	case err != nil:
 		sleep(ctx, sourceRetryPause)
 	}
 	if err != nil || age > maxPeerCopyAge+time.Duration(feedDepth(rank)-1)*peerPollWait {
@@ -333,15 +352,20 @@
 }
 
 // fetchFrom gets the changes from another instance, applies them, and returns the age
-// of its copy.
+// of its copy. It returns errEarlierEra if that copy is of an earlier era than the copy of
+// this instance.
 func (l *feedLoop) fetchFrom(ctx context.Context, from model.InstanceID, wait time.Duration) (time.Duration, error) {
 	g := l.g
 	callCtx, cancel := context.WithTimeout(ctx, wait+peerAnswerTimeout)
 	defer cancel()
-	d, age, err := g.ports.FeedPeers.FetchChanges(callCtx, from, g.revision(), wait)
+	after := g.position()
+	d, age, err := g.ports.FeedPeers.FetchChanges(callCtx, from, after, wait)
 	if err != nil {
 		return 0, err
 	}
+	if d.Era < after.Era {
+		return 0, errEarlierEra
+	}
 	now := g.ports.Clock.Now()
 	g.applyDelta(now, d, now.Add(-age), string(from))
 	return age, nil
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -180,7 +180,7 @@
 		for range 40 {
 			time.Sleep(100 * time.Millisecond)
 			for _, g := range gateways {
-				if noticedAt[g].IsZero() && g.revision() == ff.revision {
+				if noticedAt[g].IsZero() && g.position().Revision == ff.revision {
 					noticedAt[g] = time.Now()
 				}
 				if at := noticedAt[g]; !at.IsZero() && time.Since(at) < directory.LapseGrace-200*time.Millisecond {
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -29,13 +30,19 @@
 // fakeFleet holds the instances of a gateway, which call each other in memory, and
 // stands in for the platform's store of published keys and for the upstreams.
 type fakeFleet struct {
-	mu        sync.Mutex
-	revision  uint64
-	changes   []feed.Change
-	configs   map[uint64]routing.Config
-	upstreams map[uint64]directory.Upstream
-	changed   chan struct{}
-	gateways  map[string]*Gateway
+	mu       sync.Mutex
+	era      uint64
+	revision uint64
+	changes  []feed.Change
+	// writes counts the writes to the store, also those that it has lost. The value of a
+	// key is the number of the write, which is the index of what was written.
+	writes    uint64
+	configs   map[string]routing.Config
+	upstreams map[string]directory.Upstream
+	// oldVersion holds the ids of the instances whose version does not know eras.
+	oldVersion map[string]bool
+	changed    chan struct{}
+	gateways   map[string]*Gateway
 	// delegated counts the queries that instances asked other instances to run. While
 	// queryConnectionsFail is true, each such call ends with a lost connection.
 	delegated            int
@@ -73,7 +80,7 @@
 
 func newFakeFleet() *fakeFleet {
 	return &fakeFleet{
-		revision: 1, configs: make(map[uint64]routing.Config), upstreams: make(map[uint64]directory.Upstream),
+		revision: 1, configs: make(map[string]routing.Config), upstreams: make(map[string]directory.Upstream), oldVersion: make(map[string]bool),
 		changed: make(chan struct{}), gateways: make(map[string]*Gateway), storeRefuses: make(map[string]bool), cut: make(map[string]bool),
 		storeCalls: make(map[string]int), pollsReceived: make(map[string]int), crashed: make(map[string]bool),
 		answer: func(_ context.Context, c Call) Reply { return successReply(c, "0123456789abcdef") },
@@ -120,7 +127,11 @@
 	ff.mu.Lock()
 	defer ff.mu.Unlock()
 	ff.revision++
+	ff.writes++
 	c.Revision = ff.revision
+	if !c.Deleted {
+		c.Value = []byte(fmt.Sprint(ff.writes))
+	}
 	ff.changes = append(ff.changes, c)
 	close(ff.changed)
 	ff.changed = make(chan struct{})
@@ -135,7 +146,7 @@
 		}
 	}
 	ff.mu.Lock()
-	ff.configs[ff.revision+1] = c
+	ff.configs[fmt.Sprint(ff.writes+1)] = c
 	ff.mu.Unlock()
 	ff.publish(feed.Change{Key: "config"})
 }
@@ -145,7 +156,7 @@
 	u.Address = u.ID + ":1"
 	u.Slots = 2
 	ff.mu.Lock()
-	ff.upstreams[ff.revision+1] = u
+	ff.upstreams[fmt.Sprint(ff.writes+1)] = u
 	ff.mu.Unlock()
 	ff.publish(feed.Change{Key: "upstream/" + u.ID})
 }
@@ -157,7 +168,7 @@
 func (ff *fakeFleet) Config(c feed.Change) (routing.Config, bool, error) {
 	ff.mu.Lock()
 	defer ff.mu.Unlock()
-	return ff.configs[c.Revision], c.Key == "config", nil
+	return ff.configs[string(c.Value)], c.Key == "config", nil
 }
 
 // Upstream implements Decoder.
@@ -168,7 +179,34 @@
 	}
 	ff.mu.Lock()
 	defer ff.mu.Unlock()
-	return ff.upstreams[c.Revision], true, nil
+	return ff.upstreams[string(c.Value)], true, nil
+}
+
+// rollBack makes the store return from a backup of the given revision.
+func (ff *fakeFleet) rollBack(to uint64) {
+	ff.mu.Lock()
+	defer ff.mu.Unlock()
+	ff.era++
+	ff.revision = to
+	ff.changes = slices.DeleteFunc(slices.Clone(ff.changes), func(c feed.Change) bool { return c.Revision > to })
+	close(ff.changed)
+	ff.changed = make(chan struct{})
+}
+
+// storeRevision returns the revision of the store.
+func (ff *fakeFleet) storeRevision() uint64 {
+	ff.mu.Lock()
+	defer ff.mu.Unlock()
+	return ff.revision
+}
+
+// storePosition returns the position of the store as the instance sees it. The lock of the
+// fleet must be held.
+func (p instancePorts) storePosition() feed.Position {
+	if p.oldVersion[p.id] {
+		return feed.Position{Revision: p.revision}
+	}
+	return feed.Position{Era: p.era, Revision: p.revision}
 }
 
 // instancePorts implements port.Store, port.FeedPeers and port.QueryPeers for the
@@ -225,7 +263,7 @@
 	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	d := feed.Delta{Revision: p.revision, Full: true}
+	d := feed.Delta{Position: p.storePosition(), Full: true}
 	newest := make(map[string]feed.Change)
 	for _, c := range p.changes {
 		newest[c.Key] = c
@@ -239,7 +277,7 @@
 }
 
 // Watch implements port.Store.
-func (p instancePorts) Watch(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, error) {
+func (p instancePorts) Watch(ctx context.Context, after feed.Position, wait time.Duration) (feed.Delta, error) {
 	if err := p.countStoreCall(ctx); err != nil {
 		return feed.Delta{}, err
 	}
@@ -247,15 +285,19 @@
 	defer timer.Stop()
 	for {
 		p.mu.Lock()
-		d := feed.Delta{Revision: p.revision}
+		d := feed.Delta{Position: p.storePosition()}
+		gone := after.Revision > p.revision
 		for _, c := range p.changes {
-			if c.Revision > after {
+			if c.Revision > after.Revision {
 				d.Changes = append(d.Changes, c)
 			}
 		}
 		changed := p.changed
 		p.mu.Unlock()
 		refuses, hangs := p.turnsAway()
+		if gone && !refuses {
+			return feed.Delta{}, port.ErrHistoryGone
+		}
 		if len(d.Changes) > 0 && !refuses {
 			return d, nil
 		}
@@ -276,11 +318,13 @@
 }
 
 // FetchChanges implements port.FeedPeers.
-func (p instancePorts) FetchChanges(ctx context.Context, to model.InstanceID, after uint64, wait time.Duration) (feed.Delta, time.Duration, error) {
+func (p instancePorts) FetchChanges(ctx context.Context, to model.InstanceID, after feed.Position, wait time.Duration) (feed.Delta, time.Duration, error) {
 	p.mu.Lock()
 	g := p.reachable(to)
 	p.pollsReceived[string(to)]++
 	hang := p.peerCallsHang
+	// Without eras, an instance sends none and ignores those that it gets.
+	callerIsOld, calledIsOld := p.oldVersion[p.id], p.oldVersion[string(to)]
 	p.mu.Unlock()
 	if g == nil && hang {
 		<-ctx.Done()
@@ -288,10 +332,19 @@
 	if g == nil {
 		return feed.Delta{}, 0, io.EOF
 	}
+	switch {
+	case calledIsOld:
+		after.Era = 0
+	case callerIsOld:
+		after.Era = feed.UnknownEra
+	}
 	d, age, ok := g.HandleFetchChanges(ctx, after, wait)
 	if !ok {
 		return feed.Delta{}, 0, io.EOF
 	}
+	if callerIsOld {
+		d.Era = 0
+	}
 	return d, age, nil
 }
 
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -14,33 +14,48 @@
 )
 
 // applyDelta applies changes of the published keys and puts them into force.
-// confirmedAt is when the platform confirmed that the copy is current at d.Revision.
+// confirmedAt is when the platform confirmed that the copy is current at d.Position.
 // source says, in log lines, where the changes come from.
 func (g *Gateway) applyDelta(now time.Time, d feed.Delta, confirmedAt time.Time, source string) {
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	before := p.replica.Revision()
+	before := p.replica.Position()
 	altered := p.replica.Apply(d)
-	if d.Revision >= before && confirmedAt.After(p.confirmedAt) {
+	after := p.replica.Position()
+	if d.Position == after && confirmedAt.After(p.confirmedAt) {
 		p.confirmedAt = confirmedAt
+		p.directory.Confirmed(confirmedAt)
+	}
+	first := before.IsZero()
+	if after.Era != before.Era && !first {
+		g.eraChanged(now, before, after, source)
 	}
-	first := before == 0
 	for _, c := range altered {
 		g.applyChange(now, c, source, first)
 	}
 	if first && len(altered) > 0 {
-		g.info(event.UpstreamsLoaded, event.Fields{"upstreams": p.directory.Len(), "revision": d.Revision, "age_ms": now.Sub(confirmedAt).Milliseconds(), "source": source}, "the first copy of the registry was loaded")
+		fields := g.changeFields(d.Revision, source)
+		fields["upstreams"], fields["age_ms"] = p.directory.Len(), now.Sub(confirmedAt).Milliseconds()
+		g.info(event.UpstreamsLoaded, fields, "the first copy of the registry was loaded")
 	}
 	if len(altered) > 0 {
 		g.replaceView(now)
 	}
-	if p.replica.Revision() != before {
+	if after != before {
 		close(p.changed)
 		p.changed = make(chan struct{})
 	}
 }
 
+// eraChanged records that the platform has returned from a backup. The changes of the new
+// era are not applied yet. published must be locked.
+func (g *Gateway) eraChanged(now time.Time, before, after feed.Position, source string) {
+	g.published.directory.EraChanged(now)
+	g.ports.Metrics.StoreEraChanged()
+	g.warn(event.StoreEraChanged, event.Fields{"era": after.Era, "revision": after.Revision, "previous_era": before.Era, "previous_revision": before.Revision, "source": source}, "the platform has returned from a backup; all its keys were read again")
+}
+
 // applyChange applies one change. The upstreams of the first copy are logged together
 // and not one by one, because writing several hundred lines delays the start of an
 // instance with little processor time. published must be locked.
@@ -55,31 +70,51 @@
 	if !ok {
 		return
 	}
+	fields := g.changeFields(c.Revision, source)
 	switch {
 	case c.Deleted:
-		g.info(event.UpstreamGone, event.Fields{"upstream": u.ID, "revision": c.Revision, "lapsed": c.Lapsed, "source": source}, "an upstream's entry was removed")
+		fields["upstream"], fields["lapsed"] = u.ID, c.Lapsed
+		g.info(event.UpstreamGone, fields, "an upstream's entry was removed")
 		if listed, ok := p.directory.Lookup(u.ID); ok && !c.Lapsed && listed.State == directory.Ready {
 			g.upstreamRemoved(now, listed)
 		}
 		p.directory.Remove(now, u.ID, c.Lapsed)
 	case err != nil:
-		g.warn(event.EntryInvalid, event.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()}, "a registry entry is invalid; its upstream is removed")
+		fields["key"], fields["error"] = c.Key, err.Error()
+		g.warn(event.EntryInvalid, fields, "a registry entry is invalid; its upstream is removed")
 		p.directory.Remove(now, u.ID, false)
 	case first:
 		p.directory.Set(u)
 	default:
-		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "revision": c.Revision, "source": source}, "an upstream's entry changed")
-		p.directory.Set(u)
+		fields["upstream"], fields["service"], fields["address"], fields["state"], fields["cold_ms"] = u.ID, u.Service, u.Address, int(u.State), u.ColdFor.Milliseconds()
+		g.info(event.UpstreamListed, fields, "an upstream's entry changed")
+		if !p.directory.Set(u) {
+			held := g.changeFields(c.Revision, source)
+			held["upstream"], held["sequence"] = u.ID, u.Sequence
+			g.info(event.EntryHeld, held, "an upstream's entry may be older than its removal or draining, and is not used")
+			return
+		}
 		g.upstreamListed(now, u)
 	}
 }
 
+// changeFields returns the fields that log lines about a change have in common. The era is
+// left out if the platform states none. published must be locked.
+func (g *Gateway) changeFields(revision uint64, source string) event.Fields {
+	fields := event.Fields{"revision": revision, "source": source}
+	if era := g.published.replica.Position().Era; era > 0 {
+		fields["era"] = era
+	}
+	return fields
+}
+
 // adoptConfig stores a configuration for the next view if its version is higher than
 // that of the present configuration. err is the error of decoding it. published must be
 // locked.
 func (g *Gateway) adoptConfig(config routing.Config, err error, revision uint64, source string) {
 	p := &g.published
-	fields := event.Fields{"version": config.Version, "revision": revision, "source": source}
+	fields := g.changeFields(revision, source)
+	fields["version"] = config.Version
 	switch {
 	case err != nil:
 		fields["error"] = err.Error()
@@ -200,8 +235,9 @@
 	}
 }
 
-// expireLapsed removes the upstreams whose entries lapsed during an outage and were not
-// registered again in time.
+// expireLapsed removes the upstreams whose entries lapsed during an outage or a return from
+// a backup and were not registered again in time. It uses the entries that were held and
+// are still listed.
 func (g *Gateway) expireLapsed(now time.Time) {
 	p := &g.published
 	p.Lock()
@@ -210,43 +246,44 @@
 	for _, id := range expired {
 		g.info(event.UpstreamGone, event.Fields{"upstream": id, "lapsed": true}, "an upstream's lapsed entry did not come back")
 	}
-	if len(expired) > 0 {
+	readmitted := p.directory.Readmit(now)
+	for _, u := range readmitted {
+		g.info(event.UpstreamListed, event.Fields{"upstream": u.ID, "service": u.Service, "address": u.Address, "state": int(u.State), "cold_ms": u.ColdFor.Milliseconds(), "held": true}, "an upstream's held entry is still listed and is used")
+		g.upstreamListed(now, u)
+	}
+	if len(expired)+len(readmitted) > 0 {
 		g.replaceView(now)
 	}
 }
 
 // HandleFetchChanges implements port.FeedHandler.
-func (g *Gateway) HandleFetchChanges(ctx context.Context, after uint64, wait time.Duration) (feed.Delta, time.Duration, bool) {
+func (g *Gateway) HandleFetchChanges(ctx context.Context, after feed.Position, wait time.Duration) (feed.Delta, time.Duration, bool) {
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for {
-		d, age, changed := g.changesSince(after)
-		if len(d.Changes) > 0 || d.Revision > after {
+		d, ahead, age, changed := g.changesSince(after)
+		if ahead {
 			return d, age, true
 		}
 		select {
 		case <-changed:
 		case <-timer.C:
-			d, age, _ = g.changesSince(after)
-			return d, age, d.Revision > 0
+			d, _, age, _ = g.changesSince(after)
+			return d, age, !d.IsZero()
 		case <-ctx.Done():
 			return feed.Delta{}, 0, false
 		}
 	}
 }
 
-// changesSince returns the changes after a revision, the age of the copy, and a channel
-// that is closed when the copy next changes.
-func (g *Gateway) changesSince(after uint64) (feed.Delta, time.Duration, <-chan struct{}) {
+// changesSince returns the changes after a position, whether the copy is ahead of that
+// position, the age of the copy, and a channel that is closed when the copy next changes.
+func (g *Gateway) changesSince(after feed.Position) (d feed.Delta, ahead bool, age time.Duration, changed <-chan struct{}) {
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	age := g.ports.Clock.Now().Sub(p.confirmedAt)
-	d, ahead := p.replica.Since(after)
-	if !ahead {
-		d = feed.Delta{Revision: p.replica.Revision()}
-	}
-	return d, age, p.changed
+	d, ahead = p.replica.Since(after)
+	return d, ahead, g.ports.Clock.Now().Sub(p.confirmedAt), p.changed
 }
 
 // copyIsFresh reports whether the copy was confirmed recently enough to rely on its
--- a/pkg/gateway/status.go
+++ b/pkg/gateway/status.go
@@ -14,10 +14,12 @@
 	Reader        bool               `json:"reader"`
 	Members       []model.InstanceID `json:"members"`
 	ConfigVersion uint64             `json:"config_version"`
-	Revision      uint64             `json:"revision"`
-	AgeMS         int64              `json:"age_ms"`
-	Upstreams     int                `json:"upstreams"`
-	Active        int                `json:"active"`
+	// Era and Revision are the position of the copy of the platform's keys.
+	Era       uint64 `json:"era"`
+	Revision  uint64 `json:"revision"`
+	AgeMS     int64  `json:"age_ms"`
+	Upstreams int    `json:"upstreams"`
+	Active    int    `json:"active"`
 }
 
 // Status implements operatorhttp.Inspector.
@@ -33,7 +35,8 @@
 	p := &g.published
 	p.Lock()
 	defer p.Unlock()
-	s.Revision, s.Upstreams = p.replica.Revision(), p.directory.Len()
+	at := p.replica.Position()
+	s.Era, s.Revision, s.Upstreams = at.Era, at.Revision, p.directory.Len()
 	s.AgeMS = g.ports.Clock.Now().Sub(p.confirmedAt).Milliseconds()
 	if p.table != nil {
 		s.ConfigVersion = p.table.Version
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -109,6 +109,7 @@
 	invariantViolations *family[tally.Counter]
 	documentVerdicts    *family[tally.Counter]
 	platformReads       *family[tally.Counter]
+	storeEraChanges     tally.Counter
 	membershipChanges   *family[tally.Counter]
 	controlMessages     *family[tally.Counter]
 	controlBytes        *family[tally.Counter]
@@ -171,6 +172,7 @@
 		invariantViolations: counters(nameInvariantViolations, tagInvariant),
 		documentVerdicts:    counters(nameDocumentVerdicts, tagVerdict),
 		platformReads:       counters(namePlatformReads, tagResult),
+		storeEraChanges:     scope.Counter(nameStoreEraChanges),
 		membershipChanges:   counters(nameMembershipChanges, tagState),
 		controlMessages:     counters(nameControlMessages, tagDirection),
 		controlBytes:        counters(nameControlBytes, tagDirection),
@@ -330,6 +332,13 @@
 	m.platformReads.seriesFor(outcome).Inc(1)
 }
 
+// StoreEraChanged counts a change of the platform's era: its store returned from a backup.
+func (m *Metrics) StoreEraChanged() {
+	if m != nil {
+		m.storeEraChanges.Inc(1)
+	}
+}
+
 // MembershipChanged counts a member's transition to the given state.
 func (m *Metrics) MembershipChanged(to MemberState) {
 	if m != nil {
--- a/pkg/metrics/metrics_test.go
+++ b/pkg/metrics/metrics_test.go
@@ -30,6 +30,7 @@
 	m.InvariantViolated("one_snapshot")
 	m.DocumentEvaluated(VerdictConflict)
 	m.PlatformRead(false)
+	m.StoreEraChanged()
 	m.MembershipChanged(MemberDead)
 	m.ControlMessage(Sent, 1200)
 	m.UpstreamEjected(result.UpstreamLost)
@@ -72,6 +73,7 @@
 		`sardineturn_invariant_violations_total{invariant="one_snapshot"} 1`,
 		`sardineturn_document_verdicts_total{verdict="conflict"} 1`,
 		`sardineturn_platform_reads_total{result="failed"} 1`,
+		`sardineturn_store_era_changes_total 1`,
 		`sardineturn_membership_changes_total{state="dead"} 1`,
 		`sardineturn_control_bytes_total{direction="sent"} 1200`,
 		`sardineturn_queued_requests{group="s/1",priority="counter"} 3`,
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -19,6 +19,7 @@
 	nameInvariantViolations = "invariant_violations_total"
 	nameDocumentVerdicts    = "document_verdicts_total"
 	namePlatformReads       = "platform_reads_total"
+	nameStoreEraChanges     = "store_era_changes_total"
 	nameMembershipChanges   = "membership_changes_total"
 	nameControlMessages     = "control_messages_total"
 	nameControlBytes        = "control_bytes_total"
