Request stories: changes of two eras are not taken for one

Cause: the clocks of two instances are compared by the changes that both logged, which were matched by revision; a store that returned from a backup issues revisions again. Result: TestSkewAcrossEras failed with the era left out of the match (a skew of 30 s for an instance whose clock agrees), and passes.

--- a/pkg/requestlog/requestlog.go
+++ b/pkg/requestlog/requestlog.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/feed"
 )
 
 const (
@@ -42,6 +43,7 @@
 	Route    string    `json:"route"`
 	Config   uint64    `json:"config"`
 	Revision uint64    `json:"revision"`
+	Era      uint64    `json:"era"`
 	Upstream string    `json:"upstream"`
 	TookMS   float64   `json:"took_ms"`
 	SpentMS  float64   `json:"spent_ms"`
@@ -279,18 +281,21 @@
 func clockSkews(lines []Line, reference string) map[string]time.Duration {
 	type change struct {
 		event    event.ID
-		revision uint64
+		at       feed.Position
 		upstream string
 	}
+	changeOf := func(l Line) change {
+		return change{l.Event, feed.Position{Era: l.Era, Revision: l.Revision}, l.Upstream}
+	}
 	loggedAt := make(map[change]time.Time)
 	for _, l := range lines {
 		if l.Instance == reference && l.Revision > 0 {
-			loggedAt[change{l.Event, l.Revision, l.Upstream}] = l.Time
+			loggedAt[changeOf(l)] = l.Time
 		}
 	}
 	differences := make(map[string][]time.Duration)
 	for _, l := range lines {
-		if referenceTime, ok := loggedAt[change{l.Event, l.Revision, l.Upstream}]; ok && l.Instance != reference {
+		if referenceTime, ok := loggedAt[changeOf(l)]; ok && l.Instance != reference {
 			differences[l.Instance] = append(differences[l.Instance], l.Time.Sub(referenceTime))
 		}
 	}
--- a/pkg/requestlog/requestlog_test.go
+++ b/pkg/requestlog/requestlog_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -32,6 +33,18 @@
 	must.False(t, Explain(&out, lines, "r3"))
 }
 
+// TestSkewAcrossEras guards against taking two changes for one because they have the same
+// revision in different eras of the platform: the clock of an instance would then seem to
+// differ by the time between the two.
+func TestSkewAcrossEras(t *testing.T) {
+	lines, err := Read(strings.NewReader(`{"event":406,"instance":"a","upstream":"u1","revision":7,"time":"2026-01-01T00:00:05Z"}
+{"event":406,"instance":"b","upstream":"u1","revision":7,"era":1,"time":"2026-01-01T00:00:35Z"}
+{"event":406,"instance":"c","upstream":"u1","revision":7,"time":"2026-01-01T00:01:05Z"}
+`))
+	must.NoError(t, err)
+	must.Eq(t, map[string]time.Duration{"c": time.Minute}, clockSkews(lines, "a"))
+}
+
 // TestCause guards against refused or late requests for which no cause is given.
 func TestCause(t *testing.T) {
 	lines, err := Read(strings.NewReader(sampleLog))
