--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -45,6 +45,8 @@
 	// Started is the Unix time of its start in milliseconds. It differs between
 	// processes that use the same id one after the other.
 	Started int64
+	// Sequence increases with every report of the process.
+	Sequence int64
 }
 
 // Directory holds the listed upstreams.
@@ -55,17 +57,52 @@
 	lapsing map[string]time.Time
 	// evacuated holds the data centres whose upstreams must get no requests.
 	evacuated map[model.DataCentre]bool
+	// lapsingEvacuations holds, for each evacuation whose key lapsed, the time at which it
+	// ends unless the key returns.
+	lapsingEvacuations map[model.DataCentre]time.Time
+	rollback           rollback
 }
 
 // New returns an empty directory.
 func New() *Directory {
-	return &Directory{upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time), evacuated: make(map[model.DataCentre]bool)}
+	return &Directory{
+		upstreams: make(map[string]Upstream), lapsing: make(map[string]time.Time), evacuated: make(map[model.DataCentre]bool),
+		lapsingEvacuations: make(map[model.DataCentre]time.Time),
+		rollback:           rollback{departures: make(map[string]departure), held: make(map[string]Upstream), lost: make(map[string]bool)},
+	}
 }
 
-// Set adds or replaces the entry of an upstream.
-func (d *Directory) Set(u Upstream) {
+// Set adds or replaces the entry of an upstream. It returns false if the entry is not used
+// because it may be older than what is known of the upstream: the platform returned from a
+// backup, and the upstream had reported draining or was removed.
+func (d *Directory) Set(u Upstream) bool {
+	delete(d.rollback.held, u.ID)
+	if d.outdated(u) {
+		d.hold(u)
+		return false
+	}
+	u.Sequence = d.highestSequence(u)
+	d.rollback.forget(u.ID)
 	d.upstreams[u.ID] = u
 	delete(d.lapsing, u.ID)
+	delete(d.rollback.lost, u.ID)
+	return true
+}
+
+// highestSequence returns the highest known sequence of the lifetime of the entry, which
+// an entry from a backup does not lower.
+func (d *Directory) highestSequence(u Upstream) int64 {
+	sequence := u.Sequence
+	if u.Started == 0 || d.rollback.eraChangedAt.IsZero() {
+		return sequence
+	}
+	if listed, ok := d.upstreams[u.ID]; ok && listed.Started == u.Started {
+		sequence = max(sequence, listed.Sequence)
+	}
+	if left, ok := d.rollback.departures[u.ID]; ok && left.started == u.Started {
+		sequence = max(sequence, left.sequence)
+	}
+	return sequence
 }
 
 // SetColdUntil replaces Upstream.ColdUntil of a listed upstream's process by what a newer
@@ -83,6 +120,7 @@
 // Remove removes the entry of an upstream. If the entry lapsed and the upstream was
 // ready, the entry stays listed until LapseGrace after the first such removal.
 func (d *Directory) Remove(now time.Time, id string, lapsed bool) {
+	delete(d.rollback.held, id)
 	u, ok := d.upstreams[id]
 	if !ok {
 		return
@@ -90,20 +128,25 @@
 	if lapsed && u.State == Ready {
 		if _, pending := d.lapsing[id]; !pending {
 			d.lapsing[id] = now.Add(LapseGrace)
+			d.rollback.lost[id] = d.rollback.checking
 		}
 		return
 	}
 	delete(d.upstreams, id)
 	delete(d.lapsing, id)
+	delete(d.rollback.lost, id)
+	d.rollback.depart(u)
 }
 
 // Expire removes the lapsed entries that did not return within LapseGrace, and
-// returns their ids.
+// returns their ids. An entry that the platform may have lost is removed only once the
+// platform has confirmed, after that time, that it is missing.
 func (d *Directory) Expire(now time.Time) []string {
 	var expired []string
 	for id, removeAt := range d.lapsing {
-		if !now.Before(removeAt) {
+		if !now.Before(removeAt) && !d.rollback.mayReturn(id, removeAt) {
 			expired = append(expired, id)
+			delete(d.rollback.lost, id)
 			delete(d.upstreams, id)
 			delete(d.lapsing, id)
 		}
@@ -123,6 +166,7 @@
 func (d *Directory) Evacuate(dc model.DataCentre) bool {
 	started := !d.evacuated[dc]
 	d.evacuated[dc] = true
+	delete(d.lapsingEvacuations, dc)
 	return started
 }
 
@@ -130,6 +174,31 @@
 func (d *Directory) EndEvacuation(dc model.DataCentre) bool {
 	ended := d.evacuated[dc]
 	delete(d.evacuated, dc)
+	delete(d.lapsingEvacuations, dc)
+	return ended
+}
+
+// LapseEvacuation ends the evacuation of a data centre LapseGrace later, unless Evacuate is
+// called before: the platform may have lost the key that requests it, and the operator
+// writes it again.
+func (d *Directory) LapseEvacuation(now time.Time, dc model.DataCentre) {
+	if _, pending := d.lapsingEvacuations[dc]; d.evacuated[dc] && !pending {
+		d.lapsingEvacuations[dc] = now.Add(LapseGrace)
+	}
+}
+
+// ExpireEvacuations ends the evacuations whose keys lapsed and did not return, and returns
+// their data centres in order. As with lost entries, the platform must have confirmed after
+// LapseGrace that the key is missing.
+func (d *Directory) ExpireEvacuations(now time.Time) []model.DataCentre {
+	var ended []model.DataCentre
+	for dc, endAt := range d.lapsingEvacuations {
+		if !now.Before(endAt) && !d.rollback.confirmedAt.Before(endAt) {
+			ended = append(ended, dc)
+			d.EndEvacuation(dc)
+		}
+	}
+	slices.Sort(ended)
 	return ended
 }
 
@@ -154,10 +223,12 @@
 		}
 	}
 	for _, list := range out {
-		slices.SortFunc(list, func(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) })
+		slices.SortFunc(list, compareIDs)
 	}
 	return out
 }
 
+func compareIDs(a, b Upstream) int { return cmp.Compare(a.ID, b.ID) }
+
 // Len returns the number of entries.
 func (d *Directory) Len() int { return len(d.upstreams) }
--- a/pkg/event/event.go
+++ b/pkg/event/event.go
@@ -42,6 +42,7 @@
 	HistoryGone      ID = 310
 	FirstReadSlow    ID = 311
 	OutageEnded      ID = 312
+	StoreEraChanged  ID = 315
 
 	UpstreamEjected     ID = 400
 	UpstreamRestored    ID = 401
@@ -66,6 +67,7 @@
 	BodyMemoryShort     ID = 422
 	BodyMemoryRestored  ID = 423
 	ColdLimitsChanged   ID = 424
+	EntryHeld           ID = 425
 
 	TicketLimitReached ID = 500
 	OrderUnknown       ID = 501
--- a/pkg/gateway/cold_test.go
+++ b/pkg/gateway/cold_test.go
@@ -259,7 +259,7 @@
 		}
 		apply := func(age time.Duration) {
 			ff.addUpstream(directory.Upstream{ID: "u", Service: "s", ColdFor: 8 * time.Second})
-			g.applyDelta(time.Now(), feed.Delta{Revision: ff.revision, Changes: ff.changes[len(ff.changes)-1:]}, time.Now().Add(-age), "test")
+			g.applyDelta(time.Now(), feed.Delta{Position: feed.Position{Revision: ff.revision}, Changes: ff.changes[len(ff.changes)-1:]}, time.Now().Add(-age), "test")
 		}
 		ff.withLock(func() { ff.storeRefuses[instanceAddress(0)] = true })
 		time.Sleep(propagationTime)
--- a/pkg/gateway/evacuation.go
+++ b/pkg/gateway/evacuation.go
@@ -22,13 +22,15 @@
 
 // applyEvacuation applies a change of the key that requests the evacuation of a data
 // centre. err is the error of decoding it. published must be locked.
-func (g *Gateway) applyEvacuation(c feed.Change, dc model.DataCentre, err error, source string) {
+func (g *Gateway) applyEvacuation(now time.Time, c feed.Change, dc model.DataCentre, err error, source string) {
 	d := g.published.directory
 	fields := event.Fields{"evacuated": dc, "revision": c.Revision, "source": source}
 	switch {
 	case dc == "":
 		g.warn(event.EntryInvalid, event.Fields{"key": c.Key, "revision": c.Revision, "error": err.Error()}, "a key requests the evacuation of a data centre without a name; it is ignored")
 		return
+	case c.Deleted && c.Lapsed:
+		d.LapseEvacuation(now, dc)
 	case c.Deleted:
 		if d.EndEvacuation(dc) {
 			g.info(event.EvacuationEnded, fields, "the evacuation of a data centre has ended")
@@ -39,6 +41,26 @@
 		}
 		g.warn(event.EvacuationStarted, fields, "a data centre is evacuated; its upstreams get no requests")
 	}
+	g.storeEvacuated()
+}
+
+// expireEvacuations ends the evacuations whose keys lapsed and were not written again in
+// time, and reports whether there were any. published must be locked.
+func (g *Gateway) expireEvacuations(now time.Time) bool {
+	ended := g.published.directory.ExpireEvacuations(now)
+	for _, dc := range ended {
+		g.info(event.EvacuationEnded, event.Fields{"evacuated": dc, "lapsed": true}, "the lapsed key of an evacuation did not come back; the evacuation has ended")
+	}
+	if len(ended) > 0 {
+		g.storeEvacuated()
+	}
+	return len(ended) > 0
+}
+
+// storeEvacuated stores the evacuated data centres of the directory for isEvacuated.
+// published must be locked.
+func (g *Gateway) storeEvacuated() {
+	d := g.published.directory
 	evacuated := make(map[model.DataCentre]bool)
 	for _, dc := range d.Evacuated() {
 		evacuated[dc] = true
