Fault soak: evacuations, cold upstreams, store rollbacks, invalid statuses

Cause: docs/hard-load.md states rules that no check of the soak covered. Change: four kinds of faults and the checks "evacuation" and "cold". "mixed" rejects statuses outside 200 to 599. "drain" and "config" now hold for every write that was in force at the time of the request, so also through a rollback and again 4 s after a fault that came after the write; before, such a fault excused the rest of the run. Upstreams keep "born" for their lifetime; entries and configurations are written in order.

--- a/internal/soak/checks_test.go
+++ b/internal/soak/checks_test.go
@@ -43,6 +43,8 @@
 	defer l.mu.Unlock()
 	success := resp.StatusCode >= 200 && resp.StatusCode < 300
 	switch {
+	case resp.StatusCode < 200 || resp.StatusCode > 599:
+		l.addViolation("mixed", "request %s got the status %03d", r.id, resp.StatusCode)
 	case success && resp.Header.Get("X-Part-Stamps") != "":
 		l.checkMergedAnswer(r, resp, body)
 	case resp.Header.Get("X-Server-Stamp") != "":
@@ -123,6 +125,8 @@
 	l.checkRetryBudget()
 	l.checkCrashingRequests()
 	l.checkServed()
+	l.checkEvacuations()
+	l.checkCold()
 }
 
 // checkBreachCounts checks the numbers of requests and attempts that broke a bound,
@@ -178,12 +182,12 @@
 
 // checkRoute checks that a version of the configuration allows each service that ran
 // a request. An older version is no longer allowed if a newer one was acknowledged
-// more than configApplyTime before the request and no system fault was active since.
+// more than configApplyTime before the request and was in force at that time.
 // A 404 is right only if one of the allowed versions has no such route.
 func (l *ledger) checkRoute(id string, r *request) {
 	oldest := 0
 	for i, v := range l.versions {
-		if !v.acked.IsZero() && v.acked.Add(configApplyTime).Before(r.sent) && l.noSystemFault(v.acked, r.sent) {
+		if !v.acked.IsZero() && l.inForceAt(v.acked, configApplyTime, r.sent) {
 			oldest = i
 		}
 	}
@@ -277,14 +281,13 @@
 
 // checkDrain checks that an upstream gets no request that was sent more than
 // drainGrace after the store acknowledged that the upstream drains or is gone. A
-// request does not count if a system fault was active between that acknowledgement
-// and its arrival.
+// request does not count if inForceAt excuses the instances at its arrival.
 func (l *ledger) checkDrain() {
 	for id, executions := range l.executions {
 		r := l.requests[id]
 		for _, e := range executions {
 			withdrawnAt, withdrawn := l.withdrawn[e.upstream]
-			if r == nil || !withdrawn || !r.sent.After(withdrawnAt.Add(drainGrace)) || !l.noSystemFault(withdrawnAt, e.arrived) {
+			if r == nil || !withdrawn || !r.sent.After(withdrawnAt.Add(drainGrace)) || !l.inForceAt(withdrawnAt, drainGrace, e.arrived) {
 				continue
 			}
 			l.addViolation("drain", "upstream %s got request %s %v after it was withdrawn", e.upstream, id, e.arrived.Sub(withdrawnAt))
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -375,7 +375,7 @@
 	_, leaving := s.ledger.withdrawn[u.id]
 	s.ledger.mu.Unlock()
 	if !stopped && !leaving {
-		s.register(u, "ready")
+		s.register(u, stateReady)
 	}
 }
 
@@ -396,9 +396,7 @@
 func (h *harness) startFault(f fault, r *rand.Rand, duration time.Duration) {
 	from := time.Now()
 	target, undo := f.start(h, r)
-	h.ledger.mu.Lock()
-	h.ledger.faultTotals[f.name]++
-	h.ledger.mu.Unlock()
+	h.countFault(f.name)
 	until := from.Add(duration)
 	if f.planned {
 		until = from.Add(stopGrace + time.Second)
@@ -410,6 +408,21 @@
 	})
 }
 
+func (h *harness) countFault(name string) {
+	h.ledger.mu.Lock()
+	defer h.ledger.mu.Unlock()
+	h.ledger.faultTotals[name]++
+}
+
+// answerInvalidStatuses makes upstreams answer with invalid statuses until the run ends.
+func (h *harness) answerInvalidStatuses(seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 7))
+	f := behaviourFault("invalid status", func(b *behaviour, r *rand.Rand) { b.statusShare = 0.1 + 0.4*r.Float64() })
+	for h.waitUnlessStopped(time.Second + time.Duration(r.Int64N(int64(3*time.Second)))) {
+		h.startFault(f, r, 500*time.Millisecond+time.Duration(r.Int64N(int64(1500*time.Millisecond))))
+	}
+}
+
 // crashBesideAlike makes an upstream crash while it runs a request that many callers send
 // alike, which is not the cause.
 var crashBesideAlike = fault{name: "crash beside alike requests", upstreamsOnly: true, start: func(h *harness, _ *rand.Rand) (string, func()) {
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -68,6 +68,8 @@
 
 	running sync.WaitGroup
 	stop    chan struct{}
+	// onLaunch is called with the time of each start of a process.
+	onLaunch func(time.Time)
 }
 
 // newFleet prepares n gateways whose addresses lie in 127.<network>.0.0/16. It does
@@ -148,6 +150,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.process, g.launchedAt = p, time.Now()
+	g.fleet.onLaunch(g.launchedAt)
 	return nil
 }
 
--- a/internal/soak/ledger_test.go
+++ b/internal/soak/ledger_test.go
@@ -28,6 +28,7 @@
 // execution is an attempt of a request that reached an upstream.
 type execution struct {
 	id, upstream, service string
+	dataCentre            string
 	arrived, finished     time.Time
 	// timeBudget is the time that the gateway gave the upstream; negative if it
 	// stated none.
@@ -67,7 +68,12 @@
 	// drains or is gone, by the upstream's id.
 	withdrawn      map[string]time.Time
 	faultIntervals []interval
-	violations     []string
+	evacuations    []evacuation
+	healthChecks   []healthCheck
+	coldPeriods    []coldPeriod
+	// launches holds the times at which processes of gateways started.
+	launches   []time.Time
+	violations []string
 	// checkTotals holds how often each check was made, and faultTotals how often each
 	// fault was injected.
 	checkTotals map[string]int
@@ -82,7 +88,9 @@
 	upstreamsOnly bool
 	// planned is true for planned work, during which no request may lose its answer.
 	planned bool
-	target  string
+	// rollback is true for a rollback of the store, until everything is written again.
+	rollback bool
+	target   string
 }
 
 func newLedger() *ledger {
@@ -143,6 +151,12 @@
 	}
 }
 
+func (l *ledger) recordLaunch(when time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.launches = append(l.launches, when)
+}
+
 func (l *ledger) addFaultInterval(i interval) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -55,12 +55,20 @@
 	fleet       *fleet
 	dataCentres []string
 
+	// configMu is held while a configuration is written, so that the versions arrive in
+	// order.
+	configMu sync.Mutex
+
 	mu            sync.Mutex
 	upstreams     []*upstream
 	lastUpstream  int
 	configNumber  uint64
 	routes        map[string]routeSpec
 	entrySequence int
+	// evacuated holds the data centres that are evacuated.
+	evacuated map[string]bool
+	// cold makes upstreams that start cold, and limits requests to cold upstreams.
+	cold bool
 	// crashWithAlike is shared with all upstreams; see upstream.
 	crashWithAlike atomic.Bool
 }
@@ -90,7 +98,7 @@
 
 func newServices(l *ledger, s *store, f *fleet, dataCentres []string, run int) *services {
 	return &services{
-		ledger: l, store: s, fleet: f, dataCentres: dataCentres, configNumber: 10, run: run,
+		ledger: l, store: s, fleet: f, dataCentres: dataCentres, configNumber: 10, run: run, evacuated: make(map[string]bool),
 		routes: map[string]routeSpec{
 			"/search/": {Prefix: "/search/", shards: firstShards, latencyTarget: 80 * time.Millisecond},
 			"/record/": {Prefix: "/record/", service: []string{"p"}, latencyTarget: 300 * time.Millisecond},
@@ -134,16 +142,25 @@
 
 func (s *services) startService(name string, work time.Duration) error {
 	for i := range upstreamsPerService {
-		if _, err := s.startUpstream(name, s.dataCentres[i%len(s.dataCentres)], "", work); err != nil {
+		if _, err := s.launchUpstream(name, s.dataCentres[i%len(s.dataCentres)], "", work, 0); err != nil {
 			return err
 		}
 	}
 	return nil
 }
 
-// startUpstream starts an upstream and registers it. If no address is given, every
-// second upstream is reached through the relay, so that its links can be cut.
+// startUpstream starts an upstream in a running service, and registers it. It may be cold.
 func (s *services) startUpstream(service, dataCentre, address string, work time.Duration) (*upstream, error) {
+	coldFor := time.Duration(0)
+	if s.cold {
+		coldFor = startColdTime
+	}
+	return s.launchUpstream(service, dataCentre, address, work, coldFor)
+}
+
+// launchUpstream starts an upstream that is cold for the given time, and registers it. If no address is given, every
+// second upstream is reached through the relay, so that its links can be cut.
+func (s *services) launchUpstream(service, dataCentre, address string, work, coldFor time.Duration) (*upstream, error) {
 	s.mu.Lock()
 	s.lastUpstream++
 	number := s.lastUpstream
@@ -159,14 +176,37 @@
 	}
 	u.onCrash, u.crashWithAlike = func() { s.crash(u, time.Second) }, &s.crashWithAlike
 	u.onSilentCrash = func() { s.crashSilently(u) }
+	if u.sendsCold = s.cold; coldFor > 0 {
+		u.coldUntil = time.Now().Add(coldFor)
+	}
 	s.mu.Lock()
 	s.upstreams = append(s.upstreams, u)
 	s.mu.Unlock()
-	s.register(u, "ready")
+	s.register(u, stateReady)
+	if coldFor > 0 {
+		// No instance has sent anything before it knew the entry.
+		now := time.Now()
+		s.ledger.recordCold(coldPeriod{upstream: u.id, acked: now, from: now, till: u.coldTime()})
+	}
 	return u, nil
 }
 
+// States of an upstream. stateRemoved has no entry.
+const (
+	stateReady    = "ready"
+	stateDraining = "draining"
+	stateRemoved  = "removed"
+)
+
+// register writes the entry of an upstream. An upstream that drains or was removed does
+// not become ready again.
 func (s *services) register(u *upstream, state string) {
+	u.entryMu.Lock()
+	defer u.entryMu.Unlock()
+	if u.state == stateRemoved || u.state == stateDraining && state == stateReady {
+		return
+	}
+	u.state = state
 	s.mu.Lock()
 	s.entrySequence++
 	n := s.entrySequence
@@ -174,6 +214,14 @@
 	s.store.put("servers/"+u.id, u.entry(state, n))
 }
 
+// deregister removes the entry of an upstream for good.
+func (s *services) deregister(u *upstream) {
+	u.entryMu.Lock()
+	defer u.entryMu.Unlock()
+	u.state = stateRemoved
+	s.store.remove("servers/" + u.id)
+}
+
 // runningUpstreams returns the running upstreams that accept selects.
 func (s *services) runningUpstreams(accept func(*upstream) bool) []*upstream {
 	s.mu.Lock()
@@ -214,7 +262,7 @@
 	u.stop()
 	go func() {
 		time.Sleep(entryLapseTime)
-		s.store.remove("servers/" + u.id)
+		s.deregister(u)
 		s.ledger.recordWithdrawal(u.id)
 		if downtime > 0 {
 			time.Sleep(max(0, downtime-entryLapseTime))
@@ -231,7 +279,7 @@
 	u.mu.Unlock()
 	go func() {
 		time.Sleep(entryLapseTime)
-		s.store.remove("servers/" + u.id)
+		s.deregister(u)
 		s.ledger.recordWithdrawal(u.id)
 		_, _ = s.startUpstream(u.service, u.dataCentre, "", u.meanWork)
 		time.Sleep(serveAfterWithdrawal)
@@ -242,12 +290,12 @@
 // drain registers an upstream as draining and stops it after serveAfterWithdrawal.
 // If nextService is not empty, an upstream of that service then gets the address.
 func (s *services) drain(u *upstream, nextService string) {
-	s.register(u, "draining")
+	s.register(u, stateDraining)
 	s.ledger.recordWithdrawal(u.id)
 	go func() {
 		time.Sleep(serveAfterWithdrawal)
 		u.stop()
-		s.store.remove("servers/" + u.id)
+		s.deregister(u)
 		if nextService != "" {
 			time.Sleep(2 * time.Second)
 			_, _ = s.startUpstream(nextService, u.dataCentre, u.address, u.meanWork)
@@ -258,7 +306,7 @@
 // removeEntry removes the entry of an upstream and stops the upstream after
 // serveAfterWithdrawal.
 func (s *services) removeEntry(u *upstream) {
-	s.store.remove("servers/" + u.id)
+	s.deregister(u)
 	s.ledger.recordWithdrawal(u.id)
 	time.AfterFunc(serveAfterWithdrawal, u.stop)
 }
@@ -266,6 +314,8 @@
 // configure changes the routes and publishes them as a new version of the
 // configuration.
 func (s *services) configure(change func(map[string]routeSpec)) {
+	s.configMu.Lock()
+	defer s.configMu.Unlock()
 	s.mu.Lock()
 	change(s.routes)
 	s.configNumber += 1 + uint64(s.lastUpstream%3)
@@ -282,7 +332,11 @@
 	}
 	var serviceEntries []any
 	for name := range serviceNames {
-		serviceEntries = append(serviceEntries, map[string]any{"name": name, "health_path": healthPath, "max_conns": maxConns})
+		entry := map[string]any{"name": name, "health_path": healthPath, "max_conns": maxConns}
+		if s.cold {
+			entry["cold_per_s"] = coldPerSecond
+		}
+		serviceEntries = append(serviceEntries, entry)
 	}
 	s.mu.Unlock()
 	v.sent = time.Now()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,6 +28,7 @@
 	parallelRuns  = flag.Int("soak.parallel", 4, "number of runs at the same time")
 	instanceCount = flag.Int("soak.instances", 5, "number of gateways in a run")
 	programPath   = flag.String("soak.program", "", "path of the program; it is built when this is empty")
+	kindNames     = flag.String("soak.kinds", "", "kinds of faults that can be switched, separated by commas: evacuation, cold, rollback, status; none for no such faults, enabledKinds when this is empty")
 	keepDir       = flag.String("soak.keep", "", "directory for the logs of runs that failed; a temporary one when this is empty")
 )
 
@@ -91,9 +92,9 @@
 	return p
 }
 
-// runSeed runs the gateways under the plan of a seed, makes all checks and returns
-// the ledger with their results.
-func runSeed(t *testing.T, seed uint64, dir string) *ledger {
+// runSeed runs the gateways under the plan of a seed and the given kinds of faults, makes
+// all checks and returns the ledger with their results.
+func runSeed(t *testing.T, seed uint64, kinds kindSelector, dir string) *ledger {
 	t.Helper()
 	r := rand.New(rand.NewPCG(seed, 0))
 	p := newPlan(r)
@@ -103,9 +104,16 @@
 	f, err := newFleet(dir, network, *instanceCount, dataCentres, s)
 	must.NoError(t, err)
 	sv := newServices(l, s, f, dataCentres, network)
+	f.onLaunch, sv.cold = l.recordLaunch, kinds.has(coldUpstreams)
 	must.NoError(t, sv.startAll())
-	must.NoError(t, f.start())
 	h := &harness{ledger: l, store: s, fleet: f, services: sv, stop: make(chan struct{})}
+	var evacuated []string
+	if kinds.has(evacuations) && seed%2 == 0 {
+		// The instances learn of this evacuation with their first replica.
+		evacuated = []string{dataCentres[seed/2%3]}
+		sv.evacuate(evacuated[0], "{}")
+	}
+	must.NoError(t, f.start())
 	h.callerRate.Store(callerRateMilliHz)
 	h.abandonPercent.Store(1)
 	started := time.Now()
@@ -125,6 +133,7 @@
 		must.NoError(t, sv.addRiskySearch())
 		h.running.Go(func() { h.sendCrashingQueries(seed) })
 	}
+	h.startKinds(seed, kinds, evacuated)
 	h.runPlan(p, r)
 	close(h.stop)
 	callers.Wait()
@@ -136,6 +145,28 @@
 	return l
 }
 
+// startKinds starts the faults of the given kinds; evacuated holds the data centres that
+// are evacuated already. The faults have their own random numbers, so
+// that the plan of a seed does not depend on the kinds.
+func (h *harness) startKinds(seed uint64, kinds kindSelector, evacuated []string) {
+	if kinds.has(evacuations) {
+		h.running.Go(func() { h.evacuateDataCentres(seed, kinds, evacuated) })
+	}
+	if kinds.has(coldUpstreams) {
+		h.running.Go(func() { h.coolDataCentres(seed) })
+		h.running.Go(h.beat)
+	}
+	if kinds.has(evacuations) || kinds.has(coldUpstreams) {
+		h.running.Go(h.recordUnservable)
+	}
+	if kinds.has(storeRollbacks) {
+		h.running.Go(func() { h.rollBackStore(seed) })
+	}
+	if kinds.has(invalidStatuses) {
+		h.running.Go(func() { h.answerInvalidStatuses(seed) })
+	}
+}
+
 func (h *harness) startCallers(seed uint64) *sync.WaitGroup {
 	var wg sync.WaitGroup
 	for i := range callersPerRun {
@@ -182,7 +213,7 @@
 
 // runSeeds runs the seeds, at most maxParallel at the same time, and reports their
 // violations as errors of the test.
-func runSeeds(t *testing.T, seeds []uint64, maxParallel int) {
+func runSeeds(t *testing.T, seeds []uint64, kinds func(seed uint64) kindSelector, maxParallel int) {
 	t.Helper()
 	base := *keepDir
 	if base == "" {
@@ -199,7 +230,7 @@
 			t.Run(fmt.Sprint("seed_", seed), func(t *testing.T) {
 				dir := filepath.Join(base, fmt.Sprint("seed-", seed))
 				must.NoError(t, os.MkdirAll(dir, 0o755))
-				l := runSeed(t, seed, dir)
+				l := runSeed(t, seed, kinds(seed), dir)
 				mu.Lock()
 				defer mu.Unlock()
 				addCounts(checkTotals, l.checkTotals)
@@ -241,13 +272,26 @@
 //	     which was then refused as the cause.
 var shortSeeds = []uint64{1, 2, 3, 104, 220007, 220010, 290001}
 
+// seedOfKind holds the seed that TestShortSoak runs for each enabled kind. A long run of
+// these seeds uses no other kind.
+var seedOfKind = map[kind]uint64{evacuations: 1002, coldUpstreams: 1000, storeRollbacks: 1027, invalidStatuses: 1004}
+
 // TestShortSoak guards against changes that break a guarantee to callers or
-// upstreams under faults of all kinds. It runs real processes.
+// upstreams under faults of all kinds. It runs real processes. The seeds of enabled kinds
+// wait for a free slot, because more runs at a time make requests late on a busy machine.
 func TestShortSoak(t *testing.T) {
 	if testing.Short() {
 		t.Skip("starts processes for some seconds")
 	}
-	runSeeds(t, shortSeeds, len(shortSeeds))
+	kinds, err := kindsInUse()
+	must.NoError(t, err)
+	seeds := slices.Clone(shortSeeds)
+	for _, k := range kinds {
+		seeds = append(seeds, seedOfKind[k])
+	}
+	runSeeds(t, seeds, func(seed uint64) kindSelector {
+		return slices.DeleteFunc(slices.Clone(kinds), func(k kind) bool { return seedOfKind[k] != seed })
+	}, len(shortSeeds))
 }
 
 // TestLongSoak runs the checks of TestShortSoak for many seeds; "make fault-soak"
@@ -260,9 +304,11 @@
 	if from == 0 {
 		from = uint64(time.Now().Unix())
 	}
+	kinds, err := kindsInUse()
+	must.NoError(t, err)
 	var seeds []uint64
 	for i := range *seedCount {
 		seeds = append(seeds, from+uint64(i))
 	}
-	runSeeds(t, seeds, *parallelRuns)
+	runSeeds(t, seeds, func(seed uint64) kindSelector { return kindsOfSeed(seed, kinds) }, *parallelRuns)
 }
--- a/internal/soak/store_test.go
+++ b/internal/soak/store_test.go
@@ -47,11 +47,15 @@
 	// loseShare is the share of calls, 0 to 1, that are carried out but not answered.
 	loseShare float64
 	calls     int
-	servers   []*http.Server
+	// era counts the rollbacks; answers state it in the header Store-Era.
+	era uint64
+	// written holds the last write of each key, which a rollback may have undone.
+	written map[string]storeItem
+	servers []*http.Server
 }
 
 func newStore() *store {
-	return &store{rev: 1000, historyStart: 1000, items: make(map[string]storeItem), changed: make(chan struct{}), modes: make(map[string]storeMode)}
+	return &store{rev: 1000, historyStart: 1000, items: make(map[string]storeItem), written: make(map[string]storeItem), changed: make(chan struct{}), modes: make(map[string]storeMode)}
 }
 
 // listenFor opens the listener for the calls of one instance and returns its address.
@@ -91,8 +95,14 @@
 func (s *store) apply(i storeItem) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.applyLocked(i)
+}
+
+// applyLocked applies a change. The caller holds the lock.
+func (s *store) applyLocked(i storeItem) {
 	s.rev++
 	i.Rev = s.rev
+	s.written[i.Key] = i
 	if i.Deleted {
 		if _, held := s.items[i.Key]; !held {
 			return
@@ -126,16 +136,25 @@
 	f()
 }
 
-// callFaults returns the faults that apply to a call of an instance.
-func (s *store) callFaults(name string) (mode storeMode, delay time.Duration, lose bool) {
+// callFaults returns the faults that apply to a call of an instance, and the era.
+func (s *store) callFaults(name string) (mode storeMode, delay time.Duration, lose bool, era uint64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
-	return max(s.modes[""], s.modes[name]), s.delay, rand.Float64() < s.loseShare
+	return max(s.modes[""], s.modes[name]), s.delay, rand.Float64() < s.loseShare, s.era
+}
+
+func (s *store) currentEra() uint64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.era
 }
 
 func (s *store) serve(name string, w http.ResponseWriter, r *http.Request) {
-	mode, delay, lose := s.callFaults(name)
+	mode, delay, lose, era := s.callFaults(name)
+	if era > 0 {
+		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
+	}
 	time.Sleep(delay)
 	switch mode {
 	case storeBusy:
@@ -161,6 +180,11 @@
 	default:
 		status = http.StatusNotFound
 	}
+	if s.currentEra() != era {
+		// The store was restarted during the call.
+		resetRequestConn(w)
+		return
+	}
 	if lose {
 		<-r.Context().Done()
 		return
@@ -211,8 +235,8 @@
 }
 
 // changesSince returns the changes under a prefix after a revision and the present
-// revision. gone is true if the history does not reach back that far; changed is
-// closed by the next change.
+// revision. gone is true if the history does not reach back that far, or if the store
+// does not have the revision; changed is closed by the next change.
 func (s *store) changesSince(prefix string, after uint64) (events []storeItem, rev uint64, gone bool, changed <-chan struct{}) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -222,7 +246,7 @@
 			events = append(events, i)
 		}
 	}
-	return events, s.rev, after < s.historyStart, s.changed
+	return events, s.rev, after < s.historyStart || after > s.rev, s.changed
 }
 
 // resetRequestConn resets the connection of a request.
--- a/internal/soak/upstream_test.go
+++ b/internal/soak/upstream_test.go
@@ -31,6 +31,9 @@
 	// error, are refused, get no answer, get a reset connection instead of an answer,
 	// get half an answer, or get a second answer.
 	errorShare, shedShare, silentShare, loseShare, cutShare, extraShare float64
+	// statusShare is the share of requests and health checks that are answered with an
+	// invalid status.
+	statusShare float64
 	// closesIdle makes the upstream close idle connections without notice.
 	closesIdle bool
 }
@@ -56,6 +59,13 @@
 	server   *http.Server
 	conns    map[net.Conn]bool
 	stopped  bool
+	// born is the start of the upstream, and coldUntil the end of its cold time.
+	born, coldUntil time.Time
+	// sendsCold makes the upstream state its cold time in the answers to health checks.
+	sendsCold bool
+	// state is the state in the last entry. entryMu is held while an entry is written.
+	entryMu sync.Mutex
+	state   string
 	// silent makes the upstream answer no request.
 	silent bool
 }
@@ -76,7 +86,7 @@
 		return nil, err
 	}
 	u := &upstream{ledger: l, id: id, service: service, dataCentre: dataCentre, address: listener.Addr().String(), meanWork: work, slots: make(chan struct{}, upstreamSlots), conns: make(map[net.Conn]bool)}
-	u.published = u.address
+	u.published, u.born = u.address, time.Now()
 	u.server = &http.Server{Handler: u, ConnState: u.trackConn}
 	go func() { _ = u.server.Serve(listener) }()
 	return u, nil
@@ -112,7 +122,7 @@
 
 // entry returns the entry that the upstream registers in the store.
 func (u *upstream) entry(state string, sequence int) map[string]any {
-	return map[string]any{"service": u.service, "address": u.published, "zone": u.dataCentre, "version": "1", "slots": upstreamSlots, "state": state, "cold_left_ms": 0, "sequence": sequence, "born": time.Now().UnixMilli()}
+	return map[string]any{"service": u.service, "address": u.published, "zone": u.dataCentre, "version": "1", "slots": upstreamSlots, "state": state, "cold_left_ms": u.coldLeftMS(), "sequence": sequence, "born": u.born.UnixMilli()}
 }
 
 func (u *upstream) setBehaviour(b behaviour) {
@@ -176,6 +186,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if r.URL.Path == healthPath {
+		u.ledger.recordHealthCheck(u)
+	}
 	u.mu.Lock()
 	b, silent := u.behaviour, u.silent
 	u.mu.Unlock()
@@ -184,10 +197,17 @@
 		return
 	}
 	if r.URL.Path == healthPath {
+		if mathrand.Float64() < b.statusShare {
+			answerInvalidStatus(w, "X-Instance-Id: "+u.id, randomInvalidStatus(), "")
+			return
+		}
 		w.Header().Set("X-Instance-Id", u.id)
+		if u.sendsCold {
+			w.Header().Set("X-Cold-Ms", strconv.FormatInt(u.coldLeftMS(), 10))
+		}
 		return
 	}
-	e := &execution{id: id, upstream: u.id, service: u.service, arrived: time.Now(), timeBudget: -1}
+	e := &execution{id: id, upstream: u.id, service: u.service, dataCentre: u.dataCentre, arrived: time.Now(), timeBudget: -1}
 	if ms, err := strconv.ParseFloat(r.Header.Get("X-Deadline-Ms"), 64); err == nil {
 		e.timeBudget = time.Duration(ms * float64(time.Millisecond))
 	}
@@ -238,6 +258,10 @@
 	if mathrand.Float64() < b.errorShare || work > e.timeBudget {
 		status, text = http.StatusInternalServerError, ""
 	}
+	invalid := mathrand.Float64() < b.statusShare
+	if invalid {
+		status = randomInvalidStatus()
+	}
 	cut, lost, extra := mathrand.Float64() < b.cutShare, mathrand.Float64() < b.loseShare, mathrand.Float64() < b.extraShare
 	u.ledger.recordProgress(e, func() {
 		e.status, e.body, e.signature, e.answerBroken = status, text, newSignature(), cut || lost
@@ -247,6 +271,8 @@
 	switch {
 	case lost:
 		resetRequestConn(w)
+	case invalid:
+		answerInvalidStatus(w, "X-Request-Id: "+e.id+"\r\nX-Server-Stamp: "+e.signature, status, text)
 	case cut && len(text) > 1:
 		w.WriteHeader(status)
 		_, _ = io.WriteString(w, text[:len(text)/2])
@@ -260,6 +286,20 @@
 	}
 }
 
+// randomInvalidStatus returns a status that HTTP does not define.
+func randomInvalidStatus() int { return []int{0, 99, 600, 999}[mathrand.IntN(4)] }
+
+// answerInvalidStatus answers with a status that net/http does not write, and closes the
+// connection.
+func answerInvalidStatus(w http.ResponseWriter, header string, status int, text string) {
+	conn, _, err := w.(http.Hijacker).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 %03d Status\r\n%s\r\nContent-Length: %d\r\n\r\n%s", status, header, len(text), text)
+	_ = conn.Close()
+}
+
 // answerTwice sends the answer and, up to 20 ms later, a second one to the same
 // request. It then closes the connection.
 func (u *upstream) answerTwice(w http.ResponseWriter, e *execution) {
