Fault soak: served while an evacuation or cold time may still be taken for current

An instance may learn of the end of an evacuation only after the bound, while the next one is already in force.

--- a/internal/soak/evacuation_test.go
+++ b/internal/soak/evacuation_test.go
@@ -28,7 +28,7 @@
 func (s *services) evacuate(dataCentre, value string) {
 	s.store.putText(evacuationPrefix+dataCentre, value)
 	s.mu.Lock()
-	s.evacuated[dataCentre] = true
+	s.evacuated[dataCentre] = time.Now().Add(time.Hour)
 	s.mu.Unlock()
 	s.ledger.mu.Lock()
 	defer s.ledger.mu.Unlock()
@@ -47,7 +47,7 @@
 	s.store.remove(evacuationPrefix + dataCentre)
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.evacuated, dataCentre)
+	s.evacuated[dataCentre] = time.Now().Add(configApplyTime)
 }
 
 // evacuateDataCentres evacuates one to three data centres at a time until the run ends.
@@ -102,7 +102,9 @@
 }
 
 // recordUnservable records a fault of upstreams while the upstreams of a service in use are
-// all evacuated, cold or gone. Requests for the service need not succeed then.
+// all evacuated, cold or gone, as instances may still see it: they may learn of the end of
+// an evacuation after configApplyTime, and of the end of the cold time from the entry that
+// follows it. Requests for the service need not succeed then.
 func (h *harness) recordUnservable() {
 	const every = 200 * time.Millisecond
 	for h.waitUnlessStopped(every) {
@@ -114,7 +116,9 @@
 
 func (s *services) allServable(now time.Time) bool {
 	servable := make(map[string]bool)
-	for _, u := range s.runningUpstreams(func(u *upstream) bool { return !s.evacuated[u.dataCentre] && now.After(u.coldTime()) }) {
+	for _, u := range s.runningUpstreams(func(u *upstream) bool {
+		return now.After(s.evacuated[u.dataCentre]) && now.After(u.coldTime().Add(beatTime))
+	}) {
 		servable[u.service] = true
 	}
 	s.mu.Lock()
--- a/internal/soak/services_test.go
+++ b/internal/soak/services_test.go
@@ -65,8 +65,8 @@
 	configNumber  uint64
 	routes        map[string]routeSpec
 	entrySequence int
-	// evacuated holds the data centres that are evacuated.
-	evacuated map[string]bool
+	// evacuated holds the time until which instances may take a data centre for evacuated.
+	evacuated map[string]time.Time
 	// cold makes upstreams that start cold, and limits requests to cold upstreams.
 	cold bool
 	// crashWithAlike is shared with all upstreams; see upstream.
@@ -98,7 +98,7 @@
 
 func newServices(l *ledger, s *store, f *fleet, dataCentres []string, run int) *services {
 	return &services{
-		ledger: l, store: s, fleet: f, dataCentres: dataCentres, configNumber: 10, run: run, evacuated: make(map[string]bool),
+		ledger: l, store: s, fleet: f, dataCentres: dataCentres, configNumber: 10, run: run, evacuated: make(map[string]time.Time),
 		routes: map[string]routeSpec{
 			"/search/": {Prefix: "/search/", shards: firstShards, latencyTarget: 80 * time.Millisecond},
 			"/record/": {Prefix: "/record/", service: []string{"p"}, latencyTarget: 300 * time.Millisecond},
