--- a/Makefile
+++ b/Makefile
@@ -35,12 +35,15 @@
 
 # Runs gateways as separate processes, into which the test injects random faults from
 # outside, for SEEDS seeds from FIRST on; with FIRST=0 the first seed is taken from the
-# time of day. The logs of failed runs are kept under out/soak.
+# time of day. The logs of failed runs are kept under out/soak. SWITCHED selects the
+# kinds of faults that can be switched (evacuation, cold, rollback, status), separated by
+# commas; empty means those that are enabled, none means none.
+SWITCHED ?=
 PARALLEL ?= 4
 INSTANCES ?= 5
 fault-soak: build
 	mkdir -p out/soak
-	$(GO) test -count=1 -timeout 60m -v -run '^TestLongSoak$$' ./internal/soak -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.parallel=$(PARALLEL) -soak.instances=$(INSTANCES) -soak.program=$(CURDIR)/$(BIN)/sardineturn -soak.keep=$(CURDIR)/out/soak
+	$(GO) test -count=1 -timeout 60m -v -run '^TestLongSoak$$' ./internal/soak -args -soak.seeds=$(SEEDS) -soak.first=$(FIRST) -soak.parallel=$(PARALLEL) -soak.instances=$(INSTANCES) -soak.kinds=$(SWITCHED) -soak.program=$(CURDIR)/$(BIN)/sardineturn -soak.keep=$(CURDIR)/out/soak
 
 # Runs load and faults against nine instances in separate processes, in each scenario
 # first for sardineturn and then for the baseline, and writes figures and plots to
