--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -68,12 +68,14 @@
 
 	running sync.WaitGroup
 	stop    chan struct{}
+	// onLaunch is called with the time of each start of a process.
+	onLaunch func(time.Time)
 }
 
 // newFleet prepares n gateways whose addresses lie in 127.<network>.0.0/16. It does
 // not start their processes.
 func newFleet(dir string, network, n int, dataCentres []string, s *store) (*fleet, error) {
-	f := &fleet{dir: dir, relay: relay.New(), dataCentres: dataCentres, stop: make(chan struct{})}
+	f := &fleet{dir: dir, relay: relay.New(), dataCentres: dataCentres, stop: make(chan struct{}), onLaunch: func(time.Time) {}}
 	var seeds []string
 	for i := range min(3, n) {
 		seeds = append(seeds, net.JoinHostPort(advertisedIP(network, i), "1"))
@@ -148,6 +150,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.process, g.launchedAt = p, time.Now()
+	g.fleet.onLaunch(g.launchedAt)
 	return nil
 }
 
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -42,8 +42,8 @@
 	Cores           int              `json:"cores"`
 	CoreShare       float64          `json:"core_share"`
 	Budget          RetryBudget      `json:"budget"`
-	LoadShedding    LoadShedding     `json:"load_shedding"`
-	Cold            ColdBounds       `json:"cold"`
+	LoadShedding    LoadShedding     `json:"load_shedding,omitempty"`
+	Cold            ColdBounds       `json:"cold,omitzero"`
 }
 
 // LoadShedding says when requests are refused, and parts of queries left out, for which
