Queries run slow parts that they need, also after their answer is due

Cause: a query chose the slow parts that it leaves out before it knew which other parts have no usable upstream, and could be refused for lack of parts that it had left out itself. After AnswerBy, any forecast, also none, was longer than the time left, so that a late query left out parts and sent no hedges although no upstream was slow. Change: slow parts are decided on last, and a service without a forecast is not slow. The query starts its slow parts after the others, so that TestShedSlowParts expects the same attempts in another order. Result: TestNeededSlowPartsRun and TestNoForecastAfterAnswerBy fail on the code before and pass now.

--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -78,8 +78,9 @@
 	// of one part then runs alone, and the others start once an upstream has answered it.
 	OnePartFirst bool
 	// ShedSlowParts makes the query spare overloaded upstreams: it leaves out parts whose
-	// forecast exceeds AnswerBy, up to half of those that may be missing, sends no hedges that would be
-	// answered after AnswerBy, and starts nothing if MinParts cannot be reached.
+	// forecast exceeds AnswerBy, the slowest first and up to half of those that may be
+	// missing, sends no hedges that would be answered after AnswerBy, and starts nothing if
+	// MinParts cannot be reached.
 	ShedSlowParts bool
 	// FirstService is the service of the part that runs alone, if it has a usable upstream.
 	FirstService string
@@ -255,9 +256,6 @@
 			q.abandon(p, Withheld)
 		}
 	}
-	if q.cfg.ShedSlowParts {
-		q.skipSlowParts(now)
-	}
 	var out []Start
 	if q.alone {
 		out = q.startOnePart(now, nil)
@@ -275,38 +273,50 @@
 	return nil, TooFew
 }
 
-// skipSlowParts abandons the parts with the longest forecasts that exceed AnswerBy. Their
-// answers would come too late for this request, and the upstreams have no capacity to spare
-// for work that nobody uses. At most half of the parts that may be missing are abandoned:
-// the others make up for upstreams that pause while the query runs.
-func (q *Query) skipSlowParts(now time.Time) {
+// startAllParts sends the first attempt of each part that has none yet. With ShedSlowParts,
+// it leaves out slow parts that the query does not need. It decides on them last, because
+// the query needs more of them if other parts have no usable upstream.
+func (q *Query) startAllParts(now time.Time, out []Start) []Start {
 	type slowPart struct {
-		part     *part
+		part     int
 		forecast time.Duration
 	}
-	useful := q.cfg.AnswerBy.Sub(now)
 	var slow []slowPart
 	for i := range q.parts {
 		p := &q.parts[i]
-		if f := q.upstreams.Forecast(p.service); !p.abandoned && f > useful {
-			slow = append(slow, slowPart{p, f})
+		if len(p.tried) > 0 || p.abandoned {
+			continue
 		}
+		if f, late := q.forecastTooLate(now, p); late {
+			slow = append(slow, slowPart{i, f})
+			continue
+		}
+		out = q.startFirstAttempt(now, i, out)
+	}
+	slices.SortStableFunc(slow, func(a, b slowPart) int { return cmp.Compare(a.forecast, b.forecast) })
+	for i, s := range slow {
+		// The rest of the parts that may be missing makes up for upstreams that pause
+		// while the query runs.
+		if spare := len(q.parts) - q.abandoned - q.cfg.MinParts; len(slow)-i <= spare/2 {
+			for _, skipped := range slow[i:] {
+				q.abandon(&q.parts[skipped.part], TooSlow)
+			}
+			break
+		}
+		out = q.startFirstAttempt(now, s.part, out)
 	}
-	slices.SortFunc(slow, func(a, b slowPart) int { return cmp.Compare(b.forecast, a.forecast) })
-	spare := len(q.parts) - q.abandoned - q.cfg.MinParts
-	for i := range min(max(0, spare/2), len(slow)) {
-		q.abandon(slow[i].part, TooSlow)
-	}
+	return out
 }
 
-// startAllParts sends the first attempt of each part that has none yet.
-func (q *Query) startAllParts(now time.Time, out []Start) []Start {
-	for i := range q.parts {
-		if p := &q.parts[i]; len(p.tried) == 0 && !p.abandoned {
-			out = q.startFirstAttempt(now, i, out)
-		}
+// forecastTooLate reports whether the configuration says ShedSlowParts and an attempt of the
+// part that starts now is expected to be answered after AnswerBy, and returns the forecast.
+// A service without a forecast is not known to be slow, also after AnswerBy.
+func (q *Query) forecastTooLate(now time.Time, p *part) (time.Duration, bool) {
+	if !q.cfg.ShedSlowParts {
+		return 0, false
 	}
-	return out
+	f := q.upstreams.Forecast(p.service)
+	return f, f > 0 && f > q.cfg.AnswerBy.Sub(now)
 }
 
 // startOnePart sends the first attempt of one part that has an upstream which answers: that
@@ -524,7 +534,7 @@
 	}
 	u, _, ok := q.upstreams.Pick(p.service, p.tried, false)
 	canWait := now.Before(q.cfg.HedgeBy)
-	if q.cfg.ShedSlowParts && q.upstreams.Forecast(p.service) > q.cfg.AnswerBy.Sub(now) {
+	if _, late := q.forecastTooLate(now, p); late {
 		// Another attempt would not be answered in time either.
 		ok = false
 	}
--- a/pkg/fanout/fanout_test.go
+++ b/pkg/fanout/fanout_test.go
@@ -439,11 +439,11 @@
 		want     []string
 	}{
 		{false, 8, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
-		{true, 8, []string{"s0/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
-		{true, 6, []string{"s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 8, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0", "s2/0", "s0/0"}},
+		{true, 6, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0", "s2/0"}},
 		{true, 4, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
-		{true, 9, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
-		{true, 10, []string{"s0/0", "s1/0", "s2/0", "s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0"}},
+		{true, 9, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0", "s2/0", "s0/0", "s1/0"}},
+		{true, 10, []string{"s3/0", "s4/0", "s5/0", "s6/0", "s7/0", "s8/0", "s9/0", "s2/0", "s0/0", "s1/0"}},
 	} {
 		cfg := queryConfig(10, c.minParts)
 		cfg.ShedSlowParts = c.shed
@@ -471,6 +471,31 @@
 	}
 }
 
+// TestNoForecastAfterAnswerBy guards against a query that is late already and therefore
+// leaves out parts, and sends no hedges, although nothing shows that upstreams are slow.
+func TestNoForecastAfterAnswerBy(t *testing.T) {
+	cfg := queryConfig(10, 6)
+	cfg.ShedSlowParts = true
+	q := New(cfg, &fakeUpstreams{perService: 3, extraBudget: 100})
+	starts, _ := q.Begin(cfg.AnswerBy.Add(time.Millisecond))
+	must.Len(t, 10, starts)
+	starts, _ = q.Tick(cfg.AnswerBy.Add(50 * time.Millisecond))
+	must.Len(t, 10, starts)
+}
+
+// TestNeededSlowPartsRun guards against a query that is refused for lack of parts, some of
+// which it has left out itself.
+func TestNeededSlowPartsRun(t *testing.T) {
+	slow := 80 * time.Millisecond
+	cfg := queryConfig(6, 4)
+	cfg.Services[4], cfg.Services[5] = "s5", "s5"
+	cfg.ShedSlowParts = true
+	q := New(cfg, &fakeUpstreams{perService: 3, unavailable: "s5", forecasts: map[string]time.Duration{"s0": slow}})
+	starts, v := q.Begin(start)
+	must.Eq(t, Pending, v)
+	must.Eq(t, []string{"s1/0", "s2/0", "s3/0", "s0/0"}, upstreamsOf(starts))
+}
+
 // TestUnreachableCoverageStartsNothing guards against a query that sends parts although too
 // few shards have a usable upstream: their work is wasted, and the caller cannot be told
 // that the query did not run.
