Admission control: trials, panics and callers that leave

Cause: if admission control refused the trial of a suspect query, the trial never ended, and no suspect could be tried again. A panic in the execution of a request, which the HTTP server survives, left it counted as running. A caller that left after its answer was due showed no overload, so that callers which give up early hid it. Change: a query that did not run ends its trial; the count is given back on a panic; a caller that leaves late counts as a request without an answer. Without load shedding, execute takes no other path than before.

--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -6,6 +6,7 @@
 
 	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
@@ -24,11 +25,28 @@
 // admission control. Partial answers are sent at answerBy.
 const answerTolerance = 5 * time.Millisecond
 
+// executeIfAdmitted executes the request if admission control admits it.
+func (r *requestRun) executeIfAdmitted() (fanout.Verdict, Answer) {
+	began := r.now()
+	if refusal, ok := r.admit(began); !ok {
+		return fanout.TooFew, refusal
+	}
+	ended := false
+	defer func() {
+		// The HTTP server survives a panic, after which the request must not count as
+		// running.
+		if !ended {
+			r.endAdmission(began, admission.Neutral)
+		}
+	}()
+	verdict, a := r.executeAdmitted()
+	ended = true
+	r.endAdmission(began, r.admissionOutcome(r.now(), a))
+	return verdict, a
+}
+
 // admit reports whether the request may run now. If not, it returns the refusal.
 func (r *requestRun) admit(now time.Time) (refusal Answer, ok bool) {
-	if !r.shedsLoad {
-		return Answer{}, true
-	}
 	c := &r.g.admission
 	c.mu.Lock()
 	v := c.controller.Begin(now, r.admissionRoute(), r.repeated())
@@ -50,28 +68,28 @@
 	}
 }
 
-// endAdmission records how an admitted request ended that began at the given time.
-func (r *requestRun) endAdmission(began time.Time, a Answer) {
-	if !r.shedsLoad {
-		return
-	}
+// endAdmission records the end of an admitted request that began at the given time.
+func (r *requestRun) endAdmission(began time.Time, o admission.Outcome) {
 	now := r.now()
 	c := &r.g.admission
 	c.mu.Lock()
-	c.controller.End(now, r.route.Name, now.Sub(began), r.admissionOutcome(now, a))
+	c.controller.End(now, r.route.Name, now.Sub(began), o)
 	changes := c.controller.TakeChanges()
 	c.mu.Unlock()
 	r.g.logAdmissionChanges(changes)
 }
 
+// admissionOutcome returns what the end of a request shows about the load. A caller that
+// leaves before its answer is due shows nothing; one that leaves later has waited too long.
 func (r *requestRun) admissionOutcome(now time.Time, a Answer) admission.Outcome {
 	answered := a.Merged != nil || a.Reply != nil
+	late := now.After(r.answerBy.Add(answerTolerance))
 	switch {
-	case r.callerLeft, r.query.NotRun():
+	case r.callerLeft && !late, r.query.NotRun():
 		return admission.Neutral
 	case !answered:
 		return admission.Unanswered
-	case now.After(r.answerBy.Add(answerTolerance)):
+	case late:
 		return admission.Late
 	default:
 		return admission.InTime
--- a/pkg/gateway/request_run.go
+++ b/pkg/gateway/request_run.go
@@ -109,16 +109,13 @@
 	r.withholdEvacuated()
 	r.query = fanout.New(r.config, r)
 	r.replies = make([]*Reply, len(r.services))
-	began := r.now()
-	if refusal, ok := r.admit(began); !ok {
-		return fanout.TooFew, refusal
+	if r.shedsLoad {
+		return r.executeIfAdmitted()
 	}
-	verdict, a := r.executeAdmitted()
-	r.endAdmission(began, a)
-	return verdict, a
+	return r.executeAdmitted()
 }
 
-// executeAdmitted executes a request that admission control has admitted.
+// executeAdmitted executes a request that admission control, if any, has admitted.
 func (r *requestRun) executeAdmitted() (fanout.Verdict, Answer) {
 	if r.route.Gather != nil {
 		r.g.activeQueries.Add(1)
--- a/pkg/gateway/trial.go
+++ b/pkg/gateway/trial.go
@@ -166,10 +166,10 @@
 	r.config.OnePartFirst = true
 	a := r.runHere()
 	switch {
-	case !r.query.Alone():
 	case r.query.NotRun():
+		// Admission control may also have refused the query.
 		r.endTrial(quarantine.TrialNotRun)
-	default:
+	case r.query.Alone():
 		r.endTrial(quarantine.TrialUnanswered)
 	}
 	return a
