Rollback: entries that expire after the first listing, and a second return

An entry from the backup may be listed in the first listing of the new era and expire before its upstream reports again. If no call of the platform had failed, that removal was not taken for a lapse, and a running upstream was dropped until its next report, half a second in the test. A change of era now starts the lapse window, as the end of an outage does.

An upstream or an evacuation that lapsed before a second return kept the time that began with the first one, although nobody could write its key to the platform that returned last. It now has the whole grace again.

TestEntryOfBackupExpires and TestSecondRollback fail without the change.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -118,7 +118,8 @@
 }
 
 // Remove removes the entry of an upstream. If the entry lapsed and the upstream was
-// ready, the entry stays listed until LapseGrace after the first such removal.
+// ready, the entry stays listed until LapseGrace after the first such removal, or after a
+// change of era that follows it.
 func (d *Directory) Remove(now time.Time, id string, lapsed bool) {
 	delete(d.rollback.held, id)
 	u, ok := d.upstreams[id]
--- a/pkg/directory/rollback.go
+++ b/pkg/directory/rollback.go
@@ -45,9 +45,18 @@
 }
 
 // EraChanged tells the directory that the platform has returned from a backup. It is
-// called before the changes of the new era are applied.
+// called before the changes of the new era are applied. Entries and evacuations that have
+// lapsed already get the whole LapseGrace again: until now, nobody could write them to the
+// platform that has returned.
 func (d *Directory) EraChanged(now time.Time) {
-	d.rollback.eraChangedAt, d.rollback.checking = now, true
+	r := &d.rollback
+	r.eraChangedAt, r.checking = now, true
+	for id := range d.lapsing {
+		d.lapsing[id] = now.Add(LapseGrace)
+	}
+	for dc := range d.lapsingEvacuations {
+		d.lapsingEvacuations[dc] = now.Add(LapseGrace)
+	}
 }
 
 // Confirmed tells the directory that the entries are those that the platform had at the
--- a/pkg/directory/rollback_test.go
+++ b/pkg/directory/rollback_test.go
@@ -137,3 +137,27 @@
 	d.LapseEvacuation(start, "unknown")
 	must.SliceLen(t, 1, d.Evacuated())
 }
+
+// TestSecondRollback guards against an upstream or an evacuation that ends although its key
+// may have been written again: the platform returns from a second backup within the grace
+// after the first return or after an outage, and writers have that time again.
+func TestSecondRollback(t *testing.T) {
+	for _, rolledBackBefore := range []bool{true, false} {
+		d := New()
+		d.Set(Upstream{ID: "u", Service: "s", Started: 7, Sequence: 3})
+		d.Evacuate("z")
+		if rolledBackBefore {
+			d.EraChanged(start)
+		}
+		d.Remove(start, "u", true)
+		d.LapseEvacuation(start, "z")
+		second := start.Add(LapseGrace - time.Millisecond)
+		d.EraChanged(second)
+		end := second.Add(LapseGrace)
+		d.Confirmed(end)
+		must.SliceEmpty(t, d.Expire(end.Add(-time.Millisecond)))
+		must.SliceEmpty(t, d.ExpireEvacuations(end.Add(-time.Millisecond)))
+		must.SliceLen(t, 1, d.Expire(end))
+		must.SliceLen(t, 1, d.ExpireEvacuations(end))
+	}
+}
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -113,7 +113,8 @@
 		// changed is closed when the replica changes, and replaced by a new channel.
 		changed chan struct{}
 		// outages tells outages of the platform from instances that it turns away. outageEnd
-		// is when the platform first answered again after its last outage.
+		// is when the platform first answered again after its last outage or its last
+		// return from a backup.
 		outages   feed.OutageDetector
 		outageEnd time.Time
 	}
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -49,8 +49,11 @@
 }
 
 // eraChanged records that the platform has returned from a backup. The changes of the new
-// era are not applied yet. published must be locked.
+// era are not applied yet. An entry that is still listed may expire before its upstream has
+// reported again, so the removals that follow may be lapses, as after an outage. published
+// must be locked.
 func (g *Gateway) eraChanged(now time.Time, before, after feed.Position, source string) {
+	g.published.outageEnd = now
 	g.published.directory.EraChanged(now)
 	g.ports.Metrics.StoreEraChanged()
 	g.warn(event.StoreEraChanged, event.Fields{"era": after.Era, "revision": after.Revision, "previous_era": before.Era, "previous_revision": before.Revision, "source": source}, "the platform has returned from a backup; all its keys were read again")
--- a/pkg/gateway/rollback_test.go
+++ b/pkg/gateway/rollback_test.go
@@ -298,3 +298,28 @@
 		must.False(t, g.uses("u"))
 	})
 }
+
+// TestEntryOfBackupExpires guards against dropping an upstream that runs because the store
+// has returned with its old entry, which expires before the upstream's next report. The store
+// is not seen to be away.
+func TestEntryOfBackupExpires(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		const n = 9
+		ff.configure(1, route("/x/", "s", true))
+		ff.write("runs", 10, directory.Ready)
+		gateways := startInstances(ff, n)
+		backup := ff.storeRevision()
+		ff.write("runs", 13, directory.Ready)
+		time.Sleep(5 * time.Second)
+		ff.rollBack(backup)
+		returned := time.Now()
+		time.AfterFunc(600*time.Millisecond, func() { ff.unlist("runs") })
+		time.AfterFunc(reportInterval, func() { ff.write("runs", 14, directory.Ready) })
+		for since := time.Duration(0); since < 5*time.Second; since = time.Since(returned) {
+			for _, g := range gateways {
+				must.True(t, g.uses("runs"), must.Sprint(since))
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+}
