Cold upstreams: bound the age that is added, and notice instances that return

The age of the replica is added to the cold time of a report. An instance that started during a long outage of the platform, with a first copy from another instance, therefore counted upstreams as cold for as long as the outage had lasted, and refused requests to them. The age is now added up to 10 s, which covers the ages of copies in ordinary operation.

The number of known instances above which an instance waits for others to become known never fell. An instance that had forgotten the others after a long partition took shares at once when they returned, before it knew all.

Directory.Withheld no longer walks all upstreams if nothing is evacuated.

TestColdTimeFromOldCopy and TestInstancesThatReturn fail without the change.

--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -218,6 +218,9 @@
 // those that are not.
 func (d *Directory) ready(evacuated bool) map[string][]Upstream {
 	out := make(map[string][]Upstream)
+	if evacuated && len(d.evacuated) == 0 {
+		return out
+	}
 	for _, u := range d.upstreams {
 		if u.State == Ready && d.evacuated[u.DataCentre] == evacuated {
 			out[u.Service] = append(out[u.Service], u)
--- a/pkg/gateway/cold.go
+++ b/pkg/gateway/cold.go
@@ -31,6 +31,10 @@
 	// in a test, it knew 52 after startBudgetTime.
 	settleTime   = time.Second
 	settleGrowth = 0.1
+	// maxColdCopyAge bounds the age of the copy that is added to the cold time of a report.
+	// In an outage of the platform the copy of an instance that starts may be many minutes
+	// old, and the report says nothing about that time.
+	maxColdCopyAge = 10 * time.Second
 	// maxColdIDs is the largest number of upstreams that a log line about cold upstreams
 	// names.
 	maxColdIDs = 10
@@ -52,7 +56,7 @@
 type knownInstances struct {
 	byID map[model.InstanceID]*knownInstance
 	// grownAt is when their number last was more than settleGrowth above base, which then
-	// became the new base.
+	// became the new base. base falls with their number.
 	base    int
 	grownAt time.Time
 	// version changes whenever the instances or their capacities do.
@@ -123,6 +127,7 @@
 			k.version++
 		}
 	}
+	k.base = min(k.base, len(k.byID))
 }
 
 // coldSender is a known instance in the order of the senders to an upstream. hash is that of
--- a/pkg/gateway/cold_test.go
+++ b/pkg/gateway/cold_test.go
@@ -275,3 +275,40 @@
 		must.Eq(t, time.Now().Add(time.Minute), coldUntil())
 	})
 }
+
+// TestColdTimeFromOldCopy guards against upstreams that count as cold for minutes because an
+// instance got its first copy during a long outage of the platform: the age of the copy, of
+// which only the recent part matters, was added in full.
+func TestColdTimeFromOldCopy(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.coldPerSecond = 10
+		ff.configure(1, route("/x/", "s", true))
+		ff.addUpstream(directory.Upstream{ID: "u", Service: "s", ColdFor: 8 * time.Second})
+		ff.withLock(func() { ff.storeRefuses[instanceAddress(0)] = true })
+		g := ff.start(0, 1)
+		time.Sleep(propagationTime)
+		g.applyDelta(time.Now(), feed.Delta{Position: feed.Position{Revision: ff.revision}, Full: true, Changes: ff.changes}, time.Now().Add(-10*time.Minute), "test")
+		u, ok := g.published.directory.Lookup("u")
+		must.True(t, ok)
+		must.Eq(t, 8*time.Second+maxColdCopyAge, time.Until(u.ColdUntil))
+	})
+}
+
+// TestInstancesThatReturn guards against an instance that forgot most of the others after a
+// long partition and takes shares of cold upstreams at once when they return, before it
+// knows them all.
+func TestInstancesThatReturn(t *testing.T) {
+	now := time.Unix(1000, 0)
+	var members []membership.Member
+	for i := range 20 {
+		members = append(members, membership.Member{ID: model.InstanceID(instanceAddress(i)), State: membership.Alive})
+	}
+	var k knownInstances
+	k.update(now, members)
+	k.update(now, members[:1])
+	now = now.Add(memberMemory + time.Second)
+	k.update(now, members[:1])
+	must.MapLen(t, 1, k.byID)
+	k.update(now, members[:10])
+	must.Eq(t, now, k.grownAt)
+}
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -78,7 +78,7 @@
 		return
 	}
 	if u.ColdFor > 0 {
-		u.ColdUntil = now.Add(u.ColdFor + now.Sub(p.confirmedAt))
+		u.ColdUntil = now.Add(u.ColdFor + min(now.Sub(p.confirmedAt), maxColdCopyAge))
 	}
 	fields := g.changeFields(c.Revision, source)
 	switch {
