--- a/pkg/directory/directory.go
+++ b/pkg/directory/directory.go
@@ -118,7 +118,8 @@
 }
 
 // Remove removes the entry of an upstream. If the entry lapsed and the upstream was
-// ready, the entry stays listed until LapseGrace after the first such removal.
+// ready, the entry stays listed until LapseGrace after the first such removal, or after a
+// change of era that follows it.
 func (d *Directory) Remove(now time.Time, id string, lapsed bool) {
 	delete(d.rollback.held, id)
 	u, ok := d.upstreams[id]
@@ -217,6 +218,9 @@
 // those that are not.
 func (d *Directory) ready(evacuated bool) map[string][]Upstream {
 	out := make(map[string][]Upstream)
+	if evacuated && len(d.evacuated) == 0 {
+		return out
+	}
 	for _, u := range d.upstreams {
 		if u.State == Ready && d.evacuated[u.DataCentre] == evacuated {
 			out[u.Service] = append(out[u.Service], u)
