Evacuation: end the wait for the bytes of other requests

An attempt that waited for a connection to an upstream in an evacuated data centre ended at once, but one that waited because of the limit of bytes in flight stayed until a place was free or its deadline passed. Nothing was sent, but its part could not go to another upstream meanwhile. Both waits now have the same end.

TestWaitForBytesEndsWithPool waits for its deadline without the change.

--- a/pkg/adapter/upstreamhttp/exchange.go
+++ b/pkg/adapter/upstreamhttp/exchange.go
@@ -77,7 +77,7 @@
 	}
 	// The bytes come first: a request that waits for them must not hold a place that a
 	// small request could use.
-	release, waited, err := p.acquireBytes(waitCtx, e.Deadline, int64(len(e.Message)+len(e.Body)))
+	release, waited, err := p.acquireBytes(waitCtx, e.Deadline, e.MaySend, int64(len(e.Message)+len(e.Body)))
 	if err != nil {
 		return Response{WaitedForBytes: waited, Err: err}
 	}
--- a/pkg/adapter/upstreamhttp/pool.go
+++ b/pkg/adapter/upstreamhttp/pool.go
@@ -228,8 +228,7 @@
 	p.changed = make(chan struct{})
 }
 
-// acquire acquires the request semaphore. It waits until ctx ends, the deadline has passed,
-// or the pool is closed and maySend, if set, returns false.
+// acquire acquires the request semaphore. It waits until the end of waitContext.
 func (p *pool) acquire(ctx context.Context, deadline time.Time, maySend func() bool) error {
 	if err := ctx.Err(); err != nil {
 		return err
@@ -237,23 +236,30 @@
 	if p.requestSemaphore.TryAcquire() {
 		return nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := p.waitContext(ctx, deadline, maySend)
 	defer cancel()
-	if maySend != nil {
-		stop := context.AfterFunc(p.ctx, func() {
-			if !maySend() {
-				cancel()
-			}
-		})
-		defer stop()
-	}
 	return p.requestSemaphore.Acquire(ctx, semaphore.Unbounded)
 }
 
+// waitContext returns the context of a wait for the pool. It ends with ctx, at the deadline,
+// or when the pool is closed and maySend, if set, returns false.
+func (p *pool) waitContext(ctx context.Context, deadline time.Time, maySend func() bool) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithDeadline(ctx, deadline)
+	if maySend == nil {
+		return ctx, cancel
+	}
+	stop := context.AfterFunc(p.ctx, func() {
+		if !maySend() {
+			cancel()
+		}
+	})
+	return ctx, func() { stop(); cancel() }
+}
+
 // acquireBytes counts the bytes of a request as in flight. If they exceed the limit, it
-// waits, in order of arrival, until ctx ends or the deadline has passed. release must be
-// called when the request has ended.
-func (p *pool) acquireBytes(ctx context.Context, deadline time.Time, bytes int64) (release func(), waited bool, err error) {
+// waits, in order of arrival, until the end of waitContext. release must be called when the
+// request has ended.
+func (p *pool) acquireBytes(ctx context.Context, deadline time.Time, maySend func() bool, bytes int64) (release func(), waited bool, err error) {
 	if p.requestBytes == nil || bytes <= smallRequestBytes {
 		return func() {}, false, nil
 	}
@@ -262,7 +268,7 @@
 	if p.requestBytes.TryAcquire(bytes) {
 		return release, false, nil
 	}
-	ctx, cancel := context.WithDeadline(ctx, deadline)
+	ctx, cancel := p.waitContext(ctx, deadline, maySend)
 	defer cancel()
 	return release, true, p.requestBytes.Acquire(ctx, bytes)
 }
--- a/pkg/adapter/upstreamhttp/request_bytes_test.go
+++ b/pkg/adapter/upstreamhttp/request_bytes_test.go
@@ -75,3 +75,40 @@
 	must.Eq(t, fmt.Sprint(5*body), string(above.Body))
 	above.Release()
 }
+
+// TestWaitForBytesEndsWithPool guards against a request that waits until its deadline for the
+// bytes of others at an upstream that must get no requests any more.
+func TestWaitForBytesEndsWithPool(t *testing.T) {
+	const body = 20 << 10
+	release := make(chan struct{})
+	var received, withdrawn atomic.Bool
+	s := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		received.Store(true)
+		<-release
+	}))
+	defer s.Close()
+	defer close(release)
+	c := newClient(t)
+	c.LimitRequestBytes(body)
+	send := func() Response {
+		return c.Exchange(t.Context(), Exchange{
+			Address: s.Listener.Addr().String(), MaxConnections: 50, Deadline: time.Now().Add(ampleTimeout), Method: http.MethodPost,
+			Message: fmt.Appendf(nil, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: %d\r\n\r\n", body), Body: make([]byte, body),
+			MaySend: func() bool { return !withdrawn.Load() },
+		})
+	}
+	go send()
+	waitFor(t, received.Load)
+	waiting := make(chan Response)
+	go func() { waiting <- send() }()
+	time.Sleep(50 * time.Millisecond)
+	withdrawn.Store(true)
+	start := time.Now()
+	c.Retain(nil)
+	r := <-waiting
+	must.Error(t, r.Err)
+	must.False(t, r.Sent)
+	must.True(t, r.WaitedForBytes)
+	must.Less(t, 10*time.Second, time.Since(start))
+}
