--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -144,9 +144,7 @@
 
 // avoided reports whether the upstream should get no attempt now: it is blocked,
 // or it is unresponsive and has an attempt in flight already.
-func (u *Upstream) avoided(now time.Time) bool {
-	return u.Blocked(now) || u.Unresponsive() && len(u.inFlight) > 0
-}
+func (u *Upstream) avoided(now time.Time) bool { return u.avoidance(now) != NoObstacle }
 
 // BlockedFor returns how much longer the upstream is blocked; it is negative if
 // the block has ended.
@@ -227,7 +225,7 @@
 		if slices.Contains(excluded, u.ID) {
 			continue
 		}
-		if u.avoided(now) && !first || !u.RateLimit.Allows(now, first) || !u.coldAllows(now) {
+		if u.obstacle(now, first) != NoObstacle {
 			continue
 		}
 		cost := s.cost(now, u, typical)
--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -275,6 +275,12 @@
 	return nil, TooFew
 }
 
+// TooSlow reports whether an attempt with the given forecast that starts now would be
+// answered after AnswerBy.
+func (c *Config) TooSlow(now time.Time, forecast time.Duration) bool {
+	return forecast > c.AnswerBy.Sub(now)
+}
+
 // skipSlowParts abandons the parts with the longest forecasts that exceed AnswerBy. Their
 // answers would come too late for this request, and the upstreams have no capacity to spare
 // for work that nobody uses. At most half of the parts that may be missing are abandoned:
@@ -284,11 +290,10 @@
 		part     *part
 		forecast time.Duration
 	}
-	useful := q.cfg.AnswerBy.Sub(now)
 	var slow []slowPart
 	for i := range q.parts {
 		p := &q.parts[i]
-		if f := q.upstreams.Forecast(p.service); !p.abandoned && f > useful {
+		if f := q.upstreams.Forecast(p.service); !p.abandoned && q.cfg.TooSlow(now, f) {
 			slow = append(slow, slowPart{p, f})
 		}
 	}
@@ -524,7 +529,7 @@
 	}
 	u, _, ok := q.upstreams.Pick(p.service, p.tried, false)
 	canWait := now.Before(q.cfg.HedgeBy)
-	if q.cfg.ShedSlowParts && q.upstreams.Forecast(p.service) > q.cfg.AnswerBy.Sub(now) {
+	if q.cfg.ShedSlowParts && q.cfg.TooSlow(now, q.upstreams.Forecast(p.service)) {
 		// Another attempt would not be answered in time either.
 		ok = false
 	}
--- a/pkg/routing/routing.go
+++ b/pkg/routing/routing.go
@@ -89,6 +89,17 @@
 	IdleTimeout    time.Duration
 }
 
+// defaultMaxBodyBytes is the limit on bodies if the configuration has none.
+const defaultMaxBodyBytes = 1 << 20
+
+// BodyLimit returns the size limit of request bodies.
+func (l Limits) BodyLimit() int64 {
+	if l.MaxBodyBytes > 0 {
+		return l.MaxBodyBytes
+	}
+	return defaultMaxBodyBytes
+}
+
 // Table finds routes in one version of the configuration.
 type Table struct {
 	Config
@@ -184,11 +195,7 @@
 // weights. draw is a random number in [0, 1). It returns false if no target has a
 // positive weight.
 func (r *Route) ChooseService(draw float64) (string, bool) {
-	total := 0.0
-	for _, t := range r.Targets {
-		total += max(t.Weight, 0)
-	}
-	remaining := draw * total
+	remaining := draw * r.totalWeight()
 	for _, t := range r.Targets {
 		if t.Weight <= 0 {
 			continue
@@ -200,3 +207,19 @@
 	}
 	return "", false
 }
+
+func (r *Route) totalWeight() float64 {
+	total := 0.0
+	for _, t := range r.Targets {
+		total += max(t.Weight, 0)
+	}
+	return total
+}
+
+// Share returns the fraction of the route's requests that a target gets.
+func (r *Route) Share(t Target) float64 {
+	if t.Weight <= 0 {
+		return 0
+	}
+	return t.Weight / r.totalWeight()
+}
