Explain where a request to a gateway would go, without sending it

Cause: operators could list the upstreams of a service, but not ask where a request goes now, whether it would be refused, and why.

Change: Gateway.ExplainRequest plans a request by the code that serves it, on copies of the state: Serve's first step, admission control, the query's first attempts and the refusal of callers are shared. /explain takes host, path, method, size, repeated and all; "sardineturn explain" has the flags for them. The form with a service is unchanged.

--- a/pkg/adapter/operatorhttp/operatorhttp.go
+++ b/pkg/adapter/operatorhttp/operatorhttp.go
@@ -11,12 +11,15 @@
 	"net"
 	"net/http"
 	"net/http/pprof"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/gin-gonic/gin"
 	"github.com/sirupsen/logrus"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
@@ -33,6 +36,13 @@
 	Explain(service, priority, shard string) (any, error)
 }
 
+// RequestExplainer is implemented by inspectors whose requests have a host and a path.
+type RequestExplainer interface {
+	// ExplainRequest returns, for sending as JSON, what would be done with a request now,
+	// without changing anything. An error carries a result code.
+	ExplainRequest(q port.ExplainQuery) (any, error)
+}
+
 // Timeouts and size limits of the listener. Probes and metrics scrapes are short
 // requests from a few clients.
 const (
@@ -142,12 +152,7 @@
 }
 
 func serveExplain(c *gin.Context, inspector Inspector) {
-	service := c.Query("service")
-	if service == "" {
-		writeError(c, http.StatusBadRequest, result.BadRequest, "the parameter service is required")
-		return
-	}
-	value, err := inspector.Explain(service, c.Query("priority"), c.Query("shard"))
+	value, err := explain(c, inspector)
 	if err != nil {
 		code := result.CodeOf(err)
 		writeError(c, httpStatus(code), code, err.Error())
@@ -156,6 +161,53 @@
 	c.JSON(http.StatusOK, value)
 }
 
+func explain(c *gin.Context, inspector Inspector) (any, error) {
+	service, host := c.Query("service"), c.Query("host")
+	switch {
+	case service != "" && host != "":
+		return nil, result.Errorf(result.BadRequest, "the parameters service and host exclude each other")
+	case service != "":
+		return inspector.Explain(service, c.Query("priority"), c.Query("shard"))
+	case host == "":
+		return nil, result.Errorf(result.BadRequest, "the parameter service is required")
+	}
+	explainer, ok := inspector.(RequestExplainer)
+	if !ok {
+		return nil, result.Errorf(result.BadRequest, "this instance has no routes; the parameter service is required")
+	}
+	q, err := explainQuery(c)
+	if err != nil {
+		return nil, err
+	}
+	return explainer.ExplainRequest(q)
+}
+
+// explainQuery reads the parameters that describe a request by its host and path.
+func explainQuery(c *gin.Context) (port.ExplainQuery, error) {
+	q := port.ExplainQuery{Method: c.DefaultQuery("method", http.MethodGet), Host: c.Query("host"), Path: c.Query("path"), Size: -1}
+	if !strings.HasPrefix(q.Path, "/") {
+		return q, result.Errorf(result.BadRequest, "the parameter path is required and begins with a slash")
+	}
+	if text, ok := c.GetQuery("size"); ok {
+		size, err := strconv.ParseInt(text, 10, 64)
+		if err != nil || size < 0 {
+			return q, result.Errorf(result.BadRequest, "the parameter size is a number of bytes")
+		}
+		q.Size = size
+	}
+	for name, value := range map[string]*bool{"repeated": &q.Repeated, "all": &q.All} {
+		text, ok := c.GetQuery(name)
+		if !ok {
+			continue
+		}
+		var err error
+		if *value, err = strconv.ParseBool(text); err != nil {
+			return q, result.Errorf(result.BadRequest, "the parameter %s is true or false", name)
+		}
+	}
+	return q, nil
+}
+
 // httpStatus returns the HTTP status for the result code of an error.
 func httpStatus(code result.Code) int {
 	switch {
--- a/pkg/adapter/operatorhttp/operatorhttp_test.go
+++ b/pkg/adapter/operatorhttp/operatorhttp_test.go
@@ -13,6 +13,7 @@
 	"go.uber.org/goleak"
 
 	"github.com/sardineturn/sardineturn/pkg/event"
+	"github.com/sardineturn/sardineturn/pkg/port"
 	"github.com/sardineturn/sardineturn/pkg/result"
 )
 
@@ -35,6 +36,8 @@
 	return map[string]int{"members": 9}
 }
 
+func (f *fakeInspector) ExplainRequest(q port.ExplainQuery) (any, error) { return q, nil }
+
 func (f *fakeInspector) Explain(service, priority, shard string) (any, error) {
 	switch service {
 	case "none":
@@ -76,6 +79,13 @@
 	expect("/explain?service=none", 404, `{"code":2001,"code_name":"unknown_service","detail":"no service \"none\""}`)
 	expect("/explain?service=s&priority=none", 400, `{"code":2003,"code_name":"unknown_priority","detail":"no priority \"none\""}`)
 	expect("/explain?service=down", 503, `{"code":3005,"code_name":"not_ready","detail":"not ready"}`)
+	expect("/explain?host=h&path=/p", 200, `{"Method":"GET","Host":"h","Path":"/p","Size":-1,"Repeated":false,"All":false}`)
+	expect("/explain?host=h&path=/p&method=POST&size=5&repeated=true&all=true", 200, `{"Method":"POST","Host":"h","Path":"/p","Size":5,"Repeated":true,"All":true}`)
+	for _, query := range []string{"host=h", "host=h&path=p", "host=h&path=/p&service=s", "host=h&path=/p&size=-1", "host=h&path=/p&all=x"} {
+		answer := httptest.NewRecorder()
+		handler.ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/explain?"+query, nil))
+		must.Eq(t, 400, answer.Code, must.Sprint(query))
+	}
 	expect("/explain", 400, `{"code":2000,"code_name":"bad_request","detail":"the parameter service is required"}`)
 	status, _ := get("/v1/query")
 	must.Eq(t, 404, status)
--- a/pkg/cli/cli_test.go
+++ b/pkg/cli/cli_test.go
@@ -108,6 +108,9 @@
 	code, _, _ = run(&Program{}, "explain", "--operator", server.URL, "--service", "a b", "--shard", "x")
 	must.Eq(t, ExitOK, code)
 	must.Eq(t, "/explain?service=a+b&shard=x", requestURL)
+	code, _, _ = run(&Program{}, "explain", "--operator", server.URL, "--host", "h", "--path", "/p", "--method", "POST", "--size", "5", "--repeated", "--all")
+	must.Eq(t, ExitOK, code)
+	must.Eq(t, "/explain?all=true&host=h&method=POST&path=%2Fp&repeated=true&size=5", requestURL)
 	code, _, errs := run(&Program{}, "explain", "--operator", server.URL, "--service", "none")
 	must.Eq(t, ExitFailed, code)
 	must.StrContains(t, errs, "HTTP status 404")
@@ -201,7 +204,7 @@
 // TestUsageErrors guards against invalid arguments that end with another exit code
 // than ExitUsage or without a message.
 func TestUsageErrors(t *testing.T) {
-	for _, args := range [][]string{nil, {"check"}, {"unknown"}, {"query", "--service", "s"}} {
+	for _, args := range [][]string{nil, {"check"}, {"unknown"}, {"query", "--service", "s"}, {"explain"}, {"explain", "--host", "h"}, {"explain", "--host", "h", "--path", "/", "--service", "s"}} {
 		code, _, errs := run(&Program{}, args...)
 		must.Eq(t, ExitUsage, code)
 		must.NotEq(t, "", errs)
--- a/pkg/cli/remote.go
+++ b/pkg/cli/remote.go
@@ -4,10 +4,12 @@
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
 	"net/url"
+	"strconv"
 	"strings"
 	"time"
 
@@ -46,30 +48,77 @@
 
 type explainCommand struct {
 	operatorFlags `embed:""`
-	Service       string `required:"" placeholder:"NAME" help:"Service of the request."`
+	Service       string `placeholder:"NAME" help:"Service of the request."`
 	Priority      string `placeholder:"NAME" help:"Priority of the request."`
 	Shard         string `placeholder:"ID" help:"Shard of the request."`
+	Host          string `placeholder:"HOST" help:"Host of a request to a gateway, instead of a service."`
+	Path          string `placeholder:"PATH" help:"Path of the request to the gateway."`
+	Method        string `placeholder:"METHOD" help:"Method of the request to the gateway; GET if absent."`
+	Size          *int64 `placeholder:"BYTES" help:"Size of the request's body; not known if absent."`
+	Repeated      bool   `help:"The caller has sent the request before."`
+	All           bool   `help:"List all parts of a query in full, not just those that something is unusual about."`
 }
 
 // Help returns the text that --help adds to the list of flags.
 func (*explainCommand) Help() string {
-	return `Prints where a request would run and whether it would be admitted now: its
-scheduling group, the group's home, queue and credit, and the replicas of the
-shard. No request is sent to an upstream.
+	return `Prints where a request would run and whether it would be admitted now. No
+request is sent to an upstream, and nothing is changed.
+
+With --service, for an instance started with "serve": the scheduling group, the
+group's home, queue and credit, and the replicas of the shard; for a gateway: the
+upstreams of the service.
+
+With --host and --path, for a gateway: the route, whether the request would be
+refused, whether another instance would run it, and for each part the upstreams
+with their costs, the reasons against them, and the one that would be chosen.
 
 Example:
 
-    sardineturn explain --service fitting-desk-01 --priority counter --shard s01`
+    sardineturn explain --service fitting-desk-01 --priority counter --shard s01
+    sardineturn explain --host a.example --path /search/`
+}
+
+// Validate is called by the parser.
+func (c *explainCommand) Validate() error {
+	request := c.Host != "" || c.Path != "" || c.Method != "" || c.Size != nil || c.Repeated || c.All
+	switch {
+	case c.Service == "" && !request:
+		return errors.New("--service, or --host and --path, are required")
+	case !request:
+		return nil
+	case c.Service != "" || c.Priority != "" || c.Shard != "":
+		return errors.New("--service, --priority and --shard cannot be used with the flags of a request to a gateway")
+	case c.Host == "" || !strings.HasPrefix(c.Path, "/"):
+		return errors.New("--host and --path are required, and the path begins with a slash")
+	case c.Size != nil && *c.Size < 0:
+		return errors.New("--size is a number of bytes")
+	default:
+		return nil
+	}
 }
 
 // Run prints the instance's explanation of how it would serve the request.
 func (c *explainCommand) Run(ctx context.Context, p *Program) error {
-	values := url.Values{"service": {c.Service}}
-	if c.Priority != "" {
-		values.Set("priority", c.Priority)
+	values := url.Values{}
+	set := func(name, value string) {
+		if value != "" {
+			values.Set(name, value)
+		}
+	}
+	set("service", c.Service)
+	set("priority", c.Priority)
+	set("shard", c.Shard)
+	set("host", c.Host)
+	set("path", c.Path)
+	set("method", c.Method)
+	if c.Size != nil {
+		set("size", strconv.FormatInt(*c.Size, 10))
+	}
+	if c.Repeated {
+		set("repeated", "true")
 	}
-	if c.Shard != "" {
-		values.Set("shard", c.Shard)
+	if c.All {
+		set("all", "true")
 	}
 	return c.getAndPrint(ctx, p, "/explain", values)
 }
--- a/pkg/gateway/admission.go
+++ b/pkg/gateway/admission.go
@@ -38,9 +38,13 @@
 	if v.Admitted {
 		return Answer{}, true
 	}
+	return overloadRefusal(v), false
+}
+
+func overloadRefusal(v admission.Verdict) Answer {
 	a := newRefusal(result.Overloaded)
 	a.RetryAfter = max(a.RetryAfter, v.RetryAfter)
-	return a, false
+	return a
 }
 
 func (r *requestRun) admissionRoute() admission.Route {
--- a/pkg/gateway/body_memory.go
+++ b/pkg/gateway/body_memory.go
@@ -63,7 +63,7 @@
 // false and the time after which the request may be sent again.
 func (g *Gateway) reserveBody(r *Request, bytes int64) (retryAfter time.Duration, ok bool) {
 	m := &g.bodyMemory
-	if m.limiter == nil || bytes <= UnaccountedBodyBytes {
+	if !m.accounts(bytes) {
 		return 0, true
 	}
 	now, priority := g.ports.Clock.Now(), g.priorityOf(r.Host, r.Target)
@@ -85,6 +85,11 @@
 	return retryAfter, false
 }
 
+// accounts reports whether a body of the size counts towards the limit.
+func (m *bodyMemory) accounts(bytes int64) bool {
+	return m.limiter != nil && bytes > UnaccountedBodyBytes
+}
+
 // priorityOf returns the priority of a request, of which only the header is known.
 func (g *Gateway) priorityOf(host, target string) int {
 	if route := g.matchRoute(host, target); route != nil {
--- a/pkg/gateway/caller_timing.go
+++ b/pkg/gateway/caller_timing.go
@@ -72,11 +72,22 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	callerElapsed = c.updateRoute(route, callerTimeout)
-	transitTime = c.roundTrip
-	if transitTime == 0 {
-		transitTime = defaultRoundTrip
+	return callerElapsed, c.transitTime()
+}
+
+// transitTime returns the estimate of the transit time. mu must be locked.
+func (c *callerTiming) transitTime() time.Duration {
+	if c.roundTrip == 0 {
+		return defaultRoundTrip
 	}
-	return callerElapsed, transitTime
+	return c.roundTrip
+}
+
+// knownTransitTime returns the estimate of the transit time without a new observation.
+func (c *callerTiming) knownTransitTime() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.transitTime()
 }
 
 // updateRoute updates the timing of the route and the round trip with the caller timeout
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -59,23 +59,57 @@
 	transitTime += answerMargin(g.cfg.Capacity)
 	run := g.newRequestRun(v, r, route, services, fingerprint, callerElapsed, transitTime)
 	run.callerGone = ctx.Done()
-	if run.stopsBeforeAnswer(now) {
+	switch run.firstStep(now) {
+	case refuseLeaving:
 		a := newRefusal(result.Leaving)
 		g.logRefusal(now, r, route, a)
 		return a
-	}
-	if route.Gather == nil {
+	case refuseUndecided:
+		return run.refuseSuspect()
+	case trySuspect:
+		return run.runSuspect()
+	case runCleared:
+		return run.runCleared()
+	case delegateOrRun:
+		return run.delegateOrRunHere()
+	default:
 		return run.runHere()
 	}
-	switch g.suspicion(now, fingerprint) {
+}
+
+// step is what is done first with a request that has a route and is not quarantined.
+type step int
+
+const (
+	runHere step = iota
+	// delegateOrRun: another instance runs the query if it is expected to be faster.
+	delegateOrRun
+	// runCleared, trySuspect and refuseUndecided follow from the suspicion against a query.
+	runCleared
+	trySuspect
+	refuseUndecided
+	// refuseLeaving: the process stops before the request is sure to be answered.
+	refuseLeaving
+)
+
+// firstStep decides what is done with the request. Serve acts on it, and ExplainRequest
+// reports it.
+func (r *requestRun) firstStep(now time.Time) step {
+	switch {
+	case r.stopsBeforeAnswer(now):
+		return refuseLeaving
+	case r.route.Gather == nil:
+		return runHere
+	}
+	switch r.g.suspicion(now, r.fingerprint) {
 	case undecided:
-		return run.refuseSuspect()
+		return refuseUndecided
 	case suspected:
-		return run.runSuspect()
+		return trySuspect
 	case cleared:
-		return run.runCleared()
+		return runCleared
 	default:
-		return run.delegateOrRunHere()
+		return delegateOrRun
 	}
 }
 
@@ -127,14 +161,18 @@
 // unknown only if the configuration was confirmed recently; otherwise the caller is
 // told to send the request again.
 func (g *Gateway) answerUnknownRoute(now time.Time, r *Request) Answer {
-	a := newRefusal(result.NotReady)
-	if g.copyIsFresh(now) {
-		a = Answer{Code: result.UnknownRoute, Ran: model.NotRun}
-	}
+	a := g.unknownRouteAnswer(now)
 	g.logRefusal(now, r, nil, a)
 	return a
 }
 
+func (g *Gateway) unknownRouteAnswer(now time.Time) Answer {
+	if g.copyIsFresh(now) {
+		return Answer{Code: result.UnknownRoute, Ran: model.NotRun}
+	}
+	return newRefusal(result.NotReady)
+}
+
 func newRefusal(code result.Code) Answer {
 	return Answer{Code: code, Ran: model.NotRun, RetryAfter: minRefusalDelay + rand.N(minRefusalDelay)}
 }
@@ -178,6 +216,12 @@
 // newRequestRun prepares the execution of a request. For callerElapsed and transitTime
 // see requestTimes.
 func (g *Gateway) newRequestRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint, callerElapsed, transitTime time.Duration) *requestRun {
+	return g.prepareRun(v, r, route, services, f, callerElapsed, transitTime, g.latencyOf(route))
+}
+
+// prepareRun is newRequestRun with the estimate of the route's latency. It changes no state
+// of the gateway.
+func (g *Gateway) prepareRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint, callerElapsed, transitTime time.Duration, latency *routeLatency) *requestRun {
 	answerBy, deadline := requestTimes(r, route, callerElapsed, transitTime)
 	shedsLoad := g.cfg.LoadShedding.applies(v.table)
 	cfg := fanout.Config{
@@ -192,13 +236,21 @@
 		cfg.AnswerBy = answerBy
 		cfg.ShedSlowParts = shedsLoad
 	}
-	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: g.latencyOf(route), shedsLoad: shedsLoad, held: new(heldReplies)}
+	run := &requestRun{g: g, view: v, request: r, route: route, services: services, answerBy: answerBy, deadline: deadline, callerElapsed: callerElapsed, transitTime: transitTime, fingerprint: f, latency: latency, shedsLoad: shedsLoad, held: new(heldReplies)}
 	run.typicalLatency, run.hedgeAfter = run.latency.estimates()
 	cfg.HedgeBy = answerBy.Add(-time.Duration(hedgeLeadFactor * float64(run.typicalLatency)))
 	run.config = cfg
 	return run
 }
 
+// knownLatency returns the estimate of the route's latency without keeping a new one.
+func (g *Gateway) knownLatency(route *routing.Route) *routeLatency {
+	if l, ok := g.latencies.Load(route.Name); ok {
+		return l.(*routeLatency)
+	}
+	return newLatency()
+}
+
 func (g *Gateway) latencyOf(route *routing.Route) *routeLatency {
 	if l, ok := g.latencies.Load(route.Name); ok {
 		return l.(*routeLatency)
--- a/pkg/gateway/upstream_choice.go
+++ b/pkg/gateway/upstream_choice.go
@@ -47,15 +47,20 @@
 	if u == nil {
 		return "", false, false
 	}
-	if r.route.Gather != nil && u.ProbeInFlight() {
-		// Another attempt already probes whether the upstream answers again. The query
-		// would not wait for a part on such an upstream, and requests whose answers
-		// nobody waits for keep an overloaded upstream overloaded.
+	if r.leavesToProbe(u) {
 		return "", false, false
 	}
 	return u.ID, u.Unresponsive(), true
 }
 
+// leavesToProbe reports whether the request must not go to the upstream because another
+// attempt already probes whether the upstream answers again. A query would not wait for a
+// part on such an upstream, and requests whose answers nobody waits for keep an overloaded
+// upstream overloaded.
+func (r *requestRun) leavesToProbe(u *balancer.Upstream) bool {
+	return r.route.Gather != nil && u.ProbeInFlight()
+}
+
 // Forecast implements fanout.Upstreams.
 func (r *requestRun) Forecast(serviceName string) time.Duration {
 	s := r.view.services[serviceName]
