--- a/pkg/fanout/fanout.go
+++ b/pkg/fanout/fanout.go
@@ -273,6 +273,13 @@
 	return nil, TooFew
 }
 
+// TooSlow reports whether an attempt with the given forecast that starts now would be
+// answered after AnswerBy. A service without a forecast is not known to be slow, also after
+// AnswerBy.
+func (c *Config) TooSlow(now time.Time, forecast time.Duration) bool {
+	return forecast > 0 && forecast > c.AnswerBy.Sub(now)
+}
+
 // startAllParts sends the first attempt of each part that has none yet. With ShedSlowParts,
 // it leaves out slow parts that the query does not need. It decides on them last, because
 // the query needs more of them if other parts have no usable upstream.
@@ -310,13 +317,12 @@
 
 // forecastTooLate reports whether the configuration says ShedSlowParts and an attempt of the
 // part that starts now is expected to be answered after AnswerBy, and returns the forecast.
-// A service without a forecast is not known to be slow, also after AnswerBy.
 func (q *Query) forecastTooLate(now time.Time, p *part) (time.Duration, bool) {
 	if !q.cfg.ShedSlowParts {
 		return 0, false
 	}
 	f := q.upstreams.Forecast(p.service)
-	return f, f > 0 && f > q.cfg.AnswerBy.Sub(now)
+	return f, q.cfg.TooSlow(now, f)
 }
 
 // startOnePart sends the first attempt of one part that has an upstream which answers: that
