--- a/pkg/balancer/balancer.go
+++ b/pkg/balancer/balancer.go
@@ -212,8 +212,8 @@
 
 // Pick returns the upstream with the lowest expected cost that is not among the
 // excluded ones, or nil. An upstream whose rate limit, or whose limit while it is cold,
-// allows no further attempt is never chosen, and an avoided upstream only for the first attempt of a part, if there is no
-// other. typical is the typical latency of such a request.
+// allows no further attempt is never chosen, and an avoided upstream only for the first
+// attempt of a part, if there is no other. typical is the typical latency of such a request.
 func (s *Service) Pick(now time.Time, typical time.Duration, excluded []string, first bool) *Upstream {
 	var best *Upstream
 	var bestCost time.Duration
