--- a/pkg/backpressure/cold.go
+++ b/pkg/backpressure/cold.go
@@ -19,7 +19,9 @@
 // second must get at most Excess x L + Slack in any second, from all instances together.
 type ColdBounds struct{ Excess, Slack float64 }
 
-// ColdLimit enforces an instance's share of the requests that a cold upstream tolerates.
+// ColdLimit enforces an instance's share of the requests that a cold upstream tolerates. It
+// answers the load after a start or the end of an evacuation, when all instances turn to
+// upstreams that crash at their usual rate of requests.
 // The first instances in the upstream's order share them equally, and the others send
 // none; docs/design/cold-upstreams.md derives the bound. The zero value allows nothing.
 type ColdLimit struct {
--- a/pkg/bodymemory/bodymemory.go
+++ b/pkg/bodymemory/bodymemory.go
@@ -1,5 +1,10 @@
 // Package bodymemory limits the memory that the bodies of callers' requests take
 // together, by the priority of the requests. It does no I/O and reads no clock.
+//
+// It answers this load: callers send large bodies faster than upstreams take them, such as
+// 225 requests a second of 256 KB on an instance with 184 MB. Without a limit the process
+// exceeds its memory and is killed with all its requests. With it, the requests for which
+// there is no memory are refused before their bodies are read, the least urgent first.
 package bodymemory
 
 import "time"
