Settings template: plain placeholders; load shedding follows evacuation_ms

The template decided with a section on bounds.evacuate_ms whether load is always shed.

The template now passes the bound on as the setting evacuation_ms, and the value auto of load_shedding has one rule: load is shed if data centres may be evacuated, which moves their load to the others at once, or if the routes need it. Members that are null, which plain placeholders yield for fields that the platform does not state, count as missing at any depth and not only in the section "cold".

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -241,7 +241,7 @@
 		Seeds:          gatewaySeeds(s),
 		FirstStart:     s.FirstStart,
 		Capacity:       s.Capacity(),
-		LoadShedding:   loadShedding(s.LoadShedding),
+		LoadShedding:   loadShedding(s),
 		RetryBudget:    retryBudgetLimits(s),
 		BodyMemory:     bodyMemory(s),
 		ColdBounds:     backpressure.ColdBounds{Excess: s.Cold.Excess, Slack: s.Cold.Slack},
@@ -258,14 +258,18 @@
 	})
 }
 
-func loadShedding(s settings.LoadShedding) gateway.LoadShedding {
-	switch s {
-	case settings.LoadSheddingOn:
+// loadShedding applies the rule of the value auto: an evacuation can move the load of a
+// data centre to the others with any configuration; without evacuations the routes decide.
+func loadShedding(s settings.Gateway) gateway.LoadShedding {
+	switch {
+	case s.LoadShedding == settings.LoadSheddingOn:
 		return gateway.ShedAlways
-	case settings.LoadSheddingAuto:
-		return gateway.ShedByRoutes
-	default:
+	case s.LoadShedding != settings.LoadSheddingAuto:
 		return gateway.ShedNever
+	case s.EvacuationMS > 0:
+		return gateway.ShedAlways
+	default:
+		return gateway.ShedByRoutes
 	}
 }
 
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -1,10 +1,10 @@
 package settings
 
 import (
+	"bytes"
 	_ "embed"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"net/netip"
 	"os"
 	"sync"
@@ -43,6 +43,7 @@
 	CoreShare       float64          `json:"core_share"`
 	Budget          RetryBudget      `json:"budget"`
 	LoadShedding    LoadShedding     `json:"load_shedding,omitempty"`
+	EvacuationMS    float64          `json:"evacuation_ms,omitempty"`
 	Cold            ColdBounds       `json:"cold,omitzero"`
 }
 
@@ -54,7 +55,8 @@
 const (
 	LoadSheddingOff LoadShedding = "off"
 	LoadSheddingOn  LoadShedding = "on"
-	// LoadSheddingAuto lets the routes of the configuration decide.
+	// LoadSheddingAuto sheds load if data centres may be evacuated; otherwise the routes
+	// of the configuration decide.
 	LoadSheddingAuto LoadShedding = "auto"
 )
 
@@ -93,7 +95,7 @@
 // ParseGateway checks the text and fills in the defaults. If the text is
 // invalid, the error is an *Error.
 func ParseGateway(content []byte) (Gateway, error) {
-	content = withoutNullBounds(content)
+	content = withoutNulls(content)
 	if faults := jsoncheck.Check(content, gatewaySchema()); len(faults) > 0 {
 		return Gateway{}, &Error{Faults: faults}
 	}
@@ -110,27 +112,32 @@
 	return s, nil
 }
 
-// withoutNullBounds removes the null values of the section "cold". The platform's template
-// yields null for a bound that the platform does not state; it then has its default.
-func withoutNullBounds(content []byte) []byte {
-	var all, cold map[string]json.RawMessage
-	if json.Unmarshal(content, &all) != nil || json.Unmarshal(all["cold"], &cold) != nil {
+// withoutNulls removes the members that are null, at any depth of objects. The platform's
+// template yields null for a field that the platform does not state; the setting then has
+// its default or, if it is required, is missing.
+func withoutNulls(content []byte) []byte {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(content, &members) != nil || members == nil {
 		return content
 	}
-	before := len(cold)
-	maps.DeleteFunc(cold, func(_ string, value json.RawMessage) bool { return string(value) == "null" })
-	if len(cold) == before {
+	changed := false
+	for name, value := range members {
+		if string(value) == "null" {
+			delete(members, name)
+			changed = true
+		} else if cleaned := withoutNulls(value); !bytes.Equal(cleaned, value) {
+			members[name] = cleaned
+			changed = true
+		}
+	}
+	if !changed {
 		return content
 	}
-	section, err := json.Marshal(cold)
+	text, err := json.Marshal(members)
 	if err != nil {
 		return content
 	}
-	all["cold"] = section
-	if changed, err := json.Marshal(all); err == nil {
-		return changed
-	}
-	return content
+	return text
 }
 
 func (s Gateway) check() []jsoncheck.Fault {
