Settings: take fractions and any range for the platform's figures

Cause: the template multiplied grace_s by appending "000", which makes 6.5000 of 6.5, and the schema refused stop_ms below 1000. The same check ended the process for fractions in cores and for figures beyond bounds that the platform's pages do not state.

The template now passes the figure on as stop_s, a number of seconds. stop_ms stays for files written by hand. Figures from the platform have no upper bound any more, cores may be a fraction (GOMAXPROCS is rounded up), and times that a time.Duration cannot hold become a year.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -143,8 +143,8 @@
 // limitRuntime sets the processors and the memory limit of the Go runtime from the
 // settings.
 func limitRuntime(s settings.Gateway) {
-	if s.Cores > 0 {
-		runtime.GOMAXPROCS(s.Cores)
+	if n := s.Processors(); n > 0 {
+		runtime.GOMAXPROCS(n)
 	}
 	if s.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitShare * (1 << 20)))
@@ -285,7 +285,7 @@
 	return retrybudget.Limits{
 		Ratio:     s.Budget.Ratio,
 		Allowance: s.Budget.Allowance,
-		Window:    time.Duration(s.Budget.WindowS * float64(time.Second)),
+		Window:    s.BudgetWindow(),
 	}
 }
 
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -5,6 +5,7 @@
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"math"
 	"net/netip"
 	"os"
 	"sync"
@@ -37,9 +38,9 @@
 	MetricsPort     uint16           `json:"metrics_port"`
 	StoreAddress    string           `json:"store_address"`
 	LogLevel        string           `json:"log_level"`
-	StopMS          int              `json:"stop_ms"`
+	StopS           float64          `json:"stop_s"`
 	MemoryMB        float64          `json:"memory_mb"`
-	Cores           int              `json:"cores"`
+	Cores           float64          `json:"cores"`
 	CoreShare       float64          `json:"core_share"`
 	Budget          RetryBudget      `json:"budget"`
 	LoadShedding    LoadShedding     `json:"load_shedding,omitempty"`
@@ -79,9 +80,8 @@
 	WindowS   float64 `json:"window_s"`
 }
 
-// DefaultStopMS is the default time that the process may take to stop, in
-// milliseconds.
-const DefaultStopMS = 6000
+// DefaultStopS is the default time that the process may take to stop, in seconds.
+const DefaultStopS = 6
 
 // LoadGateway reads the settings of a gateway from a file.
 func LoadGateway(path string) (Gateway, error) {
@@ -99,13 +99,20 @@
 	if faults := jsoncheck.Check(content, gatewaySchema()); len(faults) > 0 {
 		return Gateway{}, &Error{Faults: faults}
 	}
-	s := Gateway{
-		LogLevel: DefaultLogLevel, StopMS: DefaultStopMS, LoadShedding: LoadSheddingOff,
+	file := struct {
+		Gateway
+		StopMS *float64 `json:"stop_ms"`
+	}{Gateway: Gateway{
+		LogLevel: DefaultLogLevel, StopS: DefaultStopS, LoadShedding: LoadSheddingOff,
 		Cold: ColdBounds{Excess: DefaultColdExcess, Slack: DefaultColdSlack},
-	}
-	if err := json.Unmarshal(content, &s); err != nil {
+	}}
+	if err := json.Unmarshal(content, &file); err != nil {
 		return Gateway{}, &Error{Faults: []jsoncheck.Fault{{Path: "$", Code: jsoncheck.WrongType, Reason: err.Error()}}}
 	}
+	s := file.Gateway
+	if file.StopMS != nil {
+		s.StopS = *file.StopMS / 1000
+	}
 	if faults := s.check(); len(faults) > 0 {
 		return Gateway{}, &Error{Faults: faults}
 	}
@@ -199,8 +206,25 @@
 
 // Capacity returns the processor time that the process may use, in cores, or
 // zero if the settings do not state it.
-func (s Gateway) Capacity() float64 { return s.CoreShare * float64(max(1, s.Cores)) }
+func (s Gateway) Capacity() float64 { return s.CoreShare * max(1, s.Cores) }
+
+// Processors returns the number of processors that the process may use at a time, or zero
+// if the settings do not limit it.
+func (s Gateway) Processors() int { return int(math.Ceil(s.Cores)) }
 
 // StopTime returns the time between the signal to stop and the forced end of
 // the process.
-func (s Gateway) StopTime() time.Duration { return time.Duration(s.StopMS) * time.Millisecond }
+func (s Gateway) StopTime() time.Duration { return secondsDuration(s.StopS) }
+
+// BudgetWindow returns the length of the window of the retry budgets.
+func (s Gateway) BudgetWindow() time.Duration { return secondsDuration(s.Budget.WindowS) }
+
+// maxDuration replaces longer times, which a time.Duration may not be able to hold.
+const maxDuration = 365 * 24 * time.Hour
+
+func secondsDuration(seconds float64) time.Duration {
+	if seconds >= maxDuration.Seconds() {
+		return maxDuration
+	}
+	return time.Duration(seconds * float64(time.Second))
+}
--- a/pkg/settings/template_test.go
+++ b/pkg/settings/template_test.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/shoenig/test/must"
 )
@@ -84,3 +85,66 @@
 		must.Eq(t, test.want, s.EvacuationMS)
 	}
 }
+
+// TestTemplateTakesAnyFigure guards against processes that do not start because the
+// platform states a figure in a form that a whole number does not have. grace_s 6.5 once
+// became stop_ms 6.5000, which the schema refused, and no process of a fleet came back.
+func TestTemplateTakesAnyFigure(t *testing.T) {
+	setting := map[string]func(Gateway) float64{
+		"bounds.grace_s":            func(s Gateway) float64 { return s.StopTime().Seconds() },
+		"bounds.evacuate_ms":        func(s Gateway) float64 { return s.EvacuationMS },
+		"bounds.retry_budget_ratio": func(s Gateway) float64 { return s.Budget.Ratio },
+		"bounds.budget_extra":       func(s Gateway) float64 { return s.Budget.Allowance },
+		"bounds.budget_window_s":    func(s Gateway) float64 { return s.BudgetWindow().Seconds() },
+		"bounds.cold_excess":        func(s Gateway) float64 { return s.Cold.Excess },
+		"bounds.cold_slack":         func(s Gateway) float64 { return s.Cold.Slack },
+		"limits.memory_mb":          func(s Gateway) float64 { return s.MemoryMB },
+		"limits.cores":              func(s Gateway) float64 { return s.Cores },
+		"limits.cpu_share":          func(s Gateway) float64 { return s.CoreShare },
+	}
+	template, err := os.ReadFile("../../deploy/settings.json.tmpl")
+	must.NoError(t, err)
+	for _, match := range placeholder.FindAllStringSubmatch(string(template), -1) {
+		path := strings.TrimSuffix(match[1], "|json")
+		if strings.HasPrefix(path, "bounds.") || strings.HasPrefix(path, "limits.") {
+			must.MapContainsKey(t, setting, path)
+		}
+	}
+	for path, value := range setting {
+		literals := map[string]float64{"0.5": 0.5, "1": 1, "1.0": 1, "1e0": 1}
+		if path != "limits.cpu_share" {
+			literals["6.5"], literals["12"], literals["12.0"], literals["2.5e2"] = 6.5, 12, 12, 250
+		}
+		for literal, want := range literals {
+			s, err := ParseGateway(renderTemplate(t, platformFields(t, map[string]string{path: literal})))
+			must.NoError(t, err, must.Sprint(path, " ", literal))
+			must.Eq(t, want, value(s), must.Sprint(path, " ", literal))
+		}
+	}
+}
+
+// TestStopTime guards against a time to stop that is read in the wrong unit, against one
+// that is lost, and against one so long that it becomes negative.
+func TestStopTime(t *testing.T) {
+	sample, err := os.ReadFile("../../examples/gateway.json")
+	must.NoError(t, err)
+	for fields, want := range map[string]time.Duration{
+		``:                              6 * time.Second,
+		`"stop_s": null,`:               6 * time.Second,
+		`"stop_s": 6.5,`:                6500 * time.Millisecond,
+		`"stop_s": 0,`:                  0,
+		`"stop_s": 1e12,`:               maxDuration,
+		`"stop_ms": 4000,`:              4 * time.Second,
+		`"stop_ms": 1500.5,`:            1500500 * time.Microsecond,
+		`"stop_s": 9, "stop_ms": 1000,`: time.Second,
+		`"stop_s": 9, "stop_ms": null,`: 9 * time.Second,
+	} {
+		s, err := ParseGateway([]byte(strings.Replace(string(sample), "{", "{"+fields, 1)))
+		must.NoError(t, err, must.Sprint(fields))
+		must.Eq(t, want, s.StopTime(), must.Sprint(fields))
+	}
+	for _, fields := range []string{`"stop_s": -1,`, `"stop_s": true,`, `"stop_s": "6",`, `"stop_s": 1e308,`} {
+		_, err := ParseGateway([]byte(strings.Replace(string(sample), "{", "{"+fields, 1)))
+		must.ErrorContains(t, err, "stop_s", must.Sprint(fields))
+	}
+}
