Gateway: stop by the stop time in force, also if it changed since the start

Cause: the stop used the settings of the start. A reload passed on only the seeds and two figures of the retry budget, and only on SIGHUP, although the settings file may change without a signal.

gatewaySettings holds the settings in force. It reads the file on SIGHUP, once a second and at the signal to stop, and the stop asks it until its end. A stop time that becomes shorter during a stop shortens it, a longer one is ignored. stopPlan has the times of a stop, with margins that fit short stop times too. While requests arrive, a stopping process now stays and refuses what it cannot answer in time; it closed the connections on which they arrived after 0.6 of the stop time.

Signals to stop have a channel of their own, because a full channel drops signals, and signals are caught before the settings are read. sardineturn_settings_reloads_total counts changes of the file by result.

--- a/docs/docs_test.go
+++ b/docs/docs_test.go
@@ -299,7 +299,10 @@
 					var out strings.Builder
 					program := &cli.Program{Stdout: &out, Stderr: io.Discard, Client: client}
 					program.Serve = func(context.Context, settings.Settings) error { return nil }
-					program.Gateway = func(context.Context, settings.Gateway, func() (settings.Gateway, error)) error { return nil }
+					program.Gateway = func(_ context.Context, settingsFile string) error {
+						_, _, err := settings.NewGatewayFile(settingsFile).Read()
+						return err
+					}
 					must.Eq(t, cli.ExitOK, program.Run(t.Context(), args[1:]), must.Sprint(page, line))
 					if args[1] == "check" {
 						must.StrContains(t, readFile(t, "README.md"), out.String())
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -37,19 +37,8 @@
 	// gatewayCluster is the cluster name in control messages of gateways. It
 	// distinguishes these messages from those of instances that serve documents.
 	gatewayCluster = "gateway"
-	// balancerNoticeTime is the time that the platform's load balancer needs to detect
-	// that a process is not ready: two health checks, one second apart.
-	balancerNoticeTime = 2200 * time.Millisecond
-	// stopMargin is the time reserved between the end of the last request and the forced
-	// end of the process.
-	stopMargin = 700 * time.Millisecond
-	// answerWriteTime is the time for writing the last answers.
-	answerWriteTime = 200 * time.Millisecond
-	// acceptPercent is the percentage of the stop time during which a stopping process
-	// may accept new requests. The rest is for finishing the requests in progress.
-	acceptPercent = 60
 	// noRequestTime is the time without a new request after which a stopping process
-	// stops accepting requests before acceptPercent has passed.
+	// closes idle connections before the end of its plan.
 	noRequestTime = 300 * time.Millisecond
 	// stopPollInterval is how often a stopping process checks whether requests still
 	// arrive or are in progress.
@@ -65,31 +54,42 @@
 	gcPercent = 100
 )
 
-// ServeGateway runs a gateway until SIGTERM, SIGINT, the end of ctx or the failure of a
-// listener, and then stops it gracefully. On SIGHUP it calls reload to read the changed
-// settings file, and puts the new retry budget and seeds into force. All other settings
-// concern listeners or the machine and take effect at the next start.
-func ServeGateway(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error)) error {
+// ServeGateway runs a gateway with the settings of a file until SIGTERM, SIGINT, the end of
+// ctx or the failure of a listener, and then stops it gracefully. It reads the file again
+// on SIGHUP, in intervals and at the beginning of the stop. If the settings are invalid at
+// the start, the error is a *settings.Error.
+func ServeGateway(ctx context.Context, settingsFile string) error {
+	// A stop signal has a channel of its own, which signals to reload cannot fill.
+	stops, hangups := make(chan os.Signal, 1), make(chan os.Signal, 1)
+	signal.Notify(stops, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(stops)
+	defer signal.Stop(hangups)
+	live, err := loadGatewaySettings(settingsFile)
+	if err != nil {
+		return err
+	}
+	s := live.inForce()
 	limitRuntime(s)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	defer signal.Stop(signals)
 	var log logrus.FieldLogger
 	var queue *logqueue.Queue
-	var g *gateway.Gateway
 	failures := make(listenerFailures, 1)
-	app := fx.New(GatewayModule(s), fx.Supply(failures), fx.Populate(&log, &queue, &g))
+	app := fx.New(GatewayModule(s), fx.Supply(failures, live), fx.Invoke(connectSettings), fx.Populate(&log, &queue))
 	if err := app.Err(); err != nil {
 		return err
 	}
 	startCtx, cancel := context.WithTimeout(ctx, startTimeout)
 	defer cancel()
 	event.Info(log, event.ProcessStarted, event.Fields{"settings": s}, "the gateway starts")
-	err := app.Start(startCtx)
+	err = app.Start(startCtx)
 	if err == nil {
-		err = waitForStop(ctx, signals, failures, func() { reloadGateway(log, g, reload) })
+		watchCtx, stopWatch := context.WithCancel(context.Background())
+		defer stopWatch()
+		go live.watch(watchCtx, hangups)
+		err = waitForStop(ctx, stops, failures)
+		live.reload()
 		event.Info(log, event.ShutdownStarted, event.Fields{"error": errorText(err)}, "the gateway stops")
-		stopCtx, cancelStop := context.WithTimeout(context.Background(), s.StopTime())
+		stopCtx, cancelStop := context.WithTimeout(context.Background(), live.inForce().StopTime())
 		defer cancelStop()
 		err = errors.Join(err, app.Stop(stopCtx))
 	}
@@ -109,35 +109,23 @@
 	return err.Error()
 }
 
-// waitForStop blocks until the process has to stop, and calls reload for each SIGHUP. It
-// returns the error of a listener that failed, or nil if a signal or the end of ctx
-// caused the stop.
-func waitForStop(ctx context.Context, signals <-chan os.Signal, failures <-chan error, reload func()) error {
-	for {
-		select {
-		case s := <-signals:
-			if s != syscall.SIGHUP {
-				return nil
-			}
-			reload()
-		case <-ctx.Done():
-			return nil
-		case err := <-failures:
-			return err
-		}
+// waitForStop blocks until the process has to stop. It returns the error of a listener that
+// failed, or nil if a signal or the end of ctx caused the stop.
+func waitForStop(ctx context.Context, stops <-chan os.Signal, failures <-chan error) error {
+	select {
+	case <-stops:
+		return nil
+	case <-ctx.Done():
+		return nil
+	case err := <-failures:
+		return err
 	}
 }
 
-// reloadGateway reads the settings again and applies those that may change while a
-// gateway runs.
-func reloadGateway(log logrus.FieldLogger, g *gateway.Gateway, reload func() (settings.Gateway, error)) {
-	s, err := reload()
-	if err != nil {
-		event.Warn(log, event.SettingsInvalid, event.Fields{"error": err.Error()}, "the changed settings are invalid; the previous ones stay in force")
-		return
-	}
-	g.Reconfigure(gatewaySeeds(s), retryBudgetLimits(s))
-	event.Info(log, event.SettingsChanged, event.Fields{"settings": s}, "the settings were reloaded; the retry budget and the seeds are in force")
+// connectSettings lets changed settings reach the parts of the gateway that hold copies.
+func connectSettings(live *gatewaySettings, log logrus.FieldLogger, m *metrics.Metrics, g *gateway.Gateway) {
+	live.log, live.metrics = log, m
+	live.apply = func(s settings.Gateway) { g.Reconfigure(gatewaySeeds(s), retryBudgetLimits(s)) }
 }
 
 // limitRuntime sets the processors and the memory limit of the Go runtime from the
@@ -303,6 +291,7 @@
 	Lifecycle fx.Lifecycle
 	Failures  listenerFailures
 	Settings  settings.Gateway
+	Live      *gatewaySettings
 	Log       logrus.FieldLogger
 	Gateway   *gateway.Gateway
 	Control   *peerudp.Socket
@@ -343,22 +332,23 @@
 }
 
 // stop makes the gateway not ready, closes each caller's connection after its next
-// answer, and keeps serving for balancerNoticeTime. It then accepts requests until none
-// has arrived for noRequestTime or acceptPercent of the stop time has passed. The rest
-// of the stop time is for the requests in progress.
+// answer, and keeps serving until the load balancer has noticed. As long as requests arrive
+// after that, it stays and refuses those that cannot be answered in time: a caller whose
+// connection is closed instead does not know whether its request has run. The times follow
+// the stop time in force, also if it becomes shorter meanwhile.
 func (r *gatewayRegistration) stop(ctx context.Context) error {
-	start := time.Now()
-	until := start.Add(r.Settings.StopTime() - stopMargin)
-	r.Gateway.Leave(until.Add(-answerWriteTime))
+	plan := newStopPlan(time.Now(), r.Live.inForce().StopTime())
+	r.Gateway.Leave(plan.answerBy())
 	r.Ingress.CloseConnections()
-	sleep(ctx, balancerNoticeTime)
-	for time.Since(start) < r.Settings.StopTime()*acceptPercent/100 && r.Ingress.SinceLastRequest() < noRequestTime {
+	running, end := context.WithCancel(ctx)
+	defer end()
+	go r.followPlan(running, end, plan)
+	for time.Now().Before(plan.noticeUntil()) ||
+		time.Now().Before(plan.endBy()) && r.Ingress.SinceLastRequest() < noRequestTime {
 		time.Sleep(stopPollInterval)
 	}
-	shutdown, cancel := context.WithDeadline(ctx, until)
-	defer cancel()
-	err := r.Ingress.Shutdown(shutdown)
-	for r.Gateway.ActiveRequests() > 0 && time.Now().Before(until) {
+	err := r.Ingress.Shutdown(running)
+	for r.Gateway.ActiveRequests() > 0 && running.Err() == nil {
 		time.Sleep(stopPollInterval)
 	}
 	r.Gateway.Stop()
@@ -368,6 +358,18 @@
 	return errors.Join(err, r.Control.Close())
 }
 
+// followPlan calls end when the last answers must have been written, and shortens the plan
+// if the stop time in force becomes shorter.
+func (r *gatewayRegistration) followPlan(ctx context.Context, end func(), plan *stopPlan) {
+	for time.Now().Before(plan.endBy()) && ctx.Err() == nil {
+		sleep(ctx, stopPollInterval)
+		if plan.shorten(r.Live.inForce().StopTime()) {
+			r.Gateway.Leave(plan.answerBy())
+		}
+	}
+	end()
+}
+
 func sleep(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
--- a/pkg/app/gateway_test.go
+++ b/pkg/app/gateway_test.go
@@ -10,6 +10,8 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"os"
+	"path/filepath"
 	"sync"
 	"testing"
 	"time"
@@ -105,10 +107,34 @@
 	return netip.MustParseAddrPort(l.Addr().String()).Port()
 }
 
+// runningGateway is a gateway that runs in the test process.
+type runningGateway struct {
+	settings     settings.Gateway
+	settingsFile string
+	// stop stops the gateway and waits until it has ended.
+	stop func() error
+}
+
+// writeSettings replaces the content of the settings file.
+func (g *runningGateway) writeSettings(t *testing.T, content []byte) {
+	t.Helper()
+	must.NoError(t, os.WriteFile(g.settingsFile+".new", content, 0o600))
+	must.NoError(t, os.Rename(g.settingsFile+".new", g.settingsFile))
+}
+
+// setStopTime writes the settings with another stop time to the settings file.
+func (g *runningGateway) setStopTime(t *testing.T, stopS float64) {
+	t.Helper()
+	s := g.settings
+	s.StopS = stopS
+	text, err := json.Marshal(s)
+	must.NoError(t, err)
+	g.writeSettings(t, text)
+}
+
 // startGateway starts a gateway whose configuration has one route, for requests that are
-// not idempotent, to one upstream. It returns the settings, and a function that stops
-// the gateway and waits until it has ended.
-func startGateway(t *testing.T, u http.Handler) (settings.Gateway, func() error) {
+// not idempotent, to one upstream.
+func startGateway(t *testing.T, u http.Handler) *runningGateway {
 	t.Helper()
 	upstream := httptest.NewServer(u)
 	t.Cleanup(upstream.Close)
@@ -134,18 +160,21 @@
 		LogLevel:        "error", StopS: 6,
 		Budget: settings.RetryBudget{Ratio: 0.2, Allowance: 50, WindowS: 10},
 	}
+	g := &runningGateway{settings: s, settingsFile: filepath.Join(t.TempDir(), "settings.json")}
+	g.setStopTime(t, s.StopS)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
-	go func() { done <- ServeGateway(ctx, s, func() (settings.Gateway, error) { return s, nil }) }()
+	go func() { done <- ServeGateway(ctx, g.settingsFile) }()
+	g.stop = func() error { stop(); return <-done }
 	for range 200 {
 		if readinessCode(s) == http.StatusOK {
-			return s, func() error { stop(); return <-done }
+			return g
 		}
 		time.Sleep(20 * time.Millisecond)
 	}
 	stop()
 	t.Fatal("the gateway is not ready")
-	return s, nil
+	return nil
 }
 
 func readinessCode(s settings.Gateway) int {
@@ -201,14 +230,14 @@
 // answered.
 func TestStopLosesNoRequest(t *testing.T) {
 	u := &upstreamStub{delay: 150 * time.Millisecond, ran: make(map[string]int)}
-	s, stop := startGateway(t, u)
+	g := startGateway(t, u)
 	quit := make(chan struct{})
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	answered := make(map[string]bool)
 	for i := range 40 {
 		callers.Go(func() {
-			got := sendOnKeepAliveConnections(fmt.Sprint(i), s.CallerAddress, time.Duration(5+37*i)*time.Millisecond, quit)
+			got := sendOnKeepAliveConnections(fmt.Sprint(i), g.settings.CallerAddress, time.Duration(5+37*i)*time.Millisecond, quit)
 			mu.Lock()
 			defer mu.Unlock()
 			for id, ok := range got {
@@ -220,10 +249,10 @@
 	start := time.Now()
 	go func() {
 		time.Sleep(200 * time.Millisecond)
-		must.Eq(t, http.StatusServiceUnavailable, readinessCode(s))
+		must.Eq(t, http.StatusServiceUnavailable, readinessCode(g.settings))
 	}()
-	must.NoError(t, stop())
-	must.Less(t, s.StopTime(), time.Since(start))
+	must.NoError(t, g.stop())
+	must.Less(t, g.settings.StopTime(), time.Since(start))
 	close(quit)
 	callers.Wait()
 	u.mu.Lock()
@@ -240,14 +269,14 @@
 // time, because their upstream is slow.
 func TestStopAnswersLateRequests(t *testing.T) {
 	u := &upstreamStub{delay: 1900 * time.Millisecond, ran: make(map[string]int)}
-	s, stop := startGateway(t, u)
+	g := startGateway(t, u)
 	quit := make(chan struct{})
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	answered := make(map[string]bool)
 	for i := range 60 {
 		callers.Go(func() {
-			got := sendOnKeepAliveConnections(fmt.Sprint(i), s.CallerAddress, time.Duration(100+10*i)*time.Millisecond, quit)
+			got := sendOnKeepAliveConnections(fmt.Sprint(i), g.settings.CallerAddress, time.Duration(100+10*i)*time.Millisecond, quit)
 			mu.Lock()
 			defer mu.Unlock()
 			for id := range got {
@@ -257,8 +286,8 @@
 	}
 	time.Sleep(3 * time.Second)
 	start := time.Now()
-	must.NoError(t, stop())
-	must.Less(t, s.StopTime(), time.Since(start))
+	must.NoError(t, g.stop())
+	must.Less(t, g.settings.StopTime(), time.Since(start))
 	close(quit)
 	callers.Wait()
 	u.mu.Lock()
@@ -272,7 +301,7 @@
 // TestInvalidStatusIsNotPassedOn guards against an upstream's status that is none of HTTP
 // and reaches the caller, as an answer or as a refusal of a request that did not run.
 func TestInvalidStatusIsNotPassedOn(t *testing.T) {
-	s, stop := startGateway(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	g := startGateway(t, http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		w.Header().Set("X-Request-Id", r.Header.Get("X-Request-Id"))
 		w.Header().Set("X-Server-Stamp", "signature")
 		if r.URL.Path == "/declined" {
@@ -281,7 +310,7 @@
 		w.WriteHeader(600)
 	}))
 	for _, path := range []string{"/failed", "/declined"} {
-		req, err := http.NewRequest(http.MethodPost, "http://"+s.CallerAddress+path, nil)
+		req, err := http.NewRequest(http.MethodPost, "http://"+g.settings.CallerAddress+path, nil)
 		must.NoError(t, err)
 		req.Host = "a.example"
 		req.Header.Set("X-Request-Id", "1")
@@ -291,5 +320,5 @@
 		must.Eq(t, "", resp.Header.Get("Retry-After"))
 		must.NoError(t, resp.Body.Close())
 	}
-	must.NoError(t, stop())
+	must.NoError(t, g.stop())
 }
--- a/pkg/cli/cli.go
+++ b/pkg/cli/cli.go
@@ -31,9 +31,9 @@
 	// Serve runs an instance until it is stopped. If it is nil, the command
 	// serve reports an error.
 	Serve func(ctx context.Context, s settings.Settings) error
-	// Gateway runs a gateway until it is stopped, and calls reload to read the
-	// settings file again. If it is nil, the command gateway reports an error.
-	Gateway func(ctx context.Context, s settings.Gateway, reload func() (settings.Gateway, error)) error
+	// Gateway runs a gateway with the settings of a file until it is stopped. If it is
+	// nil, the command gateway reports an error.
+	Gateway func(ctx context.Context, settingsFile string) error
 	// Client sends the commands' requests to instances; nil means
 	// http.DefaultClient.
 	Client *http.Client
--- a/pkg/cli/gateway.go
+++ b/pkg/cli/gateway.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"errors"
-
-	"github.com/sardineturn/sardineturn/pkg/settings"
 )
 
 // gatewayCommand is the command gateway, which runs a gateway.
@@ -21,14 +19,10 @@
     sardineturn gateway --settings examples/gateway.json`
 }
 
-// Run reads the settings and runs a gateway until it is stopped.
+// Run runs a gateway until it is stopped.
 func (c *gatewayCommand) Run(ctx context.Context, p *Program) error {
-	s, err := settings.LoadGateway(c.Settings)
-	if err != nil {
-		return err
-	}
 	if p.Gateway == nil {
 		return errors.New("this program was built without the code that runs a gateway")
 	}
-	return p.Gateway(ctx, s, func() (settings.Gateway, error) { return settings.LoadGateway(c.Settings) })
+	return p.Gateway(ctx, c.Settings)
 }
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -183,6 +183,10 @@
 	delegates  delegates
 
 	stopping atomic.Bool
+	// leaving guards the first call of Leave and the changes of answerBy.
+	leaving sync.Mutex
+	// answersDueTimer closes answersDue.
+	answersDueTimer *time.Timer
 	// answerBy is when a stopping gateway must have answered all requests, and answersDue
 	// is closed then.
 	answerBy       atomic.Pointer[time.Time]
@@ -313,14 +317,21 @@
 
 // Leave makes the gateway not ready and announces to the other instances that it is
 // leaving. It answers all requests by answerBy, those that are still in progress then
-// without a result.
+// without a result. A further call with an earlier time replaces the time.
 func (g *Gateway) Leave(answerBy time.Time) {
+	g.leaving.Lock()
+	defer g.leaving.Unlock()
+	remaining := answerBy.Sub(g.ports.Clock.Now())
 	if g.stopping.Load() {
+		if answerBy.Before(*g.answerBy.Load()) && g.answersDueTimer.Stop() {
+			g.answerBy.Store(&answerBy)
+			g.answersDueTimer.Reset(remaining)
+		}
 		return
 	}
 	g.answerBy.Store(&answerBy)
 	g.stopping.Store(true)
-	time.AfterFunc(answerBy.Sub(g.ports.Clock.Now()), func() { close(g.answersDue) })
+	g.answersDueTimer = time.AfterFunc(remaining, func() { close(g.answersDue) })
 	g.fleet.Lock()
 	sends := g.fleet.membership.Leave(g.ports.Clock.Now())
 	g.fleet.Unlock()
--- a/pkg/metrics/metrics.go
+++ b/pkg/metrics/metrics.go
@@ -122,6 +122,7 @@
 	invariantViolations *family[tally.Counter]
 	documentVerdicts    *family[tally.Counter]
 	platformReads       *family[tally.Counter]
+	settingsReloads     *family[tally.Counter]
 	storeEraChanges     tally.Counter
 	membershipChanges   *family[tally.Counter]
 	controlMessages     *family[tally.Counter]
@@ -191,6 +192,7 @@
 		invariantViolations: counters(nameInvariantViolations, tagInvariant),
 		documentVerdicts:    counters(nameDocumentVerdicts, tagVerdict),
 		platformReads:       counters(namePlatformReads, tagResult),
+		settingsReloads:     counters(nameSettingsReloads, tagResult),
 		storeEraChanges:     scope.Counter(nameStoreEraChanges),
 		membershipChanges:   counters(nameMembershipChanges, tagState),
 		controlMessages:     counters(nameControlMessages, tagDirection),
@@ -350,6 +352,19 @@
 	}
 }
 
+// SettingsReloaded counts a change of the settings file, and whether the settings were put
+// into force.
+func (m *Metrics) SettingsReloaded(ok bool) {
+	if m == nil {
+		return
+	}
+	outcome := "ok"
+	if !ok {
+		outcome = "failed"
+	}
+	m.settingsReloads.seriesFor(outcome).Inc(1)
+}
+
 // PlatformRead counts a call to the platform. The platform itself counts the
 // calls that it receives as well.
 func (m *Metrics) PlatformRead(ok bool) {
--- a/pkg/metrics/names.go
+++ b/pkg/metrics/names.go
@@ -20,6 +20,7 @@
 	nameInvariantViolations = "invariant_violations_total"
 	nameDocumentVerdicts    = "document_verdicts_total"
 	namePlatformReads       = "platform_reads_total"
+	nameSettingsReloads     = "settings_reloads_total"
 	nameStoreEraChanges     = "store_era_changes_total"
 	nameMembershipChanges   = "membership_changes_total"
 	nameControlMessages     = "control_messages_total"
--- a/pkg/settings/gateway.go
+++ b/pkg/settings/gateway.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"math"
 	"net/netip"
-	"os"
 	"sync"
 	"time"
 
@@ -83,15 +82,6 @@
 // DefaultStopS is the default time that the process may take to stop, in seconds.
 const DefaultStopS = 6
 
-// LoadGateway reads the settings of a gateway from a file.
-func LoadGateway(path string) (Gateway, error) {
-	content, err := os.ReadFile(path)
-	if err != nil {
-		return Gateway{}, fmt.Errorf("read settings: %w", err)
-	}
-	return ParseGateway(content)
-}
-
 // ParseGateway checks the text and fills in the defaults. If the text is
 // invalid, the error is an *Error.
 func ParseGateway(content []byte) (Gateway, error) {
