--- a/pkg/adapter/upstreamhttp/answer_memory.go
+++ b/pkg/adapter/upstreamhttp/answer_memory.go
@@ -11,7 +11,7 @@
 // reads from as many upstreams at once, and slow callers take their answers late.
 type answerMemory struct {
 	// limit bounds each of the two sums.
-	limit int64
+	limit atomic.Int64
 	// usual is the memory of the first usualAnswerBytes of each answer, and long the rest.
 	// They are limited apart, so that long answers leave room for usual ones.
 	usual, long atomic.Int64
@@ -22,13 +22,13 @@
 	usualAnswerBytes = 64 << 10
 	// firstBufferBytes is the size of the first buffer for an answer of unknown length.
 	firstBufferBytes = 2 << 10
-	// defaultAnswerMemory is the limit of a client whose owner sets none.
-	defaultAnswerMemory = 64 << 20
+	// DefaultAnswerMemory is the limit of a client whose owner sets none.
+	DefaultAnswerMemory = 64 << 20
 )
 
 // reserve adds n bytes to the sum and reports whether the limit allows that.
 func (m *answerMemory) reserve(sum *atomic.Int64, n int64) bool {
-	if sum.Add(n) > m.limit {
+	if sum.Add(n) > m.limit.Load() {
 		sum.Add(-n)
 		return false
 	}
--- a/pkg/adapter/upstreamhttp/client.go
+++ b/pkg/adapter/upstreamhttp/client.go
@@ -61,13 +61,15 @@
 
 // New returns a client without connections.
 func New(clock port.Clock) *Client {
-	return &Client{clock: clock, keepAliveInterval: tcpKeepAlive, memory: answerMemory{limit: defaultAnswerMemory}, pools: make(map[string]*pool)}
+	c := &Client{clock: clock, keepAliveInterval: tcpKeepAlive, pools: make(map[string]*pool)}
+	c.LimitAnswerMemory(DefaultAnswerMemory)
+	return c
 }
 
 // LimitAnswerMemory sets the limit, in bytes, of the memory of all answers that are being
 // read or not delivered yet. The first 64 KB of each answer and the rest are limited apart,
-// to this size each. It must be called before the first request.
-func (c *Client) LimitAnswerMemory(bytes int64) { c.memory.limit = bytes }
+// to this size each. Answers that are being read keep what they have reserved.
+func (c *Client) LimitAnswerMemory(bytes int64) { c.memory.limit.Store(bytes) }
 
 // LimitRequestBytes limits the bytes of the requests (Exchange) in flight to each upstream.
 // Requests of at most smallRequestBytes do not count, and a larger one than the limit is
--- a/pkg/adapter/upstreamhttp/client_test.go
+++ b/pkg/adapter/upstreamhttp/client_test.go
@@ -164,7 +164,7 @@
 	must.NoError(t, err)
 	must.NoError(t, peer.Close())
 
-	a := newConn(raw, &answerMemory{limit: defaultAnswerMemory}, func() {}).roundTrip(t.Context(), time.Now().Add(ampleTimeout), message{text: []byte("x"), maxBodyBytes: 1})
+	a := newConn(raw, &New(port.SystemClock{}).memory, func() {}).roundTrip(t.Context(), time.Now().Add(ampleTimeout), message{text: []byte("x"), maxBodyBytes: 1})
 	must.ErrorIs(t, a.err, errStaleConnection)
 	must.False(t, a.sent)
 	must.False(t, a.reusable)
--- a/pkg/adapter/upstreamhttp/endless_test.go
+++ b/pkg/adapter/upstreamhttp/endless_test.go
@@ -137,7 +137,7 @@
 		total += r.bytes
 		held = append(held, r)
 	}
-	must.LessEq(t, client.memory.limit+answers*usualAnswerBytes, total)
+	must.LessEq(t, client.memory.limit.Load()+answers*usualAnswerBytes, total)
 	usual := &reservation{memory: &client.memory}
 	body, err := usual.readAll(strings.NewReader(strings.Repeat("x", 20<<10)), 4<<20)
 	must.NoError(t, err)
@@ -152,7 +152,8 @@
 // TestUsualAnswersAreLimited guards against answers of usual size to so many callers at
 // once that together they exceed the memory of the process.
 func TestUsualAnswersAreLimited(t *testing.T) {
-	memory := answerMemory{limit: 2 * usualAnswerBytes}
+	var memory answerMemory
+	memory.limit.Store(2 * usualAnswerBytes)
 	var held [3]reservation
 	for i := range held {
 		held[i].memory = &memory
@@ -167,7 +168,8 @@
 func TestReadAllLimits(t *testing.T) {
 	for _, n := range []int{0, 1, firstBufferBytes - 1, firstBufferBytes, firstBufferBytes + 1, 100_000, 1 << 20} {
 		want := strings.Repeat("x", n)
-		memory := answerMemory{limit: 8 << 20}
+		var memory answerMemory
+		memory.limit.Store(8 << 20)
 		r := reservation{memory: &memory}
 		body, err := r.readAll(strings.NewReader(want), int64(n))
 		must.NoError(t, err)
--- a/pkg/adapter/upstreamhttp/pool_test.go
+++ b/pkg/adapter/upstreamhttp/pool_test.go
@@ -95,7 +95,7 @@
 // after its request has ended. While an upstream is unreachable, such waits would
 // accumulate.
 func TestConnectEndsWithRequest(t *testing.T) {
-	p := newPool("127.0.0.1:1", 0, tcpKeepAlive, &answerMemory{limit: defaultAnswerMemory})
+	p := newPool("127.0.0.1:1", 0, tcpKeepAlive, &New(port.SystemClock{}).memory)
 	requestCtx, cancel := context.WithCancel(t.Context())
 	errs := make(chan error)
 	go func() {
--- a/pkg/app/app.go
+++ b/pkg/app/app.go
@@ -128,6 +128,15 @@
 	return log.WithField("instance", instance), nil
 }
 
+// setLogLevel changes the level of a logger that jsonLogger returned.
+func setLogLevel(log logrus.FieldLogger, levelName string) {
+	if entry, ok := log.(*logrus.Entry); ok {
+		if level, err := logrus.ParseLevel(levelName); err == nil {
+			entry.Logger.SetLevel(level)
+		}
+	}
+}
+
 // metricsResult provides the metrics and the HTTP handler that serves them.
 type metricsResult struct {
 	fx.Out
--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -123,21 +124,43 @@
 }
 
 // connectSettings lets changed settings reach the parts of the gateway that hold copies.
-func connectSettings(live *gatewaySettings, log logrus.FieldLogger, m *metrics.Metrics, g *gateway.Gateway) {
+func connectSettings(live *gatewaySettings, log logrus.FieldLogger, m *metrics.Metrics, g *gateway.Gateway, upstreams *upstreamhttp.Client) {
 	live.log, live.metrics = log, m
-	live.apply = func(s settings.Gateway) { g.Reconfigure(gatewaySeeds(s), retryBudgetLimits(s)) }
+	live.apply = func(old, s settings.Gateway) {
+		if s.Processors() != old.Processors() {
+			limitProcessors(s)
+		}
+		limitMemory(s)
+		setLogLevel(log, s.LogLevel)
+		upstreams.LimitAnswerMemory(answerMemory(s))
+		g.Reconfigure(gatewayConfig(s))
+	}
 }
 
 // limitRuntime sets the processors and the memory limit of the Go runtime from the
 // settings.
 func limitRuntime(s settings.Gateway) {
+	if s.Processors() > 0 {
+		limitProcessors(s)
+	}
+	limitMemory(s)
+	debug.SetGCPercent(gcPercent)
+}
+
+func limitProcessors(s settings.Gateway) {
 	if n := s.Processors(); n > 0 {
 		runtime.GOMAXPROCS(n)
+	} else {
+		runtime.SetDefaultGOMAXPROCS()
 	}
+}
+
+func limitMemory(s settings.Gateway) {
+	limit := int64(math.MaxInt64)
 	if s.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(s.MemoryMB * memoryLimitShare * (1 << 20)))
+		limit = int64(s.MemoryMB * memoryLimitShare * (1 << 20))
 	}
-	debug.SetGCPercent(gcPercent)
+	debug.SetMemoryLimit(limit)
 }
 
 // GatewayModule returns the fx module of a gateway with the given settings.
@@ -195,10 +218,18 @@
 	return max(minBodyMemory, int64(s.MemoryMB*bodyMemoryShare*(1<<20)))
 }
 
+// answerMemory returns the limit on the memory of answers.
+func answerMemory(s settings.Gateway) int64 {
+	if s.MemoryMB <= 0 {
+		return upstreamhttp.DefaultAnswerMemory
+	}
+	return int64(s.MemoryMB * answerMemoryShare * (1 << 20))
+}
+
 func newGatewayUpstreams(s settings.Gateway, clock port.Clock) *upstreamhttp.Client {
 	client := upstreamhttp.NewWithoutTCPKeepAlive(clock)
+	client.LimitAnswerMemory(answerMemory(s))
 	if s.MemoryMB > 0 {
-		client.LimitAnswerMemory(int64(s.MemoryMB * answerMemoryShare * (1 << 20)))
 		client.LimitRequestBytes(upstreamRequestBytes)
 	}
 	return client
@@ -226,13 +257,8 @@
 		Cluster:        gatewayCluster,
 		DataCentre:     s.DataCentre,
 		ControlAddress: s.PeerAddress(),
-		Seeds:          gatewaySeeds(s),
 		FirstStart:     s.FirstStart,
-		Capacity:       s.Capacity(),
-		LoadShedding:   loadShedding(s),
-		RetryBudget:    retryBudgetLimits(s),
-		BodyMemory:     bodyMemory(s),
-		ColdBounds:     backpressure.ColdBounds{Excess: s.Cold.Excess, Slack: s.Cold.Slack},
+		Settings:       gatewayConfig(s),
 	}, gateway.Ports{
 		Clock:      p.Clock,
 		Upstreams:  platform.NewUpstreams(p.Upstreams, p.Clock),
@@ -246,6 +272,18 @@
 	})
 }
 
+// gatewayConfig returns the settings of the decision code.
+func gatewayConfig(s settings.Gateway) gateway.Settings {
+	return gateway.Settings{
+		Seeds:        gatewaySeeds(s),
+		Capacity:     s.Capacity(),
+		LoadShedding: loadShedding(s),
+		RetryBudget:  retryBudgetLimits(s),
+		BodyMemory:   bodyMemory(s),
+		ColdBounds:   backpressure.ColdBounds{Excess: s.Cold.Excess, Slack: s.Cold.Slack},
+	}
+}
+
 // loadShedding applies the rule of the value auto: an evacuation can move the load of a
 // data centre to the others with any configuration; without evacuations the routes decide.
 func loadShedding(s settings.Gateway) gateway.LoadShedding {
@@ -344,7 +382,7 @@
 	defer end()
 	go r.followPlan(running, end, plan)
 	for time.Now().Before(plan.noticeUntil()) ||
-		time.Now().Before(plan.endBy()) && r.Ingress.SinceLastRequest() < noRequestTime {
+		time.Now().Before(plan.acceptUntil()) && r.Ingress.SinceLastRequest() < noRequestTime {
 		time.Sleep(stopPollInterval)
 	}
 	err := r.Ingress.Shutdown(running)
@@ -358,10 +396,10 @@
 	return errors.Join(err, r.Control.Close())
 }
 
-// followPlan calls end when the last answers must have been written, and shortens the plan
-// if the stop time in force becomes shorter.
+// followPlan calls end when all connections must have been closed, and shortens the plan if
+// the stop time in force becomes shorter.
 func (r *gatewayRegistration) followPlan(ctx context.Context, end func(), plan *stopPlan) {
-	for time.Now().Before(plan.endBy()) && ctx.Err() == nil {
+	for time.Now().Before(plan.closeBy()) && ctx.Err() == nil {
 		sleep(ctx, stopPollInterval)
 		if plan.shorten(r.Live.inForce().StopTime()) {
 			r.Gateway.Leave(plan.answerBy())
--- a/pkg/app/reload.go
+++ b/pkg/app/reload.go
@@ -31,8 +31,8 @@
 	readError string
 	log       logrus.FieldLogger
 	metrics   *metrics.Metrics
-	// apply puts settings into force in the parts that hold copies.
-	apply func(settings.Gateway)
+	// apply puts settings into force in the parts that hold copies of the old ones.
+	apply func(old, s settings.Gateway)
 }
 
 // loadGatewaySettings reads the settings that a gateway starts with.
@@ -83,9 +83,10 @@
 		return
 	}
 	g.readError = ""
-	inForce, unchanged := g.inForce().AtRunTime(next)
+	old := g.inForce()
+	inForce, fixed := old.AtRunTime(next)
 	g.current.Store(&inForce)
-	g.apply(inForce)
+	g.apply(old, inForce)
 	g.metrics.SettingsReloaded(true)
-	event.Info(g.log, event.SettingsChanged, event.Fields{"settings": inForce, "at_next_start": unchanged}, "the changed settings are in force")
+	event.Info(g.log, event.SettingsChanged, event.Fields{"settings": inForce, "at_next_start": fixed}, "the changed settings are in force")
 }
--- a/pkg/app/reload_test.go
+++ b/pkg/app/reload_test.go
@@ -1,16 +1,22 @@
 package app
 
 import (
+	"bytes"
+	"encoding/json"
 	"fmt"
 	"maps"
 	"net/http"
 	"os"
+	"runtime"
+	"runtime/debug"
 	"sync"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/shoenig/test/must"
+
+	"github.com/sardineturn/sardineturn/pkg/settings"
 )
 
 // TestStopPlan guards against a plan that exceeds the stop time, however short, that leaves
@@ -19,22 +25,23 @@
 	start := time.Unix(1000, 0)
 	for _, stopTime := range []time.Duration{0, time.Millisecond, time.Second, 2 * time.Second, 4 * time.Second, 6500 * time.Millisecond, time.Hour} {
 		p := newStopPlan(start, stopTime)
-		must.False(t, p.noticeUntil().After(p.endBy()), must.Sprint(stopTime))
-		must.False(t, p.answerBy().After(p.endBy()), must.Sprint(stopTime))
-		must.False(t, p.endBy().After(start.Add(stopTime)), must.Sprint(stopTime))
+		must.False(t, p.noticeUntil().After(p.acceptUntil()), must.Sprint(stopTime))
+		must.False(t, p.answerBy().After(p.acceptUntil()), must.Sprint(stopTime))
+		must.False(t, p.acceptUntil().After(p.closeBy()), must.Sprint(stopTime))
+		must.False(t, p.closeBy().After(start.Add(stopTime)), must.Sprint(stopTime))
 		must.False(t, p.answerBy().Before(start), must.Sprint(stopTime))
 	}
 	p := newStopPlan(start, 6*time.Second)
 	times := func() []time.Duration {
-		return []time.Duration{p.noticeUntil().Sub(start), p.answerBy().Sub(start), p.endBy().Sub(start)}
+		return []time.Duration{p.noticeUntil().Sub(start), p.answerBy().Sub(start), p.acceptUntil().Sub(start), p.closeBy().Sub(start)}
 	}
-	usual := []time.Duration{2200 * time.Millisecond, 5100 * time.Millisecond, 5300 * time.Millisecond}
+	usual := []time.Duration{2200 * time.Millisecond, 5100 * time.Millisecond, 5300 * time.Millisecond, 5400 * time.Millisecond}
 	must.Eq(t, usual, times())
 	must.False(t, p.shorten(8*time.Second))
 	must.Eq(t, usual, times())
 	must.True(t, p.shorten(4*time.Second))
 	must.False(t, p.shorten(6*time.Second))
-	must.Eq(t, []time.Duration{2200 * time.Millisecond, 3100 * time.Millisecond, 3300 * time.Millisecond}, times())
+	must.Eq(t, []time.Duration{2200 * time.Millisecond, 3100 * time.Millisecond, 3300 * time.Millisecond, 3400 * time.Millisecond}, times())
 }
 
 // TestChangedStopTime guards against a stop that follows the stop time with which the
@@ -117,7 +124,7 @@
 			u.mu.Lock()
 			defer u.mu.Unlock()
 			must.Greater(t, callers, len(u.ran))
-			end := newStopPlan(start, time.Duration(test.stopS*float64(time.Second))).endBy()
+			end := newStopPlan(start, time.Duration(test.stopS*float64(time.Second))).acceptUntil()
 			for i := range callers {
 				if sent := start.Add(time.Duration(i) * spacing); sent.Before(end.Add(-arrivalTolerance)) {
 					must.True(t, answered[fmt.Sprint(i, "-1")], must.Sprint("no answer to the request sent ", sent.Sub(start), " after the signal"))
@@ -156,3 +163,59 @@
 	answered[name+"-1"] = send(name + "-1")
 	return answered
 }
+
+// TestChangedSettingsReachTheProcess guards against limits of the process and a log level
+// that stay as they were at its start, and against a change of what the process cannot
+// change that is not reported as such.
+func TestChangedSettingsReachTheProcess(t *testing.T) {
+	oldProcessors, oldMemory := runtime.GOMAXPROCS(0), debug.SetMemoryLimit(-1)
+	defer func() {
+		runtime.GOMAXPROCS(oldProcessors)
+		debug.SetMemoryLimit(oldMemory)
+	}()
+	g := startGateway(t, &upstreamStub{ran: make(map[string]int)})
+	s := g.settings
+	s.Cores, s.MemoryMB = 1.5, 100
+	text, err := json.Marshal(s)
+	must.NoError(t, err)
+	g.writeSettings(t, text)
+	// Without a signal the change is noticed at the next poll.
+	time.Sleep(settingsPollInterval + 500*time.Millisecond)
+	must.Eq(t, 2, runtime.GOMAXPROCS(0))
+	must.Eq(t, 80<<20, debug.SetMemoryLimit(-1))
+	resp, err := http.Get("http://" + s.OperatorAddress + "/status")
+	must.NoError(t, err)
+	var status struct {
+		BodyMemory struct {
+			LimitBytes int64 `json:"limit_bytes"`
+		} `json:"body_memory"`
+	}
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&status))
+	must.NoError(t, resp.Body.Close())
+	must.Eq(t, bodyMemory(s), status.BodyMemory.LimitBytes)
+	must.NoError(t, g.stop())
+}
+
+// TestFixedSettings guards against a setting that the process cannot change and that is
+// taken as in force, and against one that it can change and that is not.
+func TestFixedSettings(t *testing.T) {
+	s := settings.Gateway{Name: "a", CallerAddress: "127.0.0.1:1", FirstStart: true, StopS: 6}
+	next := s
+	next.Name, next.CallerAddress, next.FirstStart, next.StopS = "b", "127.0.0.1:2", false, 4
+	inForce, fixed := s.AtRunTime(next)
+	must.Eq(t, []string{"name", "caller_address"}, fixed)
+	s.StopS = 4
+	must.Eq(t, s, inForce)
+}
+
+// TestLogLevelChanges guards against a log level that stays as it was at the start.
+func TestLogLevelChanges(t *testing.T) {
+	var out bytes.Buffer
+	log, err := jsonLogger("error", &out, "a")
+	must.NoError(t, err)
+	log.Info("first")
+	setLogLevel(log, "info")
+	log.Info("second")
+	must.StrNotContains(t, out.String(), "first")
+	must.StrContains(t, out.String(), "second")
+}
--- a/pkg/app/stop_plan.go
+++ b/pkg/app/stop_plan.go
@@ -9,14 +9,17 @@
 	// balancerNoticeTime is the time that the platform's load balancer needs to detect
 	// that a process is not ready: two health checks, one second apart.
 	balancerNoticeTime = 2200 * time.Millisecond
-	// stopMargin is the time reserved between the end of the last request and the forced
-	// end of the process, and stopMarginShare bounds it for short stop times.
-	stopMargin      = 700 * time.Millisecond
-	stopMarginShare = 0.25
-	// answerWriteTime is the time for writing the last answers, and answerWriteShare bounds
-	// it for short stop times.
-	answerWriteTime  = 200 * time.Millisecond
+	// stopMargin is the time between the last request that is accepted and the forced end
+	// of the process.
+	stopMargin = 700 * time.Millisecond
+	// answerWriteTime is the time for writing the last answers, and closeTime that for
+	// closing connections after them.
+	answerWriteTime = 200 * time.Millisecond
+	closeTime       = 100 * time.Millisecond
+	// The shares bound these times if the stop time is short.
+	stopMarginShare  = 0.25
 	answerWriteShare = 0.1
+	closeShare       = 0.05
 )
 
 // stopPlan holds the times of a graceful stop. It is safe for concurrent use.
@@ -49,21 +52,26 @@
 // noticeUntil returns when the load balancer has noticed that the process is not ready.
 // Until then requests are accepted even if none arrives for a while.
 func (p *stopPlan) noticeUntil() time.Time {
-	return earlier(p.start.Add(balancerNoticeTime), p.endBy())
+	return earlier(p.start.Add(balancerNoticeTime), p.acceptUntil())
 }
 
 // answerBy returns when all requests in progress must have been answered. Later ones are
 // refused.
 func (p *stopPlan) answerBy() time.Time {
-	return p.endBy().Add(-min(answerWriteTime, share(p.stopTimeNow(), answerWriteShare)))
+	return p.acceptUntil().Add(-min(answerWriteTime, share(p.stopTimeNow(), answerWriteShare)))
 }
 
-// endBy returns when the last answers must have been written and connections are closed.
-func (p *stopPlan) endBy() time.Time {
+// acceptUntil returns until when requests are accepted.
+func (p *stopPlan) acceptUntil() time.Time {
 	stopTime := p.stopTimeNow()
 	return p.start.Add(stopTime - min(stopMargin, share(stopTime, stopMarginShare)))
 }
 
+// closeBy returns when all connections of callers must have been closed.
+func (p *stopPlan) closeBy() time.Time {
+	return p.acceptUntil().Add(min(closeTime, share(p.stopTimeNow(), closeShare)))
+}
+
 func (p *stopPlan) stopTimeNow() time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/pkg/bodymemory/bodymemory.go
+++ b/pkg/bodymemory/bodymemory.go
@@ -59,6 +59,9 @@
 // New returns a limiter of the given number of bytes.
 func New(limit int64) *Limiter { return &Limiter{limit: limit} }
 
+// SetLimit changes the limit. What is reserved stays reserved, also above the limit.
+func (l *Limiter) SetLimit(limit int64) { l.limit = limit }
+
 // Limit returns the limit in bytes.
 func (l *Limiter) Limit() int64 { return l.limit }
 
--- a/pkg/delegation/delegation.go
+++ b/pkg/delegation/delegation.go
@@ -97,6 +97,9 @@
 // capacity in cores.
 func NewTable(capacity float64) *Table { return &Table{ownCapacity: capacity} }
 
+// SetCapacity changes the capacity of this instance in cores. Update must follow.
+func (t *Table) SetCapacity(cores float64) { t.ownCapacity = cores }
+
 // Update replaces the candidates by the instances of the list with at least
 // minCapacityRatio times the capacity of this instance. Instances that were
 // candidates before keep their recorded load and failures.
--- a/pkg/gateway/admission_test.go
+++ b/pkg/gateway/admission_test.go
@@ -46,7 +46,7 @@
 		ff.configure(1, gatherRoute(3, "s"))
 		ff.addUpstream(directory.Upstream{ID: "u", Service: "s", Started: 1})
 		ff.answer = func(_ context.Context, c Call) Reply { return successReply(c, "0123456789abcdef") }
-		g := ff.startWith(0, 1, Config{LoadShedding: ShedAlways})
+		g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: ShedAlways}})
 		time.Sleep(propagationTime)
 		f := request("/q/1").fingerprint()
 		g.recordCrash(time.Now(), quarantine.Suspect{Crash: quarantine.Crash{Fingerprint: f, Service: "s", Upstream: "earlier"}, Query: true}, proofRefused)
@@ -63,7 +63,7 @@
 	simulate(t, func(t *testing.T, ff *fakeFleet) {
 		r := gatherRoute(3, "s")
 		ff.configure(1, r)
-		g := ff.startWith(0, 1, Config{LoadShedding: ShedAlways})
+		g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: ShedAlways}})
 		time.Sleep(propagationTime)
 		limitRoute(g, 0)
 		run := g.newRequestRun(g.view.Load(), request("/q/1"), &r, r.Gather.Services, 1, 0, 0)
@@ -83,7 +83,7 @@
 		r := gatherRoute(3, "s")
 		ff.configure(1, r)
 		ff.addUpstream(directory.Upstream{ID: "u", Service: "s"})
-		g := ff.startWith(0, 1, Config{LoadShedding: ShedAlways})
+		g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: ShedAlways}})
 		time.Sleep(propagationTime)
 		run := g.newRequestRun(g.view.Load(), request("/q/1"), &r, r.Gather.Services, 1, 0, 0)
 		run.query = fanout.New(run.config, run)
--- a/pkg/gateway/body_memory.go
+++ b/pkg/gateway/body_memory.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/sardineturn/sardineturn/pkg/bodymemory"
@@ -23,11 +24,13 @@
 	shortageEndTime = 5 * time.Second
 )
 
-// bodyMemory is the memory for the bodies of requests. The mutex guards all fields.
+// bodyMemory is the memory for the bodies of requests. The mutex guards the fields after
+// it.
 type bodyMemory struct {
+	// limited is false if there is no limit.
+	limited atomic.Bool
 	sync.Mutex
-	// limiter is nil if there is no limit.
-	limiter *bodymemory.Limiter
+	limiter bodymemory.Limiter
 	// refused counts the refusals of each class.
 	refused [bodymemory.Classes]int64
 	// refusedAt is the time of the latest refusal. short is true from the first refusal
@@ -77,17 +80,25 @@
 	shortageStarts := !m.short
 	m.short, m.refusedAt = true, now
 	m.refused[bodymemory.Class(priority)]++
-	total := m.limiter.Total()
+	limit, total := m.limiter.Limit(), m.limiter.Total()
 	m.Unlock()
 	if shortageStarts {
-		g.warn(event.BodyMemoryShort, event.Fields{"limit": m.limiter.Limit(), "reserved": total, "bytes": bytes, "priority": priority}, "the memory for the bodies of requests is used up; requests are refused")
+		g.warn(event.BodyMemoryShort, event.Fields{"limit": limit, "reserved": total, "bytes": bytes, "priority": priority}, "the memory for the bodies of requests is used up; requests are refused")
 	}
 	return retryAfter, false
 }
 
+// setLimit sets the limit in bytes; zero means none. Bodies that are reserved stay so.
+func (m *bodyMemory) setLimit(bytes int64) {
+	m.Lock()
+	defer m.Unlock()
+	m.limited.Store(bytes > 0)
+	m.limiter.SetLimit(bytes)
+}
+
 // accounts reports whether a body of the size counts towards the limit.
 func (m *bodyMemory) accounts(bytes int64) bool {
-	return m.limiter != nil && bytes > UnaccountedBodyBytes
+	return m.limited.Load() && bytes > UnaccountedBodyBytes
 }
 
 // priorityOf returns the priority of a request, of which only the header is known.
@@ -155,7 +166,7 @@
 // updateBodyMemory logs the end of a shortage and updates the gauges.
 func (g *Gateway) updateBodyMemory(now time.Time) {
 	m := &g.bodyMemory
-	if m.limiter == nil {
+	if !m.limited.Load() {
 		return
 	}
 	m.Lock()
@@ -191,7 +202,7 @@
 // bodyMemoryStatus returns the state, or nil if there is no limit.
 func (g *Gateway) bodyMemoryStatus() *BodyMemoryStatus {
 	m := &g.bodyMemory
-	if m.limiter == nil {
+	if !m.limited.Load() {
 		return nil
 	}
 	m.Lock()
--- a/pkg/gateway/body_memory_test.go
+++ b/pkg/gateway/body_memory_test.go
@@ -50,7 +50,7 @@
 		urgent, patient := route("/urgent/", "s", true), route("/patient/", "s", true)
 		patient.Priority = 2
 		ff.configure(1, urgent, patient)
-		g := ff.startWith(0, 1, Config{BodyMemory: 16 * body})
+		g := ff.startWith(0, 1, Config{Settings: Settings{BodyMemory: 16 * body}})
 		hook := &eventHook{}
 		g.ports.Log.(*logrus.Logger).AddHook(hook)
 		time.Sleep(propagationTime)
@@ -116,8 +116,8 @@
 			ff.addUpstream(directory.Upstream{ID: "u" + name, Service: name})
 		}
 		ff.configure(1, gatherRoute(3, services...))
-		small := ff.startWith(0, 2, Config{Capacity: 0.2})
-		large := ff.startWith(1, 2, Config{Capacity: 0.8, BodyMemory: 64 << 10})
+		small := ff.startWith(0, 2, Config{Settings: Settings{Capacity: 0.2}})
+		large := ff.startWith(1, 2, Config{Settings: Settings{Capacity: 0.8, BodyMemory: 64 << 10}})
 		time.Sleep(propagationTime)
 		serve := func(size int, wantDeclined bool) {
 			ff.withLock(func() { ff.delegated = 0 })
--- a/pkg/gateway/cold.go
+++ b/pkg/gateway/cold.go
@@ -245,7 +245,7 @@
 		}
 		shares.Of = func(upstream string) backpressure.Share { return l.senders.share(upstream, s.shard) }
 	}
-	changes, cold := s.balancer.LimitCold(l.now, perSecond, l.g.cfg.ColdBounds, shares)
+	changes, cold := s.balancer.LimitCold(l.now, perSecond, l.g.settings().ColdBounds, shares)
 	l.changes.Began = append(l.changes.Began, changes.Began...)
 	l.changes.Ended = append(l.changes.Ended, changes.Ended...)
 	l.cold += cold
--- a/pkg/gateway/delegate.go
+++ b/pkg/gateway/delegate.go
@@ -202,7 +202,7 @@
 	}
 	return port.PeerQuery{
 		ID: r.request.ID, Method: r.request.Method, Host: r.request.Host, Target: r.request.Target, Head: r.request.Head, Body: r.request.Body,
-		Wait: wait, Spent: r.callerElapsed + waited, ReturnDelay: r.transitTime + delegateTransitTime + delegation.CallTime(r.g.cfg.Capacity), ConnectTimeout: r.route.LatencyTarget / 4, ConfigVersion: r.view.table.Version,
+		Wait: wait, Spent: r.callerElapsed + waited, ReturnDelay: r.transitTime + delegateTransitTime + delegation.CallTime(r.g.settings().Capacity), ConnectTimeout: r.route.LatencyTarget / 4, ConfigVersion: r.view.table.Version,
 	}
 }
 
@@ -245,7 +245,7 @@
 	if suspicion == undecided || suspicion == suspected && !tries {
 		return refused(result.IsolationPending)
 	}
-	if suspicion != suspected && !delegation.Accepts(g.cfg.Capacity, len(route.Gather.Services), active, route.LatencyTarget) {
+	if suspicion != suspected && !delegation.Accepts(g.settings().Capacity, len(route.Gather.Services), active, route.LatencyTarget) {
 		return declined(g.loadReason(now, fingerprint, suspicion))
 	}
 	if _, ok := g.reserveBody(r, int64(len(q.Body))); !ok {
--- a/pkg/gateway/delegate_test.go
+++ b/pkg/gateway/delegate_test.go
@@ -38,8 +38,8 @@
 		return successReply(c, "0123456789abcdef")
 	}
 	ff.configure(1, gatherRoute(3, services...))
-	small = ff.startWith(0, 2, Config{Capacity: 0.2})
-	large = ff.startWith(1, 2, Config{Capacity: 0.8})
+	small = ff.startWith(0, 2, Config{Settings: Settings{Capacity: 0.2}})
+	large = ff.startWith(1, 2, Config{Settings: Settings{Capacity: 0.8}})
 	time.Sleep(propagationTime)
 	return small, large, func() int {
 		mu.Lock()
@@ -177,10 +177,10 @@
 func TestConnectionShares(t *testing.T) {
 	simulate(t, func(t *testing.T, ff *fakeFleet) {
 		ff.configure(1, gatherRoute(3, "s0"))
-		large := ff.startWith(0, 9, Config{Capacity: 0.8})
+		large := ff.startWith(0, 9, Config{Settings: Settings{Capacity: 0.8}})
 		var small []*Gateway
 		for i := range 8 {
-			small = append(small, ff.startWith(1+i, 9, Config{Capacity: 0.2}))
+			small = append(small, ff.startWith(1+i, 9, Config{Settings: Settings{Capacity: 0.2}}))
 		}
 		time.Sleep(propagationTime)
 		limit := routing.Service{MaxConnections: 60}
@@ -205,7 +205,7 @@
 func TestDeclinedQueryGoesToNextInstance(t *testing.T) {
 	simulate(t, func(t *testing.T, ff *fakeFleet) {
 		small, busy, calls := startSmallAndLarge(ff)
-		ff.startWith(2, 2, Config{Capacity: 0.8})
+		ff.startWith(2, 2, Config{Settings: Settings{Capacity: 0.8}})
 		time.Sleep(propagationTime)
 		busy.activeQueries.Store(50)
 		var runHere atomic.Bool
@@ -235,10 +235,10 @@
 		ff.configure(1, gatherRoute(3, "s0"))
 		var large, small []*Gateway
 		for i := range 3 {
-			large = append(large, ff.startWith(i, 3, Config{Capacity: 0.8}))
+			large = append(large, ff.startWith(i, 3, Config{Settings: Settings{Capacity: 0.8}}))
 		}
 		for i := range 9 {
-			small = append(small, ff.startWith(3+i, 3, Config{Capacity: 0.2}))
+			small = append(small, ff.startWith(3+i, 3, Config{Settings: Settings{Capacity: 0.2}}))
 		}
 		limit := routing.Service{MaxConnections: 72}
 		used := func() (total int) {
--- a/pkg/gateway/evacuation_test.go
+++ b/pkg/gateway/evacuation_test.go
@@ -79,7 +79,7 @@
 			time.Sleep(5 * time.Millisecond)
 			return successReply(c, "0123456789abcdef")
 		})
-		large, small := ff.startWith(0, 2, Config{Capacity: 0.8}), ff.startWith(1, 2, Config{Capacity: 0.192})
+		large, small := ff.startWith(0, 2, Config{Settings: Settings{Capacity: 0.8}}), ff.startWith(1, 2, Config{Settings: Settings{Capacity: 0.192}})
 		gateways := []*Gateway{large, small}
 		load := func() map[model.DataCentre]int {
 			sent()
@@ -97,7 +97,7 @@
 		ff.evacuation("dc0", true)
 		ff.evacuation("dc1", true)
 		time.Sleep(evacuateTime)
-		gateways = append(gateways, ff.startWith(2, 2, Config{Capacity: 0.4}))
+		gateways = append(gateways, ff.startWith(2, 2, Config{Settings: Settings{Capacity: 0.4}}))
 		must.MapNotContainsKeys(t, load(), []model.DataCentre{"dc0", "dc1"})
 		ff.evacuation("dc1", false)
 		time.Sleep(propagationTime)
--- a/pkg/gateway/explain.go
+++ b/pkg/gateway/explain.go
@@ -176,7 +176,7 @@
 		}
 	} else {
 		out.Unknown = append(out.Unknown, "whether the request is quarantined or suspected of crashes depends on its body")
-		if q.Size < 0 && g.bodyMemory.limiter != nil {
+		if q.Size < 0 && g.bodyMemory.limited.Load() {
 			out.Unknown = append(out.Unknown, "whether there is memory for the body depends on its size")
 		}
 	}
@@ -285,7 +285,7 @@
 	if q.Repeated {
 		callerElapsed = minRefusalDelay
 	}
-	transitTime := g.timing.knownTransitTime() + answerMargin(g.cfg.Capacity)
+	transitTime := g.timing.knownTransitTime() + answerMargin(g.settings().Capacity)
 	run := g.prepareRun(v.clone(services), r, route, services, f, callerElapsed, transitTime, g.knownLatency(route))
 	now := r.Arrived
 	plan := PlanExplanation{Decision: planRun}
--- a/pkg/gateway/explain_test.go
+++ b/pkg/gateway/explain_test.go
@@ -17,7 +17,6 @@
 	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
-	"github.com/sardineturn/sardineturn/pkg/bodymemory"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/feed"
 	"github.com/sardineturn/sardineturn/pkg/model"
@@ -96,7 +95,7 @@
 	if random.IntN(4) == 0 {
 		ff.publish(feed.Change{Key: "evacuate/y"})
 	}
-	g := ff.startWith(0, 1, Config{LoadShedding: LoadShedding(random.IntN(2)), BodyMemory: 1 << 20})
+	g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: LoadShedding(random.IntN(2)), BodyMemory: 1 << 20}})
 	time.Sleep(8100 * time.Millisecond) // Between two rounds of maintenance.
 	rt := g.view.Load().table.Match("a.example", "/q/1")
 	for range random.IntN(20) {
@@ -260,7 +259,7 @@
 			}
 		}
 		ff.publish(feed.Change{Key: "evacuate/y"})
-		g := ff.startWith(0, 1, Config{LoadShedding: ShedAlways})
+		g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: ShedAlways}})
 		e := g.explainRequest(explainQuery("/x/"))
 		must.Eq(t, result.NotReady, e.End.Code, must.Sprint("no configuration is known"))
 		time.Sleep(2100 * time.Millisecond) // The instance that starts has no share of cold upstreams.
@@ -330,7 +329,7 @@
 			small.Serve(t.Context(), request("/q/1"))
 			must.Eq(t, delegated+1, ff.delegatedQueries())
 		}
-		small.bodyMemory.limiter = bodymemory.New(10_000)
+		small.bodyMemory.setLimit(10_000)
 		q := explainQuery("/q/1")
 		must.SliceEmpty(t, small.explainRequest(q).Unknown)
 		q.Method = "POST"
--- a/pkg/gateway/feed_start.go
+++ b/pkg/gateway/feed_start.go
@@ -74,7 +74,7 @@
 
 // seedIndex returns the index of this instance among the seeds, or -1.
 func (g *Gateway) seedIndex() int {
-	return slices.IndexFunc(g.seeds(), func(s Seed) bool { return s.ID == g.cfg.ID })
+	return slices.IndexFunc(g.settings().Seeds, func(s Seed) bool { return s.ID == g.cfg.ID })
 }
 
 // fetchFirstCopy asks the sources and the seeds in turn for a first copy.
@@ -125,7 +125,7 @@
 // by firstListTimeout.
 func (l *feedLoop) givesWay() bool {
 	g := l.g
-	return !l.gaveWay && !g.cfg.FirstStart && g.cfg.Capacity > 0 && g.cfg.Capacity < patientCapacity && g.seedIndex() < 0
+	return !l.gaveWay && !g.cfg.FirstStart && g.settings().Capacity > 0 && g.settings().Capacity < patientCapacity && g.seedIndex() < 0
 }
 
 // giveWay ends a first read of the platform that took longer than firstListTimeout: the
@@ -176,7 +176,7 @@
 // appendSeeds appends the seeds that are not among the sources, without this instance
 // itself. They may be running although this instance knows no other member yet.
 func (g *Gateway) appendSeeds(sources []model.InstanceID) []model.InstanceID {
-	for _, s := range g.seeds() {
+	for _, s := range g.settings().Seeds {
 		if s.ID != g.cfg.ID && !slices.Contains(sources, s.ID) {
 			sources = append(sources, s.ID)
 		}
--- a/pkg/gateway/feed_test.go
+++ b/pkg/gateway/feed_test.go
@@ -293,9 +293,9 @@
 			return fullLoadTime
 		}
 		start := time.Now()
-		gateways := []*Gateway{ff.startWith(0, 1, Config{Capacity: 0.8})}
+		gateways := []*Gateway{ff.startWith(0, 1, Config{Settings: Settings{Capacity: 0.8}})}
 		for i := range 12 {
-			gateways = append(gateways, ff.startWith(1+i, 1, Config{Capacity: 0.2}))
+			gateways = append(gateways, ff.startWith(1+i, 1, Config{Settings: Settings{Capacity: 0.2}}))
 		}
 		for _, g := range gateways {
 			<-g.viewAvailable
--- a/pkg/gateway/fleet_test.go
+++ b/pkg/gateway/fleet_test.go
@@ -484,9 +484,9 @@
 	log := logrus.New()
 	log.SetOutput(io.Discard)
 	p := instancePorts{fakeFleet: ff, id: instanceAddress(n)}
-	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Seeds = model.InstanceID(p.id), "c", "z", p.id, seeds
-	cfg.ColdBounds = backpressure.ColdBounds{Excess: 1.5, Slack: 5}
-	cfg.RetryBudget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
+	cfg.ID, cfg.Cluster, cfg.DataCentre, cfg.ControlAddress, cfg.Settings.Seeds = model.InstanceID(p.id), "c", "z", p.id, seeds
+	cfg.Settings.ColdBounds = backpressure.ColdBounds{Excess: 1.5, Slack: 5}
+	cfg.Settings.RetryBudget = retrybudget.Limits{Ratio: 0.2, Allowance: 50, Window: 10 * time.Second}
 	g := New(cfg, Ports{
 		Clock: port.SystemClock{}, Upstreams: fakeUpstreams{p}, Decoder: ff, Store: p, FeedPeers: p, QueryPeers: p, Control: fakeControl{p}, Log: log,
 	})
--- a/pkg/gateway/gateway.go
+++ b/pkg/gateway/gateway.go
@@ -18,7 +18,6 @@
 	"github.com/sardineturn/sardineturn/pkg/admission"
 	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
-	"github.com/sardineturn/sardineturn/pkg/bodymemory"
 	"github.com/sardineturn/sardineturn/pkg/delegation"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/event"
@@ -30,18 +29,24 @@
 	"github.com/sardineturn/sardineturn/pkg/routing"
 )
 
-// Config holds the settings of a gateway.
+// Config holds the identity of a gateway, which does not change, and its settings.
 type Config struct {
 	ID             model.InstanceID
 	Cluster        string
 	DataCentre     model.DataCentre
 	ControlAddress string
-	// Seeds are the instances that this one contacts at its start, and later, among
-	// others, to compare their members with its own.
-	Seeds []Seed
 	// FirstStart is true if all instances start for the first time. It is false if this
 	// instance is restarted while others run.
 	FirstStart bool
+	// Settings are those in force at the start; see Gateway.Reconfigure.
+	Settings Settings
+}
+
+// Settings are the settings of a gateway that may change while it runs.
+type Settings struct {
+	// Seeds are the instances that this one contacts at its start, and later, among
+	// others, to compare their members with its own.
+	Seeds []Seed
 	// Capacity is the processor time that this instance may use, in cores; zero if
 	// unknown.
 	Capacity float64
@@ -90,12 +95,8 @@
 	// started is when the process began.
 	started time.Time
 
-	// settings holds the settings that Reconfigure may replace.
-	settings struct {
-		sync.Mutex
-		seeds  []Seed
-		budget retrybudget.Limits
-	}
+	// inForce holds the settings in force, which Reconfigure replaces.
+	inForce atomic.Pointer[Settings]
 
 	view atomic.Pointer[view]
 	// viewAvailable is closed when the first view is stored.
@@ -235,13 +236,11 @@
 	g.published.replica = feed.NewReplica()
 	g.published.directory = directory.New()
 	g.published.changed = make(chan struct{})
-	g.settings.seeds, g.settings.budget = cfg.Seeds, cfg.RetryBudget
-	if cfg.BodyMemory > 0 {
-		g.bodyMemory.limiter = bodymemory.New(cfg.BodyMemory)
-	}
+	g.inForce.Store(&cfg.Settings)
+	g.bodyMemory.setLimit(cfg.Settings.BodyMemory)
 	g.quarantine.set = quarantine.New(0)
 	g.answers.memory = quarantine.NewAnswers(now)
-	g.delegates.table = delegation.NewTable(cfg.Capacity)
+	g.delegates.table = delegation.NewTable(cfg.Settings.Capacity)
 	random := rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))
 	g.fleet.membership = membership.New(membership.Config{
 		Self: membership.Member{
@@ -249,7 +248,7 @@
 			ControlAddress: cfg.ControlAddress,
 			DataCentre:     cfg.DataCentre,
 			Boot:           membership.NewBootID(now, random),
-			Capacity:       membership.CapacityFromCores(cfg.Capacity),
+			Capacity:       membership.CapacityFromCores(cfg.Settings.Capacity),
 		},
 		Cluster:          cfg.Cluster,
 		Rand:             random,
@@ -273,13 +272,23 @@
 	g.wg.Go(func() { g.runMaintenance(ctx) })
 }
 
-// Reconfigure replaces the seeds and the limits of the retry budgets.
-func (g *Gateway) Reconfigure(seeds []Seed, budget retrybudget.Limits) {
-	g.settings.Lock()
-	g.settings.seeds, g.settings.budget = seeds, budget
-	g.settings.Unlock()
+// Reconfigure puts changed settings into force. Requests in progress go on with what they
+// have begun; a limit that becomes lower than what is in use admits nothing until enough of
+// it is free.
+func (g *Gateway) Reconfigure(s Settings) {
+	g.inForce.Store(&s)
+	now := g.ports.Clock.Now()
+	g.bodyMemory.setLimit(s.BodyMemory)
+	g.delegates.mu.Lock()
+	g.delegates.table.SetCapacity(s.Capacity)
+	g.delegates.mu.Unlock()
+	g.fleet.Lock()
+	g.fleet.membership.SetCapacity(membership.CapacityFromCores(s.Capacity))
+	g.fleet.Unlock()
+	g.handleMemberChanges()
 	g.setListedInstances(g.listedSeeds())
-	g.updateRetryBudgets(g.ports.Clock.Now())
+	g.updateRetryBudgets(now)
+	g.updateColdLimits(now)
 }
 
 // Stop ends the background work.
@@ -288,17 +297,8 @@
 	g.wg.Wait()
 }
 
-func (g *Gateway) seeds() []Seed {
-	g.settings.Lock()
-	defer g.settings.Unlock()
-	return g.settings.seeds
-}
-
-func (g *Gateway) budgetLimits() retrybudget.Limits {
-	g.settings.Lock()
-	defer g.settings.Unlock()
-	return g.settings.budget
-}
+// settings returns the settings in force. They must not be changed.
+func (g *Gateway) settings() *Settings { return g.inForce.Load() }
 
 // Ready reports whether the gateway can serve requests and, if not, why.
 func (g *Gateway) Ready() (bool, string) {
@@ -429,7 +429,7 @@
 	}
 	share := 1 / float64(g.fleet.maxMembers)
 	if total := g.fleet.maxTotalCores; total > 0 {
-		share = max(share, min(1, g.cfg.Capacity/total))
+		share = max(share, min(1, g.settings().Capacity/total))
 	}
 	return max(1, int(limit*connectionShare*share))
 }
--- a/pkg/gateway/gateway_test.go
+++ b/pkg/gateway/gateway_test.go
@@ -9,12 +9,12 @@
 
 	"github.com/shoenig/test/must"
 
+	"github.com/sardineturn/sardineturn/pkg/backpressure"
 	"github.com/sardineturn/sardineturn/pkg/balancer"
 	"github.com/sardineturn/sardineturn/pkg/directory"
 	"github.com/sardineturn/sardineturn/pkg/fanout"
 	"github.com/sardineturn/sardineturn/pkg/model"
 	"github.com/sardineturn/sardineturn/pkg/result"
-	"github.com/sardineturn/sardineturn/pkg/retrybudget"
 )
 
 // propagationTime is long enough for a published change to be in force at all instances.
@@ -403,11 +403,77 @@
 			return n
 		}
 		must.Greater(t, 20, sent())
-		g.Reconfigure([]Seed{{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)}}, retrybudget.Limits{})
+		g.Reconfigure(Settings{Seeds: []Seed{{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)}}})
 		time.Sleep(20 * time.Second)
 		// The retry budget always allows one extra attempt in a window.
 		must.LessEq(t, 21, sent())
-		must.SliceContains(t, g.seeds(), Seed{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)})
+		must.SliceContains(t, g.settings().Seeds, Seed{ID: other.cfg.ID, ControlAddress: string(other.cfg.ID)})
+	})
+}
+
+// TestReconfigureReachesEveryPart guards against parts of a gateway that keep the settings
+// of its start: load shedding, the bounds for cold upstreams, the memory for bodies, and the
+// capacity, which the other instances need as well.
+func TestReconfigureReachesEveryPart(t *testing.T) {
+	simulate(t, func(t *testing.T, ff *fakeFleet) {
+		ff.configure(1, gatherRoute(1, "s0"))
+		ff.addUpstream(directory.Upstream{ID: "u1", Service: "s0"})
+		g, other := ff.startWith(0, 2, Config{Settings: Settings{Capacity: 0.2}}), ff.startWith(1, 2, Config{Settings: Settings{Capacity: 0.2}})
+		time.Sleep(propagationTime)
+		capacityAt := func(at *Gateway) float64 {
+			at.fleet.Lock()
+			defer at.fleet.Unlock()
+			for _, m := range at.fleet.membership.Members() {
+				if m.ID == g.cfg.ID {
+					return m.Cores()
+				}
+			}
+			return 0
+		}
+		delegates := func() int {
+			other.delegates.mu.Lock()
+			defer other.delegates.mu.Unlock()
+			return len(other.delegates.table.SameDataCentre())
+		}
+		must.Eq(t, 0.2, capacityAt(other))
+		must.Eq(t, 0, delegates())
+		reserve := func() *Request {
+			r := request("/q/1")
+			_, ok := g.ReserveBody(r, 1<<20)
+			must.True(t, ok)
+			return r
+		}
+		must.False(t, reserve().BodyReserved())
+
+		changed := *g.settings()
+		changed.Capacity, changed.LoadShedding, changed.BodyMemory = 0.8, ShedAlways, 4<<20
+		changed.ColdBounds = backpressure.ColdBounds{Excess: 1, Slack: 2}
+		g.Reconfigure(changed)
+		time.Sleep(propagationTime)
+		must.Eq(t, 0.8, capacityAt(g))
+		must.Eq(t, 0.8, capacityAt(other))
+		must.Eq(t, 1, delegates())
+		v := g.view.Load()
+		route := v.table.Match("a.example", "/q/1")
+		var f model.Fingerprint
+		must.True(t, g.newRequestRun(v, request("/q/1"), route, route.Gather.Services, f, 0, 0).shedsLoad)
+		held := reserve()
+		must.True(t, held.BodyReserved())
+
+		// A lower limit than what is in use refuses new bodies and keeps the reserved one.
+		changed.BodyMemory = 1 << 20
+		g.Reconfigure(changed)
+		refused := request("/q/2")
+		_, ok := g.ReserveBody(refused, 1<<20)
+		must.False(t, ok)
+		held.ReleaseBody()
+		reserve().ReleaseBody()
+		must.Eq(t, 0, g.bodyMemoryStatus().HeldBytes[0])
+
+		changed.BodyMemory = 0
+		g.Reconfigure(changed)
+		must.Nil(t, g.bodyMemoryStatus())
+		must.False(t, reserve().BodyReserved())
 	})
 }
 
--- a/pkg/gateway/load_shedding_test.go
+++ b/pkg/gateway/load_shedding_test.go
@@ -79,7 +79,7 @@
 	r.Gather.MinShare = minShare
 	ff.configure(1, r)
 	ff.answer = s.answer
-	g := ff.startWith(0, 1, Config{LoadShedding: shedding})
+	g := ff.startWith(0, 1, Config{Settings: Settings{LoadShedding: shedding}})
 	time.Sleep(propagationTime)
 	s.slowAt = time.Now().Add(time.Second)
 	var answers []Answer
--- a/pkg/gateway/membership.go
+++ b/pkg/gateway/membership.go
@@ -28,7 +28,7 @@
 }
 
 func (g *Gateway) listedSeeds() []port.ListedInstance {
-	seeds := g.seeds()
+	seeds := g.settings().Seeds
 	listed := make([]port.ListedInstance, 0, len(seeds))
 	for _, s := range seeds {
 		listed = append(listed, port.ListedInstance{ID: s.ID, ControlAddress: s.ControlAddress})
--- a/pkg/gateway/published_keys.go
+++ b/pkg/gateway/published_keys.go
@@ -198,7 +198,7 @@
 	return &service{
 		name:     name,
 		balancer: balancer.NewService(g.cfg.DataCentre),
-		budget:   retrybudget.New(g.budgetLimits(), g.budgetFleet(now, shard), now),
+		budget:   retrybudget.New(g.settings().RetryBudget, g.budgetFleet(now, shard), now),
 		shard:    shard,
 	}
 }
@@ -238,13 +238,13 @@
 	if v == nil {
 		return
 	}
-	limits, all, shards := g.budgetLimits(), g.budgetFleet(now, false), g.budgetFleet(now, true)
+	limits, all, shards := g.settings().RetryBudget, g.budgetFleet(now, false), g.budgetFleet(now, true)
 	for _, s := range v.services {
 		s.mu.Lock()
 		if s.shard {
-			s.budget.SetLimits(limits, shards)
+			s.budget.SetLimits(now, limits, shards)
 		} else {
-			s.budget.SetLimits(limits, all)
+			s.budget.SetLimits(now, limits, all)
 		}
 		s.mu.Unlock()
 	}
--- a/pkg/gateway/serve.go
+++ b/pkg/gateway/serve.go
@@ -56,7 +56,7 @@
 		services = []string{service}
 	}
 	callerElapsed, transitTime := g.timing.observe(route.Name, r.CallerTimeout)
-	transitTime += answerMargin(g.cfg.Capacity)
+	transitTime += answerMargin(g.settings().Capacity)
 	run := g.newRequestRun(v, r, route, services, fingerprint, callerElapsed, transitTime)
 	run.callerGone = ctx.Done()
 	switch run.firstStep(now) {
@@ -223,7 +223,7 @@
 // of the gateway.
 func (g *Gateway) prepareRun(v *view, r *Request, route *routing.Route, services []string, f model.Fingerprint, callerElapsed, transitTime time.Duration, latency *routeLatency) *requestRun {
 	answerBy, deadline := requestTimes(r, route, callerElapsed, transitTime)
-	shedsLoad := g.cfg.LoadShedding.applies(v.table)
+	shedsLoad := g.settings().LoadShedding.applies(v.table)
 	cfg := fanout.Config{
 		Services:    services,
 		MinParts:    1,
--- a/pkg/membership/membership.go
+++ b/pkg/membership/membership.go
@@ -222,6 +222,18 @@
 	m.publishSelf()
 }
 
+// SetCapacity publishes a changed capacity of this process, in thousandths of a core.
+func (m *Membership) SetCapacity(capacity uint32) {
+	if m.self.Capacity == capacity {
+		return
+	}
+	m.self.Capacity = capacity
+	m.self.Incarnation++
+	// The short form of the record lacks the capacity.
+	m.recordEpoch++
+	m.publishSelf()
+}
+
 // SetCatalogHash sets the catalog hash that all datagrams of this instance
 // carry.
 func (m *Membership) SetCatalogHash(h uint64) {
--- a/pkg/retrybudget/retrybudget.go
+++ b/pkg/retrybudget/retrybudget.go
@@ -7,7 +7,10 @@
 // Budget does no I/O and reads no clock; it is not safe for concurrent use.
 package retrybudget
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Limits describe the budget of a service over all instances.
 type Limits struct {
@@ -91,13 +94,60 @@
 	return &Budget{limits: l, fleet: f, start: now}
 }
 
-// SetLimits changes the limits and the instances that share them. The length of the
-// window stays as it is.
-func (b *Budget) SetLimits(l Limits, f Fleet) {
-	l.Window = b.limits.Window
+// SetLimits changes the limits and the instances that share them. Extra attempts that have
+// been sent count in the new window too.
+func (b *Budget) SetLimits(now time.Time, l Limits, f Fleet) {
+	if l.Window != b.limits.Window {
+		b.setWindow(now, l.Window)
+	}
 	b.limits, b.fleet = l, f
 }
 
+// setWindow changes the length of the window and moves the counts to the new slots. Where a
+// slot falls between two new ones, its extra attempts go to the later one and its requests
+// to the earlier one, so that the budget is rather too small.
+func (b *Budget) setWindow(now time.Time, window time.Duration) {
+	b.advance(now)
+	old := *b
+	oldSlot, newSlot := old.limits.Window/slotCount, window/slotCount
+	b.limits.Window, b.start, b.current = window, now, 0
+	b.slots, b.total = [slotCount + 1]counts{}, counts{}
+	slotAt := func(age time.Duration) (number int64, inWindow bool) {
+		if newSlot <= 0 {
+			return 0, true
+		}
+		n := (max(0, age) + newSlot - 1) / newSlot
+		return -int64(n), n <= slotCount
+	}
+	add := func(age time.Duration, c counts) {
+		if number, ok := slotAt(age); ok {
+			s := b.slot(number)
+			s.requests += c.requests
+			s.extra += c.extra
+			b.total.requests += c.requests
+			b.total.extra += c.extra
+		}
+	}
+	if oldSlot <= 0 {
+		// Without a window, attempts are counted from the start and their age is not known.
+		add(0, counts{extra: old.total.extra})
+		return
+	}
+	// currentAge is the time since the beginning of the old current slot.
+	currentAge := now.Sub(old.start.Add(time.Duration(old.current) * oldSlot))
+	for i := range int64(slotCount + 1) {
+		c := *old.slot(old.current - i)
+		end := currentAge + time.Duration(i-1)*oldSlot
+		add(end, counts{extra: c.extra})
+		add(end+oldSlot, counts{requests: c.requests})
+	}
+	if window > old.limits.Window {
+		// What was sent before the old window is not known.
+		windows := (window - 1) / old.limits.Window
+		add(old.limits.Window, counts{extra: int(math.Ceil(old.fixedLimit())) * int(windows)})
+	}
+}
+
 // CountRequest counts the first attempt of a request.
 func (b *Budget) CountRequest(now time.Time) {
 	b.advance(now)
@@ -135,7 +185,12 @@
 // any.
 func (b *Budget) limit() float64 {
 	requests := b.total.requests - b.slot(b.current-slotCount).requests
-	return max(1, b.fleet.share(b.limits.Allowance*allowanceShare)) + b.limits.Ratio*ratioShare*float64(requests)
+	return b.fixedLimit() + b.limits.Ratio*ratioShare*float64(requests)
+}
+
+// fixedLimit returns the part of the limit that does not depend on the requests.
+func (b *Budget) fixedLimit() float64 {
+	return max(1, b.fleet.share(b.limits.Allowance*allowanceShare))
 }
 
 // slot returns the entry of the ring for the slot with the given number.
--- a/pkg/retrybudget/retrybudget_test.go
+++ b/pkg/retrybudget/retrybudget_test.go
@@ -45,16 +45,78 @@
 				attempts = append(attempts, sentAttempt{at: now, extra: true})
 			}
 		}
-		checkWindows(t, limits, attempts)
+		checkWindows(t, limits, attempts, start)
 	})
 }
 
-// checkWindows checks each window that ends with an extra attempt. By the users'
+// TestChangedWindow guards against a change of the window's length that is ignored, or that
+// lets instances send the extra attempts of the old window once more.
+func TestChangedWindow(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		seconds := rapid.SampledFrom([]time.Duration{500 * time.Millisecond, 2 * time.Second, 7 * time.Second, 10 * time.Second})
+		limits := Limits{Ratio: 0.2, Allowance: 56, Window: seconds.Draw(t, "old window")}
+		changed := limits
+		changed.Window = seconds.Draw(t, "new window")
+		n := rapid.IntRange(1, 10).Draw(t, "instances")
+		budgets := make([]*Budget, n)
+		for i := range budgets {
+			budgets[i] = New(limits, Fleet{Instances: n}, start)
+		}
+		var attempts []sentAttempt
+		change := start.Add(time.Duration(rapid.IntRange(0, 15_000).Draw(t, "change")) * time.Millisecond)
+		now := start
+		for now.Sub(change) < 15*time.Second {
+			now = now.Add(time.Duration(rapid.IntRange(1, 400).Draw(t, "step")) * time.Millisecond)
+			b := budgets[rapid.IntRange(0, n-1).Draw(t, "instance")]
+			if !now.Before(change) {
+				b.SetLimits(now, changed, Fleet{Instances: n})
+			}
+			for range rapid.IntRange(0, 20).Draw(t, "requests") {
+				b.CountRequest(now)
+				attempts = append(attempts, sentAttempt{at: now})
+			}
+			for b.Take(now, rapid.Bool().Draw(t, "can wait")) {
+				attempts = append(attempts, sentAttempt{at: now, extra: true})
+			}
+		}
+		checkWindows(t, changed, attempts, change)
+	})
+}
+
+// TestChangedWindowIsUsed guards against a budget that stays used up after a change of the
+// window's length, or that has the old window.
+func TestChangedWindowIsUsed(t *testing.T) {
+	const most = 8 // extra attempts: allowanceShare of the allowance
+	for _, c := range []struct{ before, after time.Duration }{
+		{10 * time.Second, 2 * time.Second},
+		{2 * time.Second, 10 * time.Second},
+		{2 * time.Second, 2500 * time.Millisecond},
+		{0, 2 * time.Second},
+	} {
+		limits := Limits{Allowance: 10, Window: c.before}
+		b := New(limits, Fleet{Instances: 1}, start)
+		sendAll := func(now time.Time) (sent int) {
+			for b.Take(now, false) {
+				sent++
+			}
+			return sent
+		}
+		now := start.Add(3 * time.Second)
+		must.Eq(t, most, sendAll(now))
+		limits.Window = c.after
+		b.SetLimits(now, limits, Fleet{Instances: 1})
+		must.Eq(t, 0, sendAll(now))
+		must.Eq(t, 0, sendAll(now.Add(c.after-time.Millisecond)))
+		must.Eq(t, most, sendAll(now.Add(c.after*11/10)))
+	}
+}
+
+// checkWindows checks each window that ends with an extra attempt, sent after from. By the users'
 // rules, the ratio applies to the requests of the same window or of the window
 // that lies half a window earlier, whichever has more requests.
-func checkWindows(t *rapid.T, l Limits, attempts []sentAttempt) {
+func checkWindows(t *rapid.T, l Limits, attempts []sentAttempt, from time.Time) {
 	for _, last := range attempts {
-		if !last.extra {
+		if !last.extra || last.at.Before(from) {
 			continue
 		}
 		extra, requests, earlierRequests := 0, 0, 0
@@ -99,7 +161,7 @@
 				attempts = append(attempts, sentAttempt{at: now, extra: true})
 			}
 		}
-		checkWindows(t, limits, attempts)
+		checkWindows(t, limits, attempts, start)
 	})
 }
 
--- a/pkg/settings/gateway_file.go
+++ b/pkg/settings/gateway_file.go
@@ -36,18 +36,18 @@
 // its file changes to next, and the names of the changed settings that it cannot put into
 // force. These are bound to listeners or to the identity of the instance; they keep their
 // values until the process ends. first_start only matters at a start.
-func (s Gateway) AtRunTime(next Gateway) (inForce Gateway, unchanged []string) {
+func (s Gateway) AtRunTime(next Gateway) (inForce Gateway, fixed []string) {
 	inForce = next
-	keep(&unchanged, "name", s.Name, &inForce.Name)
-	keep(&unchanged, "data_centre", s.DataCentre, &inForce.DataCentre)
-	keep(&unchanged, "ip", s.IP, &inForce.IP)
-	keep(&unchanged, "peer_port", s.PeerPort, &inForce.PeerPort)
-	keep(&unchanged, "peer_bind_ip", s.PeerBindIP, &inForce.PeerBindIP)
-	keep(&unchanged, "caller_address", s.CallerAddress, &inForce.CallerAddress)
-	keep(&unchanged, "operator_address", s.OperatorAddress, &inForce.OperatorAddress)
-	keep(&unchanged, "metrics_port", s.MetricsPort, &inForce.MetricsPort)
+	keep(&fixed, "name", s.Name, &inForce.Name)
+	keep(&fixed, "data_centre", s.DataCentre, &inForce.DataCentre)
+	keep(&fixed, "ip", s.IP, &inForce.IP)
+	keep(&fixed, "peer_port", s.PeerPort, &inForce.PeerPort)
+	keep(&fixed, "peer_bind_ip", s.PeerBindIP, &inForce.PeerBindIP)
+	keep(&fixed, "caller_address", s.CallerAddress, &inForce.CallerAddress)
+	keep(&fixed, "operator_address", s.OperatorAddress, &inForce.OperatorAddress)
+	keep(&fixed, "metrics_port", s.MetricsPort, &inForce.MetricsPort)
 	inForce.FirstStart = s.FirstStart
-	return inForce, unchanged
+	return inForce, fixed
 }
 
 // keep sets a setting back to the value that it has in the process, and adds its name to
