Gateway: read the store at its changed address

Store.SetAddress replaces the endpoint: calls in progress are made again at the new address within their time, and the connections to the old one are closed. A listing never has pages of both.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -124,15 +124,16 @@
 }
 
 // connectSettings lets changed settings reach the parts of the gateway that hold copies.
-func connectSettings(live *gatewaySettings, log logrus.FieldLogger, m *metrics.Metrics, g *gateway.Gateway, upstreams *upstreamhttp.Client) {
-	live.log, live.metrics = log, m
+func connectSettings(live *gatewaySettings, p gatewayParams, g *gateway.Gateway) {
+	live.log, live.metrics = p.Log, p.Metrics
 	live.apply = func(old, s settings.Gateway) {
 		if s.Processors() != old.Processors() {
 			limitProcessors(s)
 		}
 		limitMemory(s)
-		setLogLevel(log, s.LogLevel)
-		upstreams.LimitAnswerMemory(answerMemory(s))
+		setLogLevel(p.Log, s.LogLevel)
+		p.Upstreams.LimitAnswerMemory(answerMemory(s))
+		p.Store.SetAddress(s.StoreAddress)
 		g.Reconfigure(gatewayConfig(s))
 	}
 }
@@ -176,6 +177,7 @@
 			newGatewaySocket,
 			newGatewayPeers,
 			newGatewayUpstreams,
+			newGatewayStore,
 			newGateway,
 			newGatewayServer,
 			newIngress,
@@ -235,6 +237,8 @@
 	return client
 }
 
+func newGatewayStore(s settings.Gateway) *platform.Store { return platform.NewStore(s.StoreAddress) }
+
 func newGatewayPeers(s settings.Gateway, clock port.Clock) *peergrpc.Client {
 	return peergrpc.NewClientFrom(clock, s.PeerSource())
 }
@@ -248,6 +252,7 @@
 	Control   *peerudp.Socket
 	Peers     *peergrpc.Client
 	Upstreams *upstreamhttp.Client
+	Store     *platform.Store
 }
 
 func newGateway(p gatewayParams) *gateway.Gateway {
@@ -263,7 +268,7 @@
 		Clock:      p.Clock,
 		Upstreams:  platform.NewUpstreams(p.Upstreams, p.Clock),
 		Decoder:    platform.Decoder{},
-		Store:      platform.NewStore(s.StoreAddress),
+		Store:      p.Store,
 		FeedPeers:  p.Peers,
 		QueryPeers: p.Peers,
 		Control:    p.Control,
--- a/pkg/app/gateway_test.go
+++ b/pkg/app/gateway_test.go
@@ -46,6 +46,18 @@
 	s.changed = make(chan struct{})
 }
 
+// putConfig writes a configuration with one route, for requests that are not idempotent.
+func (s *storeStub) putConfig(version int) {
+	s.put("op/config", map[string]any{
+		"version": version,
+		"routes": []any{map[string]any{
+			"name": "r", "host": "a.example", "prefix": "/", "kind": "unsafe", "timeout_ms": 2000, "latency_target_ms": 500, "max_attempts": 2, "service": "s",
+		}},
+		"services": []any{map[string]any{"name": "s", "max_conns": 500}},
+		"limits":   map[string]any{"max_body_bytes": 1000},
+	})
+}
+
 // itemsAfter returns the items that changed after a revision, the revision of the store,
 // and a channel that is closed by the next change.
 func (s *storeStub) itemsAfter(revision int) (items []map[string]any, currentRevision int, changed <-chan struct{}) {
@@ -111,6 +123,8 @@
 type runningGateway struct {
 	settings     settings.Gateway
 	settingsFile string
+	store        *storeStub
+	storeServer  *httptest.Server
 	// stop stops the gateway and waits until it has ended.
 	stop func() error
 }
@@ -122,14 +136,20 @@
 	must.NoError(t, os.Rename(g.settingsFile+".new", g.settingsFile))
 }
 
+// changeSettings writes the settings to the settings file.
+func (g *runningGateway) changeSettings(t *testing.T, s settings.Gateway) {
+	t.Helper()
+	text, err := json.Marshal(s)
+	must.NoError(t, err)
+	g.writeSettings(t, text)
+}
+
 // setStopTime writes the settings with another stop time to the settings file.
 func (g *runningGateway) setStopTime(t *testing.T, stopS float64) {
 	t.Helper()
 	s := g.settings
 	s.StopS = stopS
-	text, err := json.Marshal(s)
-	must.NoError(t, err)
-	g.writeSettings(t, text)
+	g.changeSettings(t, s)
 }
 
 // startGateway starts a gateway whose configuration has one route, for requests that are
@@ -141,14 +161,7 @@
 	store := newStoreStub()
 	storeServer := httptest.NewServer(store)
 	t.Cleanup(storeServer.Close)
-	store.put("op/config", map[string]any{
-		"version": 1,
-		"routes": []any{map[string]any{
-			"name": "r", "host": "a.example", "prefix": "/", "kind": "unsafe", "timeout_ms": 2000, "latency_target_ms": 500, "max_attempts": 2, "service": "s",
-		}},
-		"services": []any{map[string]any{"name": "s", "max_conns": 500}},
-		"limits":   map[string]any{"max_body_bytes": 1000},
-	})
+	store.putConfig(1)
 	store.put("servers/i-1", map[string]any{
 		"service": "s", "address": upstream.Listener.Addr().String(), "zone": "z", "slots": 100, "state": "ready", "cold_left_ms": 0, "sequence": 1,
 	})
@@ -160,7 +173,7 @@
 		LogLevel:        "error", StopS: 6,
 		Budget: settings.RetryBudget{Ratio: 0.2, Allowance: 50, WindowS: 10},
 	}
-	g := &runningGateway{settings: s, settingsFile: filepath.Join(t.TempDir(), "settings.json")}
+	g := &runningGateway{settings: s, store: store, storeServer: storeServer, settingsFile: filepath.Join(t.TempDir(), "settings.json")}
 	g.setStopTime(t, s.StopS)
 	ctx, stop := context.WithCancel(context.Background())
 	done := make(chan error, 1)
--- a/pkg/app/reload_test.go
+++ b/pkg/app/reload_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"maps"
 	"net/http"
+	"net/http/httptest"
 	"os"
 	"runtime"
 	"runtime/debug"
@@ -176,23 +177,78 @@
 	g := startGateway(t, &upstreamStub{ran: make(map[string]int)})
 	s := g.settings
 	s.Cores, s.MemoryMB = 1.5, 100
-	text, err := json.Marshal(s)
-	must.NoError(t, err)
-	g.writeSettings(t, text)
+	g.changeSettings(t, s)
 	// Without a signal the change is noticed at the next poll.
 	time.Sleep(settingsPollInterval + 500*time.Millisecond)
 	must.Eq(t, 2, runtime.GOMAXPROCS(0))
 	must.Eq(t, 80<<20, debug.SetMemoryLimit(-1))
-	resp, err := http.Get("http://" + s.OperatorAddress + "/status")
+	must.Eq(t, bodyMemory(s), g.status(t).BodyMemory.LimitBytes)
+	must.NoError(t, g.stop())
+}
+
+// gatewayStatus is a part of the status that a gateway reports.
+type gatewayStatus struct {
+	ConfigVersion int `json:"config_version"`
+	BodyMemory    struct {
+		LimitBytes int64 `json:"limit_bytes"`
+	} `json:"body_memory"`
+}
+
+func (g *runningGateway) status(t *testing.T) gatewayStatus {
+	t.Helper()
+	resp, err := http.Get("http://" + g.settings.OperatorAddress + "/status")
 	must.NoError(t, err)
-	var status struct {
-		BodyMemory struct {
-			LimitBytes int64 `json:"limit_bytes"`
-		} `json:"body_memory"`
+	defer func() { _ = resp.Body.Close() }()
+	var s gatewayStatus
+	must.NoError(t, json.NewDecoder(resp.Body).Decode(&s))
+	return s
+}
+
+// TestChangedStoreAddress guards against a gateway that keeps the configuration of before
+// the store's address changed, because it goes on reading the old address. The address
+// changes, then to one that refuses connections and back, and then while no store answers.
+func TestChangedStoreAddress(t *testing.T) {
+	g := startGateway(t, &upstreamStub{ran: make(map[string]int)})
+	awaitVersion := func(version int) {
+		t.Helper()
+		for range 300 {
+			if g.status(t).ConfigVersion == version {
+				return
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		t.Fatal("version ", version, " is not in force")
+	}
+	awaitVersion(1)
+	setAddress := func(address string) {
+		s := g.settings
+		s.StoreAddress = address
+		g.changeSettings(t, s)
+		must.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGHUP))
 	}
-	must.NoError(t, json.NewDecoder(resp.Body).Decode(&status))
-	must.NoError(t, resp.Body.Close())
-	must.Eq(t, bodyMemory(s), status.BodyMemory.LimitBytes)
+	second, third := httptest.NewServer(g.store), httptest.NewServer(g.store)
+	defer third.Close()
+	closeStore := func(s *httptest.Server) {
+		s.CloseClientConnections()
+		s.Close()
+	}
+	setAddress(second.Listener.Addr().String())
+	time.Sleep(200 * time.Millisecond)
+	closeStore(g.storeServer)
+	g.store.putConfig(2)
+	awaitVersion(2)
+
+	setAddress(fmt.Sprint("127.0.0.1:", freePort(t)))
+	time.Sleep(500 * time.Millisecond)
+	setAddress(second.Listener.Addr().String())
+	g.store.putConfig(3)
+	awaitVersion(3)
+
+	closeStore(second)
+	time.Sleep(500 * time.Millisecond)
+	setAddress(third.Listener.Addr().String())
+	g.store.putConfig(4)
+	awaitVersion(4)
 	must.NoError(t, g.stop())
 }
 
