Gateway: a connection without a request does not fail a stop

A stopping process ended with status 1, "context canceled", if a caller had opened a connection within the last 5 s and sent nothing on it: http.Server.Shutdown waits for such connections, and its error at the end of the stop time became that of the process.

Ingress.Stop closes what is left at the end of the time, and returns an error only if requests were in progress. TestStopReportsCutRequests fails without the change.

--- a/pkg/app/gateway.go
+++ b/pkg/app/gateway.go
@@ -390,7 +390,7 @@
 		time.Now().Before(plan.acceptUntil()) && r.Ingress.SinceLastRequest() < noRequestTime {
 		time.Sleep(stopPollInterval)
 	}
-	err := r.Ingress.Shutdown(running)
+	err := r.Ingress.Stop(running)
 	for r.Gateway.ActiveRequests() > 0 && running.Err() == nil {
 		time.Sleep(stopPollInterval)
 	}
