Fault soak: changes of the settings files

The soak sent SIGHUP but never changed a settings file, and its callers left a stopping gateway at once, so that a stop by an old stop time passed. SIGKILL follows the stop time that the file states.

--- a/Makefile
+++ b/Makefile
@@ -36,7 +36,7 @@
 # Runs gateways as separate processes, into which the test injects random faults from
 # outside, for SEEDS seeds from FIRST on; with FIRST=0 the first seed is taken from the
 # time of day. The logs of failed runs are kept under out/soak. SWITCHED selects the
-# kinds of faults that can be switched (evacuation, cold, rollback, status), separated by
+# kinds of faults that can be switched (evacuation, cold, rollback, status, settings), separated by
 # commas; empty means those that are enabled, none means none.
 SWITCHED ?=
 PARALLEL ?= 4
--- a/internal/soak/caller_test.go
+++ b/internal/soak/caller_test.go
@@ -26,9 +26,10 @@
 	ledger   *ledger
 	fleet    *fleet
 	services *services
-	// index numbers the caller and selects its gateway.
-	index  int
-	random *rand.Rand
+	// index numbers the caller and selects its gateway, unless fixedGateway is set.
+	index        int
+	fixedGateway *gatewayProcess
+	random       *rand.Rand
 	// rateMilliHz is the request rate in thousandths of a request a second, and
 	// abandonPercent the percentage of requests whose connection the caller closes
 	// before the answer. Both point to fields of the harness. They are nil for a
@@ -96,7 +97,9 @@
 	if c.conn != nil {
 		return true
 	}
-	c.gateway = c.fleet.pickGateway(c.index)
+	if c.gateway = c.fixedGateway; c.gateway == nil {
+		c.gateway = c.fleet.pickGateway(c.index)
+	}
 	conn, err := net.DialTimeout("tcp", c.gateway.callerAddress, time.Second)
 	if err != nil {
 		return false
--- a/internal/soak/faults_test.go
+++ b/internal/soak/faults_test.go
@@ -275,17 +275,21 @@
 	}}
 }
 
+// terminate begins a planned stop of a gateway, and returns the gateway's name.
+func (h *harness) terminate(g *gatewayProcess) string {
+	h.running.Go(func() {
+		from := time.Now()
+		err := g.terminate()
+		h.ledger.checkStop(g.name, err, from)
+	})
+	return g.name
+}
+
 // plannedWork holds planned changes by operators, during which no request may lose
 // its answer.
 var plannedWork = []fault{
 	{name: "terminate", planned: true, start: func(h *harness, r *rand.Rand) (string, func()) {
-		g := h.randomGateway(r)
-		h.running.Go(func() {
-			from := time.Now()
-			err := g.terminate()
-			h.ledger.checkStop(g.name, err, from)
-		})
-		return g.name, noUndo
+		return h.terminate(h.randomGateway(r)), noUndo
 	}},
 	{name: "reload signal", planned: true, start: func(h *harness, r *rand.Rand) (string, func()) {
 		h.randomGateway(r).currentProcess().Signal(syscall.SIGHUP)
--- a/internal/soak/fleet_test.go
+++ b/internal/soak/fleet_test.go
@@ -2,12 +2,10 @@
 
 import (
 	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
 	"net"
 	"net/http"
-	"os"
 	"path/filepath"
 	"sync"
 	"syscall"
@@ -49,13 +47,16 @@
 	name, ip, dataCentre string
 	// callerAddress is the relay's address through which callers reach the gateway.
 	callerAddress string
-	settings      settings.Gateway
 	settingsFile  string
 	fleet         *fleet
 
-	mu           sync.Mutex
-	process      *launch.Process
-	launchedAt   time.Time
+	mu sync.Mutex
+	// settings are those that the settings file last stated.
+	settings   settings.Gateway
+	process    *launch.Process
+	launchedAt time.Time
+	// stopBegan is when the process last got SIGTERM as planned work.
+	stopBegan    time.Time
 	failedChecks int
 }
 
@@ -135,12 +136,7 @@
 }
 
 func (g *gatewayProcess) launch(firstStart bool) error {
-	g.settings.FirstStart = firstStart
-	text, err := json.Marshal(g.settings)
-	if err != nil {
-		return err
-	}
-	if err := os.WriteFile(g.settingsFile, text, 0o644); err != nil {
+	if err := g.changeSettings(func(s *settings.Gateway) { s.FirstStart = firstStart }); err != nil {
 		return err
 	}
 	p, err := launch.Start(context.Background(), launch.Command{Name: g.name, Path: binary, Args: []string{"gateway", "--settings", g.settingsFile}, LogDir: g.fleet.dir})
@@ -183,16 +179,24 @@
 // signals.
 const startupTime = time.Second
 
+// isStarting reports whether the process may not handle signals yet.
+func (g *gatewayProcess) isStarting() bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return time.Since(g.launchedAt) < startupTime
+}
+
 // terminate stops the process with SIGTERM and waits for its end. SIGTERM kills a
 // process that has just started and does not handle signals yet. This is no error,
 // because the process has no listeners yet and no request is cut. In seed 104,
 // SIGTERM came 0.2 s after the start, before log event 100 (ProcessStarted).
 func (g *gatewayProcess) terminate() error {
+	starting := g.isStarting()
 	g.mu.Lock()
-	p, launched := g.process, g.launchedAt
+	g.stopBegan = time.Now()
+	p, grace := g.process, g.settings.StopTime()
 	g.mu.Unlock()
-	starting := time.Since(launched) < startupTime
-	err := p.Terminate(stopGrace)
+	err := p.Terminate(grace)
 	if starting && !errors.Is(err, launch.ErrKilled) {
 		return nil
 	}
--- a/internal/soak/kinds_test.go
+++ b/internal/soak/kinds_test.go
@@ -14,11 +14,12 @@
 	coldUpstreams   kind = "cold"       // upstreams are cold, with a limit on requests
 	storeRollbacks  kind = "rollback"   // the store returns from an older copy
 	invalidStatuses kind = "status"     // upstreams answer with an invalid status
+	settingsChanges kind = "settings"   // the settings files change
 )
 
 // enabledKinds are the kinds that runs use unless -soak.kinds names others. A kind is
 // added once the program keeps the guarantees under it.
-var enabledKinds = []kind{evacuations, coldUpstreams, storeRollbacks, invalidStatuses}
+var enabledKinds = []kind{evacuations, coldUpstreams, storeRollbacks, invalidStatuses, settingsChanges}
 
 // kindSelector holds the kinds of a run.
 type kindSelector []kind
@@ -36,7 +37,7 @@
 	var out kindSelector
 	for _, name := range strings.Split(*kindNames, ",") {
 		switch k := kind(name); k {
-		case evacuations, coldUpstreams, storeRollbacks, invalidStatuses:
+		case evacuations, coldUpstreams, storeRollbacks, invalidStatuses, settingsChanges:
 			out = append(out, k)
 		default:
 			return nil, fmt.Errorf("unknown kind of faults %q", name)
@@ -53,6 +54,7 @@
 		coldUpstreams:   seed%5 < 2,
 		storeRollbacks:  seed%4 == 3,
 		invalidStatuses: seed%7 == 3,
+		settingsChanges: seed%2 == 1,
 	}
 	return slices.DeleteFunc(slices.Clone(all), func(k kind) bool { return !used[k] })
 }
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -28,7 +28,7 @@
 	parallelRuns  = flag.Int("soak.parallel", 4, "number of runs at the same time")
 	instanceCount = flag.Int("soak.instances", 5, "number of gateways in a run")
 	programPath   = flag.String("soak.program", "", "path of the program; it is built when this is empty")
-	kindNames     = flag.String("soak.kinds", "", "kinds of faults that can be switched, separated by commas: evacuation, cold, rollback, status; none for no such faults, enabledKinds when this is empty")
+	kindNames     = flag.String("soak.kinds", "", "kinds of faults that can be switched, separated by commas: evacuation, cold, rollback, status, settings; none for no such faults, enabledKinds when this is empty")
 	keepDir       = flag.String("soak.keep", "", "directory for the logs of runs that failed; a temporary one when this is empty")
 )
 
@@ -165,6 +165,9 @@
 	if kinds.has(invalidStatuses) {
 		h.running.Go(func() { h.answerInvalidStatuses(seed) })
 	}
+	if kinds.has(settingsChanges) {
+		h.running.Go(func() { h.changeSettings(seed) })
+	}
 }
 
 func (h *harness) startCallers(seed uint64) *sync.WaitGroup {
@@ -274,7 +277,7 @@
 
 // seedOfKind holds the seed that TestShortSoak runs for each enabled kind. A long run of
 // these seeds uses no other kind.
-var seedOfKind = map[kind]uint64{evacuations: 1002, coldUpstreams: 1000, storeRollbacks: 1003, invalidStatuses: 1004}
+var seedOfKind = map[kind]uint64{evacuations: 1002, coldUpstreams: 1000, storeRollbacks: 1003, invalidStatuses: 1004, settingsChanges: 1007}
 
 // TestShortSoak guards against changes that break a guarantee to callers or
 // upstreams under faults of all kinds. It runs real processes. The seeds of enabled kinds
