--- a/internal/soak/settings_test.go
+++ b/internal/soak/settings_test.go
@@ -25,7 +25,7 @@
 		for range 1 + r.IntN(3) {
 			if r.IntN(4) == 0 {
 				invalid := []string{"", "{", `{"stop_s": "4"}`, `{"stop_s": -1}`, "null"}[r.IntN(5)]
-				_ = replaceFile(g.settingsFile, []byte(invalid))
+				_ = g.writeSettingsFile(invalid)
 				g.hangUp(r.IntN(3))
 				time.Sleep(time.Duration(r.Int64N(int64(300 * time.Millisecond))))
 			}
@@ -89,6 +89,13 @@
 	}
 }
 
+// writeSettingsFile writes a text that need not be valid to the settings file.
+func (g *gatewayProcess) writeSettingsFile(text string) error {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return replaceFile(g.settingsFile, []byte(text))
+}
+
 // changeSettings changes the settings and writes them to the settings file. The stop time
 // does not become longer while a stop may be under way, because SIGKILL comes by the time
 // of its beginning.
