--- a/review/stand3/budget.go
+++ b/review/stand3/budget.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -88,7 +89,9 @@
 		<-ticker.C
 		g := fleet.gateways[rand.IntN(len(fleet.gateways))]
 		id := fmt.Sprintf("%08x%08x", rand.Uint32(), n)
-		clients.Go(func() { sent.send(g.callerAddress(), "archive.example", fmt.Sprintf("/archive/%d", n), id) })
+		clients.Go(func() {
+			sent.send(g.callerAddress(), "archive.example", fmt.Sprintf("/archive/%d", n), id, 3*time.Second)
+		})
 	}
 	ticker.Stop()
 	clients.Wait()
@@ -114,9 +117,9 @@
 	return append([]sentRequest(nil), s.list...)
 }
 
-var requester = &http.Client{Timeout: 3 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+var requester = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
 
-func (s *sentRequests) send(address, host, path, id string) {
+func (s *sentRequests) send(address, host, path, id string, timeout time.Duration) {
 	r := sentRequest{at: time.Now(), id: id}
 	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
 	if err != nil {
@@ -124,7 +127,10 @@
 	}
 	req.Host = host
 	req.Header.Set("X-Request-Id", id)
-	req.Header.Set("X-Deadline-Ms", "3000")
+	req.Header.Set("X-Deadline-Ms", fmt.Sprint(timeout.Milliseconds()))
+	ctx, cancel := context.WithTimeout(req.Context(), timeout)
+	defer cancel()
+	req = req.WithContext(ctx)
 	resp, err := requester.Do(req)
 	if err != nil {
 		r.answer = "no answer"
