--- a/review/stand3/main.go
+++ b/review/stand3/main.go
@@ -66,7 +66,7 @@
 }
 
 func run(name, program, record string) int {
-	cases := map[string]func(*bench) (int, error){"budget": budgetCase, "deadline": deadlineCase}
+	cases := map[string]func(*bench) (int, error){"deadline": deadlineCase}
 	c, ok := cases[name]
 	if !ok {
 		fmt.Fprintln(os.Stderr, "unknown case", name)
